--- /dev/null
+++ b/packages/common/src/rosemaryseam/common/exchange.py
@@ -0,0 +1,135 @@
+"""One HTTP exchange on a connection of its own, never repeated by a library."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING, NamedTuple
+
+import gevent
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPSocketResponse
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
+    from rosemaryseam.common.addresses import Address
+
+READ_BYTES = 65_536
+
+TRANSPORT_ERRORS = (OSError, gevent.Timeout, ValueError)
+
+
+class Answer(NamedTuple):
+    """A whole HTTP answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class Exchange(HTTPClient):
+    """A connection that carries one request.
+
+    The base class repeats some methods on another connection; this class never
+    does, so that a caller knows what was written.
+
+    :param address: the server
+    :param connect_s: deadline for the connection
+    :param read_s: deadline for each wait for bytes
+    """
+
+    def __init__(self, address: Address, connect_s: float, read_s: float) -> None:
+        super().__init__(
+            address.ip,
+            address.port,
+            connection_timeout=connect_s,
+            network_timeout=read_s,
+        )
+        self._sock = None
+
+    def connect(self) -> None:
+        """Open the connection.
+
+        :raises OSError: the server cannot be reached in time
+        """
+        self._sock = self._connection_pool.get_socket()
+
+    def set_read_timeout(self, seconds: float) -> None:
+        """Set the deadline for each wait for bytes from now on.
+
+        :param seconds: the deadline
+        """
+        self._sock.settimeout(seconds)
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        headers: Mapping[str, str] | None = None,
+    ) -> HTTPSocketResponse:
+        """Write the request and read the answer's head.
+
+        :param method: the HTTP method
+        :param path: path and query
+        :param body: the whole body
+        :param headers: additional headers
+        :raises OSError: the connection failed or went silent
+        """
+        head = self._build_request(method, path, body=body, headers=headers)
+        self._sock.sendall(head.encode('latin-1') + body)
+        return HTTPSocketResponse(self._sock, method=method, block_size=READ_BYTES)
+
+    def close(self) -> None:
+        """Drop the connection."""
+        if self._sock is not None:
+            self._sock.close()
+        super().close()
+
+
+@contextlib.contextmanager
+def open_exchange(
+    address: Address, connect_s: float, read_s: float
+) -> Iterator[Exchange]:
+    """Yield an exchange and drop its connection at the end.
+
+    :param address: the server
+    :param connect_s: deadline for the connection
+    :param read_s: deadline for each wait for bytes
+    """
+    exchange = Exchange(address, connect_s, read_s)
+    try:
+        yield exchange
+    finally:
+        exchange.close()
+
+
+def call(
+    address: Address,
+    method: str,
+    path: str,
+    body: bytes = b'',
+    headers: Mapping[str, str] | None = None,
+    timeout_s: float = 5.0,
+) -> Answer:
+    """Run one small exchange under one deadline.
+
+    :param address: the server
+    :param method: the HTTP method
+    :param path: path and query
+    :param body: the whole body
+    :param headers: additional headers
+    :param timeout_s: deadline for the whole exchange
+    :raises OSError: the server cannot be reached or went silent
+    """
+    try:
+        with (
+            gevent.Timeout(timeout_s),
+            open_exchange(address, timeout_s, timeout_s) as exchange,
+        ):
+            exchange.connect()
+            response = exchange.send(method, path, body, headers)
+            data = bytes(response.read())
+    except (gevent.Timeout, ValueError) as exc:
+        raise OSError(f'{address}: {exc or "no answer"}') from exc
+    return Answer(response.status_code, tuple(response.items()), data)
--- /dev/null
+++ b/packages/common/src/rosemaryseam/common/keyvalue.py
@@ -0,0 +1,132 @@
+"""The platform's key-value service, over Consul's KV HTTP interface."""
+
+from __future__ import annotations
+
+import abc
+import base64
+import json
+from http import HTTPStatus
+from typing import TYPE_CHECKING, NamedTuple
+
+import gevent
+
+from rosemaryseam.common.errors import PlatformError, UnknownOutcomeError
+from rosemaryseam.common.exchange import TRANSPORT_ERRORS, call, open_exchange
+
+if TYPE_CHECKING:
+    from rosemaryseam.common.addresses import Address
+
+MAX_VALUE_BYTES = 1_000_000
+WATCH_GRACE_S = 2.0  # how long past its wait time a long poll may stay unanswered
+
+
+class Stored(NamedTuple):
+    """A value and the index of its last change."""
+
+    value: bytes
+    index: int
+
+
+class KeyValueStore(abc.ABC):
+    """What the project uses of the platform's key-value service."""
+
+    @abc.abstractmethod
+    def get(self, key: str) -> Stored | None:
+        """Return the value of a key, or ``None`` when it is absent.
+
+        :param key: the key
+        :raises PlatformError: the service did not answer
+        """
+
+    @abc.abstractmethod
+    def put(self, key: str, value: bytes, index: int) -> bool:
+        """Write a key if its index is still the given one.
+
+        :param key: the key
+        :param value: at most :data:`MAX_VALUE_BYTES`
+        :param index: the expected index, 0 for a key that must be absent
+        :returns: whether the write took effect
+        :raises PlatformError: nothing was written
+        :raises UnknownOutcomeError: the write may have taken effect
+        """
+
+    @abc.abstractmethod
+    def watch(self, key: str, index: int, wait_s: float) -> Stored | None:
+        """Wait until a key's index passes the given one.
+
+        :param key: the key
+        :param index: the index that the caller has
+        :param wait_s: how long the service may hold the call
+        :returns: the value, changed or not, or ``None`` when it is absent
+        :raises PlatformError: the service did not answer in time
+        """
+
+
+class HttpKeyValueStore(KeyValueStore):
+    """A client that opens one connection a call, so that none can go silent.
+
+    :param address: where the service listens
+    :param timeout_s: deadline of each call but a watch
+    """
+
+    def __init__(self, address: Address, timeout_s: float) -> None:
+        self._address = address
+        self._timeout_s = timeout_s
+
+    def get(self, key: str) -> Stored | None:
+        """Return the value of a key, or ``None``."""
+        return self._read(f'/v1/kv/{key}', self._timeout_s)
+
+    def watch(self, key: str, index: int, wait_s: float) -> Stored | None:
+        """Wait for a key to change, as a long poll."""
+        path = f'/v1/kv/{key}?index={index}&wait={int(wait_s * 1000)}ms'
+        return self._read(path, wait_s + WATCH_GRACE_S)
+
+    def put(self, key: str, value: bytes, index: int) -> bool:
+        """Write a key by compare-and-swap."""
+        if len(value) > MAX_VALUE_BYTES:
+            raise PlatformError(f'{key}: {len(value)} bytes do not fit in a value')
+        with open_exchange(self._address, self._timeout_s, self._timeout_s) as exchange:
+            try:
+                exchange.connect()
+            except TRANSPORT_ERRORS as exc:
+                raise self._unavailable(exc) from exc
+            try:
+                with gevent.Timeout(self._timeout_s):
+                    response = exchange.send('PUT', f'/v1/kv/{key}?cas={index}', value)
+                    body = response.read()
+            except TRANSPORT_ERRORS as exc:
+                raise UnknownOutcomeError(f'no answer to a write of {key}') from exc
+        return _parse_written(response.status_code, body)
+
+    def _read(self, path: str, timeout_s: float) -> Stored | None:
+        try:
+            answer = call(self._address, 'GET', path, timeout_s=timeout_s)
+        except OSError as exc:
+            raise self._unavailable(exc) from exc
+        if answer.status == HTTPStatus.NOT_FOUND:
+            return None
+        if answer.status != HTTPStatus.OK:
+            raise PlatformError(f'the key-value service answered {answer.status}')
+        entry = json.loads(answer.body)[0]
+        return Stored(base64.b64decode(entry['Value'] or ''), entry['ModifyIndex'])
+
+    def _unavailable(self, exc: BaseException) -> PlatformError:
+        return PlatformError(f'key-value service at {self._address}: {exc}')
+
+
+def open_key_value_store(address: Address, timeout_s: float) -> KeyValueStore:
+    """Return a client of the key-value service.
+
+    :param address: where the service listens
+    :param timeout_s: deadline of each call but a watch
+    """
+    return HttpKeyValueStore(address, timeout_s)
+
+
+def _parse_written(status: int, body: bytes) -> bool:
+    if status == HTTPStatus.TOO_MANY_REQUESTS:
+        raise PlatformError('the key-value service limits the rate of calls')
+    if status != HTTPStatus.OK:
+        raise UnknownOutcomeError(f'the key-value service answered {status}')
+    return body.strip() == b'true'
--- /dev/null
+++ b/packages/common/src/rosemaryseam/common/revisions.py
@@ -0,0 +1,148 @@
+"""Accepted revisions of the catalogue, as they stand in the key-value service."""
+
+from __future__ import annotations
+
+import uuid
+from typing import TYPE_CHECKING, NamedTuple
+
+from pydantic import TypeAdapter, ValidationError
+
+from rosemaryseam.common.catalogue import Catalogue, load_catalogue
+from rosemaryseam.common.errors import (
+    CatalogueError,
+    PlatformError,
+    ResultCode,
+    UnknownOutcomeError,
+)
+
+if TYPE_CHECKING:
+    from rosemaryseam.common.clock import Clock
+    from rosemaryseam.common.keyvalue import KeyValueStore
+
+CATALOGUE_KEY = 'rosemaryseam/catalogue'
+HISTORY_LENGTH = 64
+
+
+class Change(NamedTuple):
+    """One accepted change, kept so that a lost answer can be resolved."""
+
+    revision: int
+    change_id: str
+    author: str
+    at: str
+
+
+class Revision(NamedTuple):
+    """One revision of the catalogue with the changes that led to it."""
+
+    revision: int
+    history: tuple[Change, ...]
+    text: str
+
+    @property
+    def change_id(self) -> str:
+        """The id of the change that made this revision."""
+        return self.history[-1].change_id
+
+
+_ADAPTER = TypeAdapter(Revision)
+
+
+def encode_revision(revision: Revision) -> bytes:
+    """Return the stored form of a revision.
+
+    :param revision: the revision
+    """
+    return _ADAPTER.dump_json(revision)
+
+
+def decode_revision(data: bytes) -> tuple[Revision, Catalogue]:
+    """Parse and check a stored revision.
+
+    :param data: what :func:`encode_revision` made
+    :raises CatalogueError: the envelope or the document in it is invalid
+    """
+    try:
+        revision = _ADAPTER.validate_json(data)
+    except ValidationError as exc:
+        raise CatalogueError(f'stored catalogue: {exc.errors()[0]["msg"]}') from exc
+    if not revision.history or revision.history[-1].revision != revision.revision:
+        raise CatalogueError('stored catalogue: history does not match the revision')
+    return revision, load_catalogue(revision.text)
+
+
+def write_revision(
+    store: KeyValueStore, clock: Clock, text: str, base: int, author: str
+) -> Revision:
+    """Check a catalogue and store it as the revision after ``base``.
+
+    :param store: the platform's key-value service
+    :param clock: gives the time noted in the history
+    :param text: the new document
+    :param base: the revision that the change was made from, 0 for none
+    :param author: who makes the change
+    :raises CatalogueError: the document is invalid, or another change came first
+    :raises PlatformError: nothing was written, or the outcome cannot be learnt
+    """
+    load_catalogue(text)
+    stored = store.get(CATALOGUE_KEY)
+    history: tuple[Change, ...] = ()
+    if stored is not None:
+        current = _ADAPTER.validate_json(stored.value)
+        history = current.history
+    found = history[-1].revision if history else 0
+    if found != base:
+        raise _conflict(base, history)
+    change = Change(base + 1, uuid.uuid4().hex, author, clock.now().isoformat())
+    history = (*history, change)[-HISTORY_LENGTH:]
+    revision = Revision(base + 1, history, text)
+    index = stored.index if stored is not None else 0
+    try:
+        written = store.put(CATALOGUE_KEY, encode_revision(revision), index)
+    except UnknownOutcomeError:
+        written = False
+    if not written and not _took_effect(store, change.change_id):
+        raise _conflict(base, _read_history(store))
+    return revision
+
+
+def read_revision(store: KeyValueStore) -> tuple[Revision, Catalogue] | None:
+    """Return the stored revision, or ``None`` when there is none yet.
+
+    :param store: the platform's key-value service
+    :raises CatalogueError: the stored document is invalid
+    :raises PlatformError: the service did not answer
+    """
+    stored = store.get(CATALOGUE_KEY)
+    return None if stored is None else decode_revision(stored.value)
+
+
+def _took_effect(store: KeyValueStore, change_id: str) -> bool:
+    try:
+        history = _read_history(store)
+    except PlatformError as exc:
+        raise CatalogueError(
+            f'change {change_id} was sent, and the service does not say whether it '
+            'took effect; run "catalogue show" when it answers again',
+            ResultCode.CATALOGUE_UNKNOWN_OUTCOME,
+        ) from exc
+    return any(change.change_id == change_id for change in history)
+
+
+def _read_history(store: KeyValueStore) -> tuple[Change, ...]:
+    stored = store.get(CATALOGUE_KEY)
+    if stored is None:
+        return ()
+    return _ADAPTER.validate_json(stored.value).history
+
+
+def _conflict(base: int, history: tuple[Change, ...]) -> CatalogueError:
+    if not history:
+        found = 'there is no catalogue yet'
+    else:
+        last = history[-1]
+        found = f'{last.author} stored revision {last.revision} at {last.at}'
+    return CatalogueError(
+        f'the change was made from revision {base}, but {found}',
+        ResultCode.CATALOGUE_CONFLICT,
+    )
--- /dev/null
+++ b/packages/node/src/rosemaryseam/node/assignment.py
@@ -0,0 +1,68 @@
+"""Partitions of pools and the hosts that dispatch them."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from typing import TYPE_CHECKING, NamedTuple
+
+from rosemaryseam.node.member import LIVE
+from rosemaryseam.policy.rendezvous import Candidate, assign, rank
+
+if TYPE_CHECKING:
+    from rosemaryseam.common.catalogue import Catalogue, Pool, Upstream
+    from rosemaryseam.node.member import View
+
+MAX_PARTITION_UPSTREAMS = 32
+
+
+class PartitionPlan(NamedTuple):
+    """A partition and the upstreams in it."""
+
+    name: str
+    pool: str
+    upstreams: tuple[Upstream, ...]
+
+
+def plan_partitions(catalogue: Catalogue) -> dict[str, PartitionPlan]:
+    """Return the partitions of all pools by name.
+
+    :param catalogue: the catalogue in force
+    """
+    plans = {}
+    for pool in catalogue.pools:
+        for plan in _plan_pool(pool, catalogue):
+            plans[plan.name] = plan
+    return plans
+
+
+def assign_partitions(
+    plans: dict[str, PartitionPlan], view: View
+) -> dict[str, str | None]:
+    """Return the host that dispatches each partition.
+
+    :param plans: the partitions
+    :param view: what this host knows of the fleet
+    """
+    candidates = [
+        Candidate(peer.host, peer.zone)
+        for peer in view.peers
+        if peer.state == LIVE and peer.reachable and peer.revision > 0
+    ]
+    return {
+        name: assign(name, candidates, _zones(plan)) for name, plan in plans.items()
+    }
+
+
+def _plan_pool(pool: Pool, catalogue: Catalogue) -> list[PartitionPlan]:
+    upstreams = [entry for entry in catalogue.upstreams if entry.pool == pool.name]
+    count = max(1, math.ceil(len(upstreams) / MAX_PARTITION_UPSTREAMS))
+    names = [f'{pool.name}#{index}' for index in range(count)]
+    members: dict[str, list[Upstream]] = {name: [] for name in names}
+    for upstream in upstreams:
+        members[rank(upstream.name, names)[0]].append(upstream)
+    return [PartitionPlan(name, pool.name, tuple(members[name])) for name in names]
+
+
+def _zones(plan: PartitionPlan) -> Counter[str]:
+    return Counter(upstream.zone for upstream in plan.upstreams)
--- /dev/null
+++ b/packages/node/src/rosemaryseam/node/dispatcher.py
@@ -0,0 +1,262 @@
+"""The dispatcher: owns the partitions that are assigned to this host."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from rosemaryseam.common.errors import ResultCode
+from rosemaryseam.node.assignment import assign_partitions, plan_partitions
+from rosemaryseam.node.member import LIVE, View
+from rosemaryseam.node.messages import (
+    Epoch,
+    GrantRequest,
+    Holdings,
+    LeaseAck,
+    NotOwner,
+    Received,
+    Refusal,
+    Release,
+    Superseded,
+    Withdraw,
+)
+from rosemaryseam.node.partition import Partition, Rules
+from rosemaryseam.node.tasks import Task
+from rosemaryseam.policy.requests import Demand
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from rosemaryseam.common.catalogue import Catalogue
+    from rosemaryseam.common.clock import Clock
+    from rosemaryseam.node.assignment import PartitionPlan
+    from rosemaryseam.node.metrics import Metrics
+    from rosemaryseam.node.settings import Bounds, Timing
+    from rosemaryseam.node.transport import Transport
+
+TICK_S = 0.05
+RENEW_TICKS = 5  # ticks between renewals of the leases
+
+
+class CatalogueChanged(NamedTuple):
+    """A catalogue revision came into force on this host."""
+
+    revision: int
+    catalogue: Catalogue
+
+
+class LoadReported(NamedTuple):
+    """An upstream's load report."""
+
+    upstream: str
+    waiting: int
+
+
+class DispatcherTask(Task):
+    """Runs the partitions of this host.
+
+    :param host: this host
+    :param transport: delivers messages to the gateways
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        metrics: Metrics,
+        timing: Timing,
+        bounds: Bounds,
+        host: str,
+        transport: Transport,
+    ) -> None:
+        super().__init__(clock, metrics, TICK_S)
+        self._timing = timing
+        self._bounds = bounds
+        self._host = host
+        self._transport = transport
+        self._view: View | None = None
+        self._catalogue: Catalogue | None = None
+        self._plans: dict[str, PartitionPlan] = {}
+        self._partitions: dict[str, Partition] = {}
+        self._highest: dict[str, Epoch] = {}
+        self._retry_at: dict[str, float] = {}
+
+    @property
+    def handlers(self) -> dict[type, Callable[[Any], None]]:
+        """What to call for each type of message."""
+        return {
+            Received: self._on_received,
+            View: self._on_view,
+            CatalogueChanged: self._on_catalogue,
+            LoadReported: self._on_load,
+        }
+
+    @property
+    def partition_upstreams(self) -> list[str]:
+        """Upstreams of the partitions that this host dispatches."""
+        return [
+            upstream.name
+            for name in self._partitions
+            for upstream in self._plans[name].upstreams
+        ]
+
+    def tick(self) -> None:
+        """Take over or hand over partitions and run each of them."""
+        self._reassign()
+        now = self.clock.monotonic()
+        for partition in self._partitions.values():
+            partition.tick(now)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of each partition."""
+        return {name: entry.dump() for name, entry in self._partitions.items()}
+
+    def _on_received(self, received: Received) -> None:
+        handle = {
+            GrantRequest: self._on_request,
+            Withdraw: self._on_withdraw,
+            Release: self._on_release,
+            Holdings: self._on_holdings,
+            LeaseAck: self._on_ack,
+            Superseded: self._on_superseded,
+        }[type(received.message)]
+        handle(received.host, received.message)
+
+    def _on_view(self, view: View) -> None:
+        self._view = view
+        self._refresh()
+
+    def _on_catalogue(self, message: CatalogueChanged) -> None:
+        self._catalogue = message.catalogue
+        self._plans = plan_partitions(message.catalogue)
+        self._refresh()
+
+    def _on_load(self, message: LoadReported) -> None:
+        for name, partition in self._partitions.items():
+            if any(
+                entry.name == message.upstream for entry in self._plans[name].upstreams
+            ):
+                partition.set_reported_waiting(message.upstream, message.waiting)
+
+    def _on_request(self, host: str, message: GrantRequest) -> None:
+        partition = self._partitions.get(message.partition)
+        if partition is None:
+            not_owner = NotOwner(message.key, message.partition)
+            self._transport.send(host, not_owner)
+            return
+        demand = self._demand(host, message)
+        if demand is None:
+            code = ResultCode.CLASS_NOT_ALLOWED
+            refusal = Refusal(message.key, code, 'unknown class or workspace', 0)
+            self._transport.send(host, refusal)
+            return
+        partition.on_request(demand, self.clock.monotonic())
+
+    def _demand(self, host: str, message: GrantRequest) -> Demand | None:
+        classes = {entry.name: entry for entry in self._catalogue.classes}
+        workspaces = {entry.name: entry for entry in self._catalogue.workspaces}
+        found = classes.get(message.request_class)
+        workspace = workspaces.get(message.workspace)
+        if found is None or workspace is None:
+            return None
+        arrived = self.clock.monotonic() - message.age_ms / 1000
+        return Demand(
+            key=message.key,
+            host=host,
+            request_class=found.name,
+            tier=found.tier,
+            workspace=workspace.name,
+            weight=workspace.weight,
+            arrived=arrived,
+            due=arrived + found.target.seconds,
+            give_up=arrived + found.max_wait_ms / 1000,
+            floor=found.floor,
+            sheds=found.on_miss == 'shed',
+            excluded=frozenset(message.excluded),
+            prefix=message.prefix,
+        )
+
+    def _on_withdraw(self, host: str, message: Withdraw) -> None:
+        partition = self._partitions.get(message.partition)
+        if partition is not None:
+            partition.on_withdraw(host, message.key, self.clock.monotonic())
+
+    def _on_release(self, host: str, message: Release) -> None:
+        partition = self._partitions.get(message.partition)
+        if partition is not None:
+            partition.on_release(host, message, self.clock.monotonic())
+
+    def _on_holdings(self, host: str, message: Holdings) -> None:
+        partition = self._partitions.get(message.partition)
+        if partition is not None:
+            partition.on_holdings(host, message, self.clock.monotonic())
+
+    def _on_ack(self, host: str, message: LeaseAck) -> None:
+        partition = self._partitions.get(message.partition)
+        if partition is not None and message.epoch == partition.epoch:
+            partition.on_ack(host, message.version, self.clock.monotonic())
+
+    def _on_superseded(self, host: str, message: Superseded) -> None:
+        self._see_epoch(message.partition, message.epoch)
+        partition = self._partitions.get(message.partition)
+        if partition is not None and partition.epoch < message.epoch:
+            self._hand_over(message.partition)
+            pause = self._timing.heartbeat_s * 2
+            self._retry_at[message.partition] = self.clock.monotonic() + pause
+
+    def _see_epoch(self, name: str, epoch: Epoch) -> None:
+        self._highest[name] = max(epoch, self._highest.get(name, epoch))
+
+    def _refresh(self) -> None:
+        self._reassign()
+        now = self.clock.monotonic()
+        for name, partition in self._partitions.items():
+            partition.update(self._view, self._rules(name), now)
+
+    def _reassign(self) -> None:
+        if self._view is None or self._catalogue is None:
+            return
+        assigned = assign_partitions(self._plans, self._view)
+        mine = {name for name, host in assigned.items() if host == self._host}
+        for name in set(self._partitions) - mine:
+            self._hand_over(name)
+        for name in mine - set(self._partitions):
+            if self._retry_at.get(name, 0.0) <= self.clock.monotonic():
+                self._take_over(name)
+
+    def _take_over(self, name: str) -> None:
+        highest = self._highest.get(name, Epoch(0, ''))
+        wall_ms = int(self.clock.now().timestamp() * 1000)
+        epoch = Epoch(max(wall_ms, highest.number + 1), self._host)
+        self._see_epoch(name, epoch)
+        self._partitions[name] = Partition(
+            name,
+            epoch,
+            self._view,
+            self._rules(name),
+            self._timing,
+            self._bounds,
+            self.metrics,
+            self._transport.send,
+            self.clock.monotonic(),
+        )
+
+    def _hand_over(self, name: str) -> None:
+        partition = self._partitions.pop(name)
+        self.metrics.count('partitions_handed_over', partition=name)
+        for demand in partition.abandon():
+            self._transport.send(demand.host, NotOwner(demand.key, name))
+
+    def _rules(self, name: str) -> Rules:
+        classes = {entry.name: entry for entry in self._catalogue.classes}
+        return Rules(self._plans[name].upstreams, classes)
+
+    @property
+    def ready(self) -> bool:
+        """Whether this host could dispatch."""
+        return (
+            self._view is not None
+            and self._catalogue is not None
+            and any(
+                peer.host == self._host and peer.state == LIVE
+                for peer in self._view.peers
+            )
+        )
--- /dev/null
+++ b/packages/node/src/rosemaryseam/node/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: HTTP towards callers."""
--- /dev/null
+++ b/packages/node/src/rosemaryseam/node/gateway/application.py
@@ -0,0 +1,65 @@
+"""The falcon application that callers see."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING, Any
+
+import falcon
+from loguru import logger
+
+from rosemaryseam.common.errors import ResultCode, RosemaryseamError
+from rosemaryseam.node.gateway.errors import ErrorHandler
+
+if TYPE_CHECKING:
+    from rosemaryseam.node.gateway.apps import AppResource
+    from rosemaryseam.node.gateway.completions import CompletionResource, ModelResource
+    from rosemaryseam.node.metrics import Metrics
+
+APP_PATH = re.compile(r'/apps/(?P<pool>[^/]+)/(?P<path>.*)')
+
+
+def build_application(
+    completions: CompletionResource,
+    models: ModelResource,
+    apps: AppResource,
+    metrics: Metrics,
+) -> falcon.App:
+    """Return the application.
+
+    :param completions: answers completion requests
+    :param models: lists models
+    :param apps: passes requests to app runners
+    :param metrics: counts errors
+    """
+    application = falcon.App()
+    application.req_options.strip_url_path_trailing_slash = False
+    handler = ErrorHandler(metrics)
+    application.add_error_handler(Exception, _InternalErrors(handler))
+    application.add_error_handler(falcon.HTTPError, handler.handle_http)
+    application.add_error_handler(RosemaryseamError, handler.handle)
+    application.add_route('/v1/chat/completions', completions)
+    application.add_route('/v1/completions', completions)
+    application.add_route('/v1/models', models)
+    application.add_sink(apps, APP_PATH)
+    return application
+
+
+class _InternalErrors:
+    """Answers what no other handler knows, without a traceback for the caller."""
+
+    def __init__(self, handler: ErrorHandler) -> None:
+        self._handler = handler
+
+    def __call__(
+        self,
+        req: falcon.Request,
+        resp: falcon.Response,
+        exc: Exception,
+        params: dict[str, Any],
+    ) -> None:
+        if isinstance(exc, falcon.HTTPStatus):
+            raise exc
+        logger.opt(exception=exc).error('{} {} failed', req.method, req.path)
+        error = RosemaryseamError('internal error', ResultCode.INTERNAL)
+        self._handler.handle(req, resp, error, params)
--- /dev/null
+++ b/packages/node/src/rosemaryseam/node/gateway/apps.py
@@ -0,0 +1,211 @@
+"""App runners: requests are passed whole; some may run only once."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING, NamedTuple
+
+from rosemaryseam.common.errors import RequestError, ResultCode, UpstreamError
+from rosemaryseam.common.wsgi import SOCKET_KEY, watch_caller
+from rosemaryseam.node.gateway.admission import (
+    Admitted,
+    authenticate,
+    catalogue_in_force,
+    find_app_pool,
+    find_class,
+    read_body,
+)
+from rosemaryseam.node.gateway.calls import DONE, UNUSED, Request
+
+if TYPE_CHECKING:
+    import falcon
+
+    from rosemaryseam.node.claims import Claim, ClaimRegistry
+    from rosemaryseam.node.gateway.calls import CallRunner, GrantedCall
+    from rosemaryseam.node.gateway.identity import RequestIds
+    from rosemaryseam.node.replica import ReplicaTask
+    from rosemaryseam.node.settings import Bounds
+
+IDEMPOTENCY_HEADER = 'Idempotency-Key'
+MAX_ANSWER_BYTES = 64_000_000
+MAX_KEY_LENGTH = 255
+RETRYABLE_STATUS = frozenset({429, 500, 502, 503, 504})
+
+_HOP_HEADERS = frozenset(
+    {
+        'authorization',
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+
+
+class AppAnswer(NamedTuple):
+    """A whole answer of an app runner."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    content: bytes
+
+
+class AppResource:
+    """``/apps/<pool>/<path>``, as a falcon sink."""
+
+    def __init__(
+        self,
+        replica: ReplicaTask,
+        runner: CallRunner,
+        claims: ClaimRegistry,
+        bounds: Bounds,
+        ids: RequestIds,
+    ) -> None:
+        self._replica = replica
+        self._runner = runner
+        self._claims = claims
+        self._bounds = bounds
+        self._ids = ids
+
+    def __call__(
+        self, req: falcon.Request, resp: falcon.Response, pool: str, path: str
+    ) -> None:
+        """Pass a request to an app runner and its whole answer back."""
+        request = self._admit(req, pool, path)
+        resp.set_header('X-Request-Id', request.request_id)
+        if request.admitted.request_class.idempotent:
+            with watch_caller(req.env.get(SOCKET_KEY)):
+                answer = self._run_idempotent(request)
+        else:
+            answer = self._run_once(request, req)
+        _write_answer(resp, answer)
+
+    def _admit(self, req: falcon.Request, pool: str, path: str) -> Request:
+        arrived = self._runner.clock.monotonic()
+        catalogue = catalogue_in_force(self._replica)
+        workspace = authenticate(req, catalogue)
+        request_class = find_class(req, catalogue, workspace, None)
+        admitted = Admitted(workspace, request_class, find_app_pool(catalogue, pool))
+        request_id = self._ids.next()
+        headers = {
+            name: value
+            for name, value in req.headers.items()
+            if name.lower() not in _HOP_HEADERS
+        }
+        headers['X-Request-Id'] = request_id
+        target = f'/{path}'
+        if req.query_string:
+            target += f'?{req.query_string}'
+        body = read_body(req, self._bounds)
+        return Request(
+            request_id, admitted, req.method, target, headers, body, '', arrived
+        )
+
+    def _run_idempotent(self, request: Request) -> AppAnswer:
+        """Run a request, on another upstream again if one fails."""
+        excluded: frozenset[str] = frozenset()
+        self._runner.budget.record_first_try()
+        while True:
+            with self._runner.granted(request, excluded) as call:
+                try:
+                    answer = self._call(request, call)
+                    if answer.status not in RETRYABLE_STATUS:
+                        return answer
+                    failure = f'{call.upstream.name} answered {answer.status}'
+                except UpstreamError as exc:
+                    failure = exc.message
+            self._runner.metrics.count('upstream_failures')
+            excluded |= {call.upstream.name}
+            if not self._runner.budget.spend():
+                raise RequestError(failure, ResultCode.UPSTREAM_FAILED, 1.0)
+
+    def _run_once(self, request: Request, req: falcon.Request) -> AppAnswer:
+        """Run a request at most once; nothing is repeated after a byte is written."""
+        key = req.get_header(IDEMPOTENCY_HEADER)
+        if key is None:
+            return self._send_once(request, None)
+        if not 0 < len(key) <= MAX_KEY_LENGTH:
+            raise RequestError(
+                f'{IDEMPOTENCY_HEADER} has 1 to {MAX_KEY_LENGTH} characters'
+            )
+        self._claims.check_available()
+        return self._send_once(request, key)
+
+    def _send_once(self, request: Request, key: str | None) -> AppAnswer:
+        claim: Claim | None = None
+        excluded: frozenset[str] = frozenset()
+        while True:
+            try:
+                with self._runner.granted(request, excluded) as call:
+                    call.outcome = UNUSED
+                    if key is not None and claim is None:
+                        claim = self._claim(request, key)
+                    if key is None or claim is not None:
+                        answer = self._call(request, call)
+                        self._finish(claim, answer)
+                        return answer
+                return self._follow(request, key)
+            except UpstreamError as exc:
+                if exc.written:
+                    raise self._unknown(claim, exc) from exc
+                excluded |= {call.upstream.name}
+                if not self._runner.budget.spend():
+                    raise self._not_run(claim, exc.message) from exc
+            except RequestError as exc:
+                if claim is not None:
+                    raise self._not_run(claim, exc.message) from exc
+                raise
+
+    def _claim(self, request: Request, key: str) -> Claim | None:
+        workspace = request.admitted.workspace.name
+        return self._claims.claim(workspace, key, _fingerprint(request))
+
+    def _follow(self, request: Request, key: str) -> AppAnswer:
+        """Return the answer of the attempt that has the key."""
+        workspace = request.admitted.workspace.name
+        kept = self._claims.follow(workspace, key, _fingerprint(request))
+        return AppAnswer(kept.status, kept.headers, kept.content)
+
+    def _call(self, request: Request, call: GrantedCall) -> AppAnswer:
+        self._runner.open(request, call)
+        answer = call.answer
+        body = answer.read(MAX_ANSWER_BYTES)
+        call.outcome = DONE
+        return AppAnswer(answer.status, answer.headers, body)
+
+    def _finish(self, claim: Claim | None, answer: AppAnswer) -> None:
+        if claim is not None:
+            self._claims.finish(claim, answer.status, answer.headers, answer.content)
+
+    def _unknown(self, claim: Claim | None, exc: UpstreamError) -> RequestError:
+        if claim is not None:
+            self._claims.mark_unknown(claim)
+        message = f'the request was sent and may have run: {exc.message}'
+        return RequestError(message, ResultCode.OUTCOME_UNKNOWN)
+
+    def _not_run(self, claim: Claim | None, reason: str) -> RequestError:
+        if claim is not None:
+            self._claims.cancel(claim)
+        return RequestError(f'not run: {reason}', ResultCode.NO_UPSTREAM, 1.0)
+
+
+def _write_answer(resp: falcon.Response, answer: AppAnswer) -> None:
+    resp.status = answer.status
+    for name, value in answer.headers:
+        if name.lower() not in _HOP_HEADERS:
+            resp.append_header(name, value)
+    resp.data = answer.content
+
+
+def _fingerprint(request: Request) -> str:
+    parts = [request.method, request.path, request.admitted.pool.name]
+    digest = hashlib.sha256('\x00'.join(parts).encode())
+    digest.update(b'\x00' + request.body)
+    return digest.hexdigest()
--- /dev/null
+++ b/packages/node/src/rosemaryseam/node/gateway/calls.py
@@ -0,0 +1,191 @@
+"""Granted calls: an upstream, a connection to it, and their orderly end."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING, NamedTuple
+
+from rosemaryseam.common.addresses import parse_address
+from rosemaryseam.common.errors import RequestError, ResultCode, UpstreamError
+from rosemaryseam.common.wsgi import CallerGoneError
+from rosemaryseam.node.grants import Outcome, Ticket
+from rosemaryseam.node.member import ObservedUpstreams
+from rosemaryseam.node.upstreams import UpstreamCall
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator, Mapping
+
+    from rosemaryseam.common.catalogue import Upstream
+    from rosemaryseam.common.clock import Clock
+    from rosemaryseam.node.gateway.admission import Admitted
+    from rosemaryseam.node.grants import GrantTask, HeldGrant
+    from rosemaryseam.node.metrics import Metrics
+    from rosemaryseam.node.replica import ReplicaTask
+    from rosemaryseam.node.settings import Timing
+    from rosemaryseam.node.upstreams import UpstreamAnswer, UpstreamClient
+    from rosemaryseam.policy.retry import RetryBudget
+
+DONE = 'done'
+FAILED = 'failed'
+PREEMPTED = 'preempted'
+CALLER_GONE = 'caller_gone'
+UNUSED = 'unused'
+
+
+class Request(NamedTuple):
+    """A caller's request, ready to be sent."""
+
+    request_id: str
+    admitted: Admitted
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    prefix: str
+    arrived: float
+
+
+class GrantedCall:
+    """One call under one grant.
+
+    :param upstream: the catalogue's entry
+    :param grant: allows the call
+    """
+
+    def __init__(self, upstream: Upstream, grant: HeldGrant, clock: Clock) -> None:
+        self.upstream = upstream
+        self.grant = grant
+        self.answer: UpstreamAnswer | None = None
+        self.preempted = False
+        self.events = 0
+        self.outcome = FAILED
+        self._clock = clock
+        self._first_token_s = -1.0
+
+    def record_event(self) -> None:
+        """Count one event that went to the caller."""
+        if not self.events:
+            self._first_token_s = self._clock.monotonic() - self.grant.since
+        self.events += 1
+
+    def preempt(self) -> None:
+        """End the call because a higher tier needs the slot."""
+        self.preempted = True
+        if self.answer is not None:
+            self.answer.close()
+
+    def result(self) -> Outcome:
+        """Return how the call ended."""
+        name = PREEMPTED if self.preempted else self.outcome
+        return Outcome(name, self._first_token_s, self.events)
+
+
+class CallRunner:
+    """Opens granted calls for the gateway's resources."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        metrics: Metrics,
+        timing: Timing,
+        grants: GrantTask,
+        replica: ReplicaTask,
+        client: UpstreamClient,
+        budget: RetryBudget,
+        observe: Callable[[ObservedUpstreams], None],
+    ) -> None:
+        self.clock = clock
+        self.metrics = metrics
+        self.budget = budget
+        self._timing = timing
+        self._grants = grants
+        self._replica = replica
+        self._client = client
+        self._observe = observe
+
+    @contextlib.contextmanager
+    def granted(
+        self, request: Request, excluded: frozenset[str]
+    ) -> Iterator[GrantedCall]:
+        """Hold a grant for a request and give it back at the end.
+
+        :param request: the request
+        :param excluded: upstreams that must not be chosen
+        :raises RequestError: no upstream could be had
+        """
+        admitted = request.admitted
+        ticket = Ticket(
+            admitted.pool.name,
+            admitted.request_class.name,
+            admitted.workspace.name,
+            request.prefix,
+            request.arrived,
+            admitted.request_class.max_wait_ms / 1000,
+            excluded,
+        )
+        grant = self._grants.acquire(ticket)
+        call = None
+        try:
+            call = GrantedCall(self._find_upstream(grant.upstream), grant, self.clock)
+            if admitted.request_class.preemptible:
+                self._grants.watch_preemption(grant, call.preempt)
+            yield call
+        except (CallerGoneError, GeneratorExit):
+            if call is not None:
+                call.outcome = CALLER_GONE
+            raise
+        finally:
+            if call is not None and call.answer is not None:
+                call.answer.close()
+            outcome = call.result() if call is not None else Outcome(UNUSED)
+            self._grants.release(grant, outcome)
+            self._count(request, outcome)
+
+    def open(self, request: Request, call: GrantedCall, resume: int = 0) -> None:
+        """Send the request on a granted call.
+
+        :param request: the request
+        :param call: what :meth:`granted` yielded
+        :param resume: stream events that the caller already has
+        :raises UpstreamError: tells whether a byte was written
+        """
+        headers = dict(request.headers)
+        if resume:
+            headers['X-Resume-Events'] = str(resume)
+        upstream_call = UpstreamCall(
+            request.method,
+            request.path,
+            headers,
+            request.body,
+            self._timing.upstream_connect_s,
+            self._first_byte_s(request),
+            self._timing.upstream_between_bytes_s,
+        )
+        try:
+            address = parse_address(call.upstream.address)
+            call.answer = self._client.open(address, upstream_call)
+        except UpstreamError as exc:
+            if exc.leaving:
+                self._observe(ObservedUpstreams({call.upstream.name: True}))
+            raise
+
+    def _first_byte_s(self, request: Request) -> float:
+        """Return how long an upstream may think before the first byte."""
+        target = request.admitted.request_class.target
+        if target.answer_ms is None:
+            return self._timing.upstream_first_byte_s
+        longest = request.admitted.request_class.max_run_ms / 1000
+        return min(longest, max(self._timing.upstream_first_byte_s, target.seconds))
+
+    def _find_upstream(self, name: str) -> Upstream:
+        for upstream in self._replica.catalogue.upstreams:
+            if upstream.name == name:
+                return upstream
+        message = f'upstream {name!r} left the catalogue'
+        raise RequestError(message, ResultCode.NO_UPSTREAM, 1.0)
+
+    def _count(self, request: Request, outcome: Outcome) -> None:
+        name = request.admitted.request_class.name
+        self.metrics.count('calls', request_class=name, outcome=outcome.name)
+        if outcome.events and outcome.name != DONE:
+            self.metrics.count('events_of_broken_calls', outcome.events)
--- /dev/null
+++ b/packages/node/src/rosemaryseam/node/gateway/completions.py
@@ -0,0 +1,258 @@
+"""The OpenAI-compatible resources."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+from rosemaryseam.common.errors import RequestError, ResultCode, UpstreamError
+from rosemaryseam.common.wsgi import SOCKET_KEY, watch_caller
+from rosemaryseam.node.gateway.admission import (
+    Admitted,
+    authenticate,
+    catalogue_in_force,
+    find_class,
+    find_model_pool,
+    read_body,
+)
+from rosemaryseam.node.gateway.calls import DONE, FAILED, Request
+from rosemaryseam.node.gateway.errors import error_event
+from rosemaryseam.node.gateway.events import Aggregate, is_last
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    import falcon
+
+    from rosemaryseam.node.gateway.calls import CallRunner, GrantedCall
+    from rosemaryseam.node.gateway.identity import RequestIds
+    from rosemaryseam.node.replica import ReplicaTask
+    from rosemaryseam.node.settings import Bounds
+
+PREFIX_BYTES = 1024  # of the prompt that decide its affinity
+EVENT_STREAM = 'text/event-stream'
+MAX_ERROR_BYTES = 1_000_000
+
+
+class PassedOnError(Exception):
+    """The upstream answered with an error that is the caller's to see."""
+
+    def __init__(self, status: int, body: bytes) -> None:
+        super().__init__(status)
+        self.status = status
+        self.body = body
+
+
+class CompletionResource:
+    """``/v1/chat/completions`` and ``/v1/completions``.
+
+    Upstreams are always asked for a stream, so that a broken answer continues
+    elsewhere from its last event, for unstreamed requests too.
+    """
+
+    def __init__(
+        self, replica: ReplicaTask, runner: CallRunner, bounds: Bounds, ids: RequestIds
+    ) -> None:
+        self._replica = replica
+        self._runner = runner
+        self._bounds = bounds
+        self._ids = ids
+
+    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answer a completion request."""
+        arrived = self._runner.clock.monotonic()
+        catalogue = catalogue_in_force(self._replica)
+        workspace = authenticate(req, catalogue)
+        body = _parse(read_body(req, self._bounds))
+        pool = find_model_pool(catalogue, body['model'])
+        request_class = find_class(req, catalogue, workspace, body['model'])
+        admitted = Admitted(workspace, request_class, pool)
+        request_id = self._ids.next()
+        resp.set_header('X-Request-Id', request_id)
+        request = _build_request(req, body, admitted, request_id, arrived)
+        events = self._events(request, req.env.get(SOCKET_KEY))
+        try:
+            if body.get('stream'):
+                resp.content_type = EVENT_STREAM
+                resp.set_header('Cache-Control', 'no-store')
+                resp.stream = _Primed(next(events), events)
+            else:
+                resp.media = _aggregate(events)
+        except PassedOnError as exc:
+            resp.status = exc.status
+            resp.content_type = 'application/json'
+            resp.data = exc.body
+
+    def _events(self, request: Request, sock: Any) -> Iterator[bytes]:
+        """Yield each event of the answer once, whichever upstream it comes from."""
+        with watch_caller(sock):
+            yield from self._resumed_events(request)
+
+    def _resumed_events(self, request: Request) -> Iterator[bytes]:
+        delivered = 0
+        excluded: frozenset[str] = frozenset()
+        self._runner.budget.record_first_try()
+        while True:
+            try:
+                with self._runner.granted(request, excluded) as call:
+                    for event in self._call_events(request, call, delivered):
+                        call.record_event()
+                        self._observe_first(request, delivered)
+                        delivered += 1
+                        yield event
+                    return
+            except UpstreamError as exc:
+                if call.preempted:
+                    continue
+                excluded |= {call.upstream.name}
+                if not self._may_retry(request, exc):
+                    yield self._give_up(exc, delivered)
+                    return
+            except RequestError as exc:
+                if not delivered:
+                    raise
+                yield error_event(exc)
+                return
+
+    def _call_events(
+        self, request: Request, call: GrantedCall, delivered: int
+    ) -> Iterator[bytes]:
+        self._runner.open(request, call, delivered)
+        answer = call.answer
+        if answer.status != HTTPStatus.OK:
+            raise self._refused(call)
+        complete = False
+        for event in answer.events():
+            complete = is_last(event)
+            if complete:
+                call.outcome = DONE
+            yield event
+        if not complete:
+            message = f'{call.upstream.name}: the stream ended early'
+            raise UpstreamError(message, written=True)
+
+    def _refused(self, call: GrantedCall) -> Exception:
+        status = call.answer.status
+        body = call.answer.read(MAX_ERROR_BYTES)
+        call.outcome = FAILED
+        if status < HTTPStatus.INTERNAL_SERVER_ERROR and status not in (
+            HTTPStatus.TOO_MANY_REQUESTS,
+            HTTPStatus.REQUEST_TIMEOUT,
+        ):
+            return PassedOnError(status, body)
+        message = f'{call.upstream.name} answered {status}'
+        return UpstreamError(message, written=True)
+
+    def _may_retry(self, request: Request, exc: UpstreamError) -> bool:
+        self._runner.metrics.count('upstream_failures')
+        if not request.admitted.request_class.idempotent and exc.written:
+            return False
+        return self._runner.budget.spend()
+
+    def _give_up(self, exc: UpstreamError, delivered: int) -> bytes:
+        error = RequestError(exc.message, ResultCode.UPSTREAM_FAILED, 1.0)
+        if not delivered:
+            raise error
+        return error_event(error)
+
+    def _observe_first(self, request: Request, delivered: int) -> None:
+        if not delivered:
+            self._runner.metrics.observe(
+                'first_token',
+                self._runner.clock.monotonic() - request.arrived,
+                request_class=request.admitted.request_class.name,
+            )
+
+
+class ModelResource:
+    """``/v1/models``."""
+
+    def __init__(self, replica: ReplicaTask) -> None:
+        self._replica = replica
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """List the models that the pools serve."""
+        catalogue = catalogue_in_force(self._replica)
+        authenticate(req, catalogue)
+        models = [
+            {'id': model, 'object': 'model', 'created': 0, 'owned_by': pool.name}
+            for pool in catalogue.pools
+            for model in pool.models
+        ]
+        resp.media = {'object': 'list', 'data': models}
+
+
+class _Primed:
+    """An iterator whose first item was taken already; closes the rest."""
+
+    def __init__(self, first: bytes, rest: Iterator[bytes]) -> None:
+        self._first: bytes | None = first
+        self._rest = rest
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        if self._first is not None:
+            first, self._first = self._first, None
+            return first
+        return next(self._rest)
+
+    def close(self) -> None:
+        """Cancel what is left."""
+        self._rest.close()
+
+
+def _parse(data: bytes) -> dict[str, Any]:
+    try:
+        body = json.loads(data)
+    except (ValueError, RecursionError) as exc:
+        raise RequestError('the body is not valid JSON') from exc
+    if not isinstance(body, dict) or not isinstance(body.get('model'), str):
+        raise RequestError('the body must be an object that names a model')
+    if not isinstance(body.get('messages', body.get('prompt')), list | str):
+        raise RequestError('the body must hold messages or a prompt')
+    return body
+
+
+def _build_request(
+    req: falcon.Request,
+    body: dict[str, Any],
+    admitted: Admitted,
+    request_id: str,
+    arrived: float,
+) -> Request:
+    sent = {**body, 'priority': admitted.request_class.tier}
+    if not body.get('stream'):
+        sent['stream'] = True
+        sent['stream_options'] = {'include_usage': True}
+    prompt = json.dumps(body.get('messages', body.get('prompt')))
+    head = prompt[:PREFIX_BYTES].encode()
+    prefix = hashlib.blake2b(head, digest_size=8).hexdigest()
+    headers = {
+        'Content-Type': 'application/json',
+        'X-Request-Id': request_id,
+    }
+    data = json.dumps(sent).encode()
+    return Request(
+        request_id, admitted, 'POST', req.path, headers, data, prefix, arrived
+    )
+
+
+def _aggregate(events: Iterator[bytes]) -> dict[str, Any]:
+    aggregate = Aggregate()
+    try:
+        for event in events:
+            aggregate.add(event)
+    except ValueError as exc:
+        events.close()
+        message = 'the upstream sent a malformed event'
+        raise RequestError(message, ResultCode.UPSTREAM_FAILED, 1.0) from exc
+    answer = aggregate.answer()
+    if not aggregate.complete:
+        error = answer.get('error') or {}
+        message = error.get('message', 'the answer broke off')
+        raise RequestError(message, ResultCode.UPSTREAM_FAILED, 1.0)
+    return answer
--- /dev/null
+++ b/packages/node/src/rosemaryseam/node/gateway/events.py
@@ -0,0 +1,99 @@
+"""Server-sent events of completions, and whole answers made from them."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+DATA = b'data: '
+DONE = b'[DONE]'
+
+_JOINED = frozenset({'content', 'text', 'arguments', 'reasoning_content', 'refusal'})
+_KINDS = {
+    'chat.completion.chunk': 'chat.completion',
+    'text_completion': 'text_completion',
+}
+
+
+class Aggregate:
+    """Builds the answer to an unstreamed request from stream events."""
+
+    def __init__(self) -> None:
+        self._envelope: dict[str, Any] = {}
+        self._choices: dict[int, dict[str, Any]] = {}
+        self._usage: dict[str, Any] | None = None
+        self.complete = False
+
+    def add(self, event: bytes) -> None:
+        """Take over one event.
+
+        :param event: whole, with its blank line
+        :raises ValueError: the event's data is no JSON object
+        """
+        for line in event.split(b'\n'):
+            if not line.startswith(DATA):
+                continue
+            data = line[len(DATA) :].strip()
+            if data == DONE:
+                self.complete = True
+            else:
+                self._add_chunk(json.loads(data))
+
+    def answer(self) -> dict[str, Any]:
+        """Return the answer as one object."""
+        answer = dict(self._envelope)
+        answer['object'] = _KINDS.get(answer.get('object', ''), answer.get('object'))
+        answer['choices'] = [self._choices[index] for index in sorted(self._choices)]
+        if self._usage is not None:
+            answer['usage'] = self._usage
+        return answer
+
+    def _add_chunk(self, chunk: dict[str, Any]) -> None:
+        for key, value in chunk.items():
+            if key not in ('choices', 'usage'):
+                self._envelope.setdefault(key, value)
+        self._usage = chunk.get('usage') or self._usage
+        for choice in chunk.get('choices') or []:
+            index = choice.get('index', 0)
+            known = self._choices.setdefault(index, {'index': index})
+            delta = choice.pop('delta', None)
+            _merge(known, choice)
+            if delta is not None:
+                _merge(known.setdefault('message', {}), delta)
+
+
+def is_last(event: bytes) -> bool:
+    """Return whether an event ends the stream.
+
+    :param event: whole, with its blank line
+    """
+    return event.startswith(DATA + DONE)
+
+
+def _merge(known: dict[str, Any], update: dict[str, Any]) -> None:
+    for key, value in update.items():
+        if value is None:
+            known.setdefault(key, None)
+        elif key in _JOINED and isinstance(value, str):
+            known[key] = (known.get(key) or '') + value
+        elif isinstance(value, dict):
+            nested = known.get(key) or {}
+            _merge(nested, value)
+            known[key] = nested
+        elif isinstance(value, list):
+            known[key] = _merge_list(known.get(key) or [], value)
+        else:
+            known[key] = value
+
+
+def _merge_list(known: list[Any], update: list[Any]) -> list[Any]:
+    """Join lists; entries that carry the same index are merged."""
+    joined = list(known)
+    for entry in update:
+        index = entry.get('index') if isinstance(entry, dict) else None
+        found = [old for old in joined if index is not None and old['index'] == index]
+        if found:
+            _merge(found[0], entry)
+        else:
+            joined.append(entry)
+    return joined
--- /dev/null
+++ b/packages/node/src/rosemaryseam/node/grants.py
@@ -0,0 +1,425 @@
+"""The gateway's side of grants: asks dispatchers and remembers what it holds."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import gevent
+from gevent.event import AsyncResult
+
+from rosemaryseam.common.errors import RequestError, ResultCode
+from rosemaryseam.node.assignment import assign_partitions, plan_partitions
+from rosemaryseam.node.dispatcher import CatalogueChanged
+from rosemaryseam.node.member import View
+from rosemaryseam.node.messages import (
+    Ceiling,
+    Epoch,
+    Grant,
+    GrantRequest,
+    Held,
+    Holdings,
+    Lease,
+    LeaseAck,
+    NotOwner,
+    Preempt,
+    Received,
+    Refusal,
+    Release,
+    Superseded,
+    Takeover,
+    Withdraw,
+)
+from rosemaryseam.node.tasks import Task
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from rosemaryseam.common.clock import Clock
+    from rosemaryseam.node.assignment import PartitionPlan
+    from rosemaryseam.node.metrics import Metrics
+    from rosemaryseam.node.settings import Timing
+    from rosemaryseam.node.transport import Transport
+
+TICK_S = 0.05
+REPORT_S = 1.0  # between unasked reports of holdings to a dispatcher
+NO_DISPATCHER_GRACE_S = 1.0  # past a class's wait, in case no dispatcher answers
+
+
+class Ticket(NamedTuple):
+    """What a request asks of the dispatcher. ``arrived`` is monotonic seconds."""
+
+    pool: str
+    request_class: str
+    workspace: str
+    prefix: str
+    arrived: float
+    max_wait_s: float
+    excluded: frozenset[str] = frozenset()
+
+
+class HeldGrant(NamedTuple):
+    """A grant that a request uses; ``preempted`` is set when it must end."""
+
+    key: str
+    partition: str
+    upstream: str
+    request_class: str
+    since: float
+
+
+class Outcome(NamedTuple):
+    """How a granted call ended. ``first_token_s`` is negative without a token."""
+
+    name: str
+    first_token_s: float = -1.0
+    events: int = 0
+
+
+class _Acquire(NamedTuple):
+    key: str
+    ticket: Ticket
+    result: AsyncResult
+
+
+class _GiveBack(NamedTuple):
+    grant: HeldGrant
+    outcome: Outcome
+
+
+class _Abandon(NamedTuple):
+    key: str
+
+
+class _OnPreempt(NamedTuple):
+    key: str
+    callback: Callable[[], None]
+
+
+class _Waiter:
+    def __init__(self, ticket: Ticket, partition: str, result: AsyncResult) -> None:
+        self.ticket = ticket
+        self.partition = partition
+        self.result = result
+        self.sent_at = float('-inf')
+
+
+class GrantTask(Task):
+    """Owns the waiting requests and the grants in use of this host.
+
+    :param host: this host
+    :param incarnation: of this process, part of each key
+    :param transport: delivers messages to the dispatchers
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        metrics: Metrics,
+        timing: Timing,
+        host: str,
+        incarnation: int,
+        transport: Transport,
+    ) -> None:
+        super().__init__(clock, metrics, TICK_S)
+        self._timing = timing
+        self._host = host
+        self._keys = (f'{host}-{incarnation}-{n}' for n in itertools.count(1))
+        self._transport = transport
+        self._view: View | None = None
+        self._plans: dict[str, PartitionPlan] = {}
+        self._assigned: dict[str, str | None] = {}
+        self._waiting: dict[str, _Waiter] = {}
+        self._held: dict[str, HeldGrant] = {}
+        self._on_preempt: dict[str, Callable[[], None]] = {}
+        self._promised: dict[str, Epoch] = {}
+        self._sequences: dict[str, int] = {}
+        self._ceilings: dict[str, tuple[Ceiling, ...]] = {}
+        self._reported_at = 0.0
+
+    # Called by request greenlets.
+
+    def acquire(self, ticket: Ticket) -> HeldGrant:
+        """Wait for an upstream.
+
+        :param ticket: what the request asks for
+        :raises RequestError: the request is refused or waited too long
+        """
+        key = next(self._keys)
+        result = AsyncResult()
+        self.post(_Acquire(key, ticket, result))
+        waited = self.clock.monotonic() - ticket.arrived
+        patience = max(0.0, ticket.max_wait_s - waited) + NO_DISPATCHER_GRACE_S
+        try:
+            grant = result.get(timeout=patience)
+        except gevent.Timeout as exc:
+            self.post(_Abandon(key))
+            message = 'no dispatcher answered in time'
+            raise RequestError(message, ResultCode.NOT_READY, 1.0) from exc
+        except BaseException:
+            self.post(_Abandon(key))
+            raise
+        return grant
+
+    def release(self, grant: HeldGrant, outcome: Outcome) -> None:
+        """Give a grant back.
+
+        :param grant: what :meth:`acquire` returned
+        :param outcome: how the call ended
+        """
+        self.post(_GiveBack(grant, outcome))
+
+    def watch_preemption(self, grant: HeldGrant, callback: Callable[[], None]) -> None:
+        """Have a callback run when the dispatcher wants the grant back.
+
+        :param grant: a grant in use
+        :param callback: ends the call; must not block
+        """
+        self.post(_OnPreempt(grant.key, callback))
+
+    # The task.
+
+    @property
+    def handlers(self) -> dict[type, Callable[[Any], None]]:
+        """What to call for each type of message."""
+        return {
+            _Acquire: self._on_acquire,
+            _GiveBack: self._on_give_back,
+            _Abandon: self._on_abandon,
+            _OnPreempt: self._on_watch_preemption,
+            Received: self._on_received,
+            View: self._on_view,
+            CatalogueChanged: self._on_catalogue,
+        }
+
+    def tick(self) -> None:
+        """Send waiting requests again and report holdings."""
+        now = self.clock.monotonic()
+        for key, waiter in self._waiting.items():
+            if now - waiter.sent_at >= self._timing.resend_s:
+                self._ask(key, waiter)
+        if now - self._reported_at >= REPORT_S:
+            self._reported_at = now
+            for partition, epoch in self._promised.items():
+                self._report(partition, epoch)
+
+    def dump(self) -> dict[str, Any]:
+        """Return waiting requests, grants in use and promises."""
+        return {
+            'waiting': {key: waiter.partition for key, waiter in self._waiting.items()},
+            'held': {key: grant.upstream for key, grant in self._held.items()},
+            'promised': {name: list(epoch) for name, epoch in self._promised.items()},
+            'assigned': dict(self._assigned),
+        }
+
+    def _on_view(self, view: View) -> None:
+        self._view = view
+        self._assign()
+
+    def _on_catalogue(self, message: CatalogueChanged) -> None:
+        self._plans = plan_partitions(message.catalogue)
+        self._assign()
+
+    def _assign(self) -> None:
+        if self._view is None:
+            return
+        before = self._assigned
+        self._assigned = assign_partitions(self._plans, self._view)
+        for key, waiter in self._waiting.items():
+            name = waiter.partition
+            if before.get(name) != self._assigned.get(name):
+                self._ask(key, waiter)
+
+    def _on_acquire(self, message: _Acquire) -> None:
+        if self._view is None or not self._view.has_majority:
+            text = 'this host does not see a majority of the fleet'
+            error = RequestError(text, ResultCode.MINORITY, 1.0)
+            message.result.set_exception(error)
+            return
+        partition = self._pick_partition(message.ticket.pool, message.key)
+        if partition is None:
+            text = f'no upstreams in pool {message.ticket.pool!r}'
+            message.result.set_exception(
+                RequestError(text, ResultCode.NO_UPSTREAM, 5.0)
+            )
+            return
+        waiter = _Waiter(message.ticket, partition, message.result)
+        self._waiting[message.key] = waiter
+        self._ask(message.key, waiter)
+
+    def _pick_partition(self, pool: str, key: str) -> str | None:
+        names = [
+            plan.name
+            for plan in self._plans.values()
+            if plan.pool == pool and plan.upstreams
+        ]
+        return names[hash(key) % len(names)] if names else None
+
+    def _ask(self, key: str, waiter: _Waiter) -> None:
+        owner = self._assigned.get(waiter.partition)
+        if owner is None:
+            return
+        now = self.clock.monotonic()
+        waiter.sent_at = now
+        ticket = waiter.ticket
+        request = GrantRequest(
+            key,
+            waiter.partition,
+            ticket.request_class,
+            ticket.workspace,
+            tuple(sorted(ticket.excluded)),
+            ticket.prefix,
+            int((now - ticket.arrived) * 1000),
+        )
+        self._transport.send(owner, request)
+
+    def _on_abandon(self, message: _Abandon) -> None:
+        waiter = self._waiting.pop(message.key, None)
+        if waiter is not None:
+            self._send_to_dispatcher(
+                waiter.partition, Withdraw(message.key, waiter.partition)
+            )
+        grant = self._held.get(message.key)
+        if grant is not None:
+            self._on_give_back(_GiveBack(grant, Outcome('unused')))
+
+    def _on_give_back(self, message: _GiveBack) -> None:
+        grant = message.grant
+        self._on_preempt.pop(grant.key, None)
+        if self._held.pop(grant.key, None) is None:
+            return
+        duration = self.clock.monotonic() - grant.since
+        outcome = message.outcome
+        release = Release(
+            grant.key,
+            grant.partition,
+            grant.upstream,
+            outcome.name,
+            int(max(0.0, outcome.first_token_s) * 1000),
+            outcome.events,
+            int(duration * 1000),
+        )
+        self._send_to_dispatcher(grant.partition, release)
+
+    def _on_watch_preemption(self, message: _OnPreempt) -> None:
+        if message.key in self._held:
+            self._on_preempt[message.key] = message.callback
+
+    def _send_to_dispatcher(self, partition: str, message: Any) -> None:
+        promised = self._promised.get(partition)
+        if promised is not None:
+            self._transport.send(promised.host, message)
+
+    def _on_received(self, received: Received) -> None:
+        handle = {
+            Grant: self._on_grant,
+            Refusal: self._on_refusal,
+            NotOwner: self._on_not_owner,
+            Preempt: self._on_preempt_message,
+            Takeover: self._on_takeover,
+            Lease: self._on_lease,
+        }[type(received.message)]
+        handle(received.host, received.message)
+
+    def _on_grant(self, host: str, grant: Grant) -> None:
+        reason = self._reject_reason(grant)
+        if grant.epoch == self._promised.get(grant.partition):
+            seen = self._sequences.get(grant.partition, 0)
+            self._sequences[grant.partition] = max(seen, grant.sequence)
+        if grant.key in self._held:
+            return
+        if reason is not None:
+            self.metrics.count('grants_rejected', reason=reason)
+            release = Release(
+                grant.key, grant.partition, grant.upstream, 'unused', 0, 0, 0
+            )
+            self._transport.send(host, release)
+            return
+        waiter = self._waiting.pop(grant.key)
+        held = HeldGrant(
+            grant.key,
+            grant.partition,
+            grant.upstream,
+            waiter.ticket.request_class,
+            self.clock.monotonic(),
+        )
+        self._held[grant.key] = held
+        waiter.result.set(held)
+
+    def _reject_reason(self, grant: Grant) -> str | None:
+        """Return why a grant may not be used, or ``None`` when it may."""
+        waiter = self._waiting.get(grant.key)
+        if waiter is None:
+            return 'not_waiting'
+        if grant.epoch != self._promised.get(grant.partition):
+            return 'other_epoch'
+        if grant.sequence <= self._sequences.get(grant.partition, 0):
+            return 'out_of_order'
+        if self.clock.monotonic() - waiter.sent_at > self._timing.grant_ttl_s:
+            return 'expired'
+        return None
+
+    def _on_refusal(self, host: str, refusal: Refusal) -> None:
+        waiter = self._waiting.pop(refusal.key, None)
+        if waiter is not None:
+            waiter.result.set_exception(
+                RequestError(
+                    refusal.message,
+                    ResultCode(refusal.code),
+                    refusal.retry_after_ms / 1000,
+                )
+            )
+
+    def _on_not_owner(self, host: str, message: NotOwner) -> None:
+        waiter = self._waiting.get(message.key)
+        if waiter is None:
+            return
+        if self._assigned.get(waiter.partition) != host:
+            self._ask(message.key, waiter)
+
+    def _on_preempt_message(self, host: str, message: Preempt) -> None:
+        callback = self._on_preempt.pop(message.key, None)
+        if callback is not None:
+            callback()
+
+    def _on_takeover(self, host: str, message: Takeover) -> None:
+        name = message.partition
+        promised = self._promised.get(name)
+        if promised is not None and message.epoch < promised:
+            self._transport.send(host, Superseded(name, promised))
+            return
+        if promised != message.epoch:
+            self._promised[name] = message.epoch
+            self._sequences[name] = 0
+            if promised is not None and promised.host != host:
+                self._transport.send(promised.host, Superseded(name, message.epoch))
+        self._report(name, message.epoch)
+        for key, waiter in self._waiting.items():
+            if waiter.partition == name and self._assigned.get(name) == host:
+                self._ask(key, waiter)
+
+    def _report(self, partition: str, epoch: Epoch) -> None:
+        held = tuple(
+            Held(grant.key, grant.upstream, grant.request_class)
+            for grant in self._held.values()
+            if grant.partition == partition
+        )
+        holdings = Holdings(
+            partition,
+            epoch,
+            self._sequences.get(partition, 0),
+            held,
+            self._ceilings.get(partition, ()),
+        )
+        self._transport.send(epoch.host, holdings)
+
+    def _on_lease(self, host: str, lease: Lease) -> None:
+        promised = self._promised.get(lease.partition)
+        if promised is not None and lease.epoch < promised:
+            self._transport.send(host, Superseded(lease.partition, promised))
+            return
+        if lease.epoch != promised:
+            return
+        self._ceilings[lease.partition] = lease.ceilings
+        ack = LeaseAck(lease.partition, lease.epoch, lease.version)
+        self._transport.send(host, ack)
--- /dev/null
+++ b/packages/node/src/rosemaryseam/node/member.py
@@ -0,0 +1,355 @@
+"""Membership: heartbeats, gossip and evidence that a process has ended."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from rosemaryseam.node.messages import Heartbeat, MemberInfo, Received, UpstreamMark
+from rosemaryseam.node.tasks import Task
+from rosemaryseam.node.transport import PeerRefused
+from rosemaryseam.policy.quorum import has_majority
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Sequence
+
+    from rosemaryseam.common.clock import Clock
+    from rosemaryseam.node.metrics import Metrics
+    from rosemaryseam.node.settings import Timing
+    from rosemaryseam.node.transport import Transport
+
+STARTING = 'starting'
+LIVE = 'live'
+LEAVING = 'leaving'
+ENDED = 'ended'  # the process is proved to be gone
+
+MAX_GOSSIP_ENTRIES = 16
+ENDED_KEPT_S = 600.0
+
+
+class Peer(NamedTuple):
+    """A member as a :class:`View` shows it."""
+
+    host: str
+    incarnation: int
+    zone: str
+    state: str
+    reachable: bool
+    revision: int
+
+
+class View(NamedTuple):
+    """What this host knows of the fleet, itself included.
+
+    ``unmet`` are seeds that neither answered nor refused; they count as members.
+    """
+
+    host: str
+    peers: tuple[Peer, ...]
+    unmet: tuple[str, ...]
+    leaving_upstreams: frozenset[str]
+
+    @property
+    def roster(self) -> frozenset[str]:
+        """All hosts whose process may be running."""
+        running = {peer.host for peer in self.peers if peer.state != ENDED}
+        return frozenset(running | set(self.unmet))
+
+    @property
+    def reachable(self) -> frozenset[str]:
+        """All hosts that answer."""
+        return frozenset(
+            peer.host for peer in self.peers if peer.reachable and peer.state != ENDED
+        )
+
+    @property
+    def has_majority(self) -> bool:
+        """Whether this host sees more than half of the roster."""
+        return has_majority(self.reachable, self.roster)
+
+
+class SetState(NamedTuple):
+    """This process enters a state."""
+
+    state: str
+
+
+class SetRevision(NamedTuple):
+    """This process holds a catalogue revision."""
+
+    revision: int
+
+
+class ObservedUpstreams(NamedTuple):
+    """States of upstreams as a source reports them: name to leaving."""
+
+    leaving: dict[str, bool]
+
+
+class ObservedHosts(NamedTuple):
+    """Entry hosts that the platform lists as gone."""
+
+    gone: frozenset[str]
+
+
+class _Member:
+    def __init__(self, info: MemberInfo, now: float) -> None:
+        self.info = info
+        self.heard_at = now
+        self.echo = 0
+        self.echo_at = now
+        self.received = 0
+        self.revision = 0
+        self.ended_at = now
+
+
+class MemberTask(Task):
+    """Owns the members' table.
+
+    :param me: this process
+    :param seeds: addresses to start from
+    :param publish: takes each new :class:`View`
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        metrics: Metrics,
+        timing: Timing,
+        transport: Transport,
+        rng: random.Random,
+        me: MemberInfo,
+        seeds: Sequence[str],
+        publish: Callable[[View], None],
+    ) -> None:
+        super().__init__(clock, metrics, timing.heartbeat_s)
+        self._timing = timing
+        self._transport = transport
+        self._rng = rng
+        self._me = me
+        self._publish = publish
+        self._members: dict[str, _Member] = {}
+        self._unmet = {seed for seed in seeds if seed != me.address}
+        self._seeds = frozenset(self._unmet)
+        self._revision = 0
+        self._sequence = 0
+        self._sent_at: dict[int, float] = {}
+        self._marks: dict[str, UpstreamMark] = {}
+        self._last_view: View | None = None
+
+    @property
+    def handlers(self) -> dict[type, Callable[[Any], None]]:
+        """What to call for each type of message."""
+        return {
+            Received: self._on_received,
+            PeerRefused: self._on_refused,
+            SetState: self._on_state,
+            SetRevision: self._on_revision,
+            ObservedUpstreams: self._on_upstreams,
+            ObservedHosts: self._on_hosts,
+        }
+
+    def view(self) -> View:
+        """Return what is known now."""
+        now = self.clock.monotonic()
+        peers = [
+            Peer(
+                member.info.host,
+                member.info.incarnation,
+                member.info.zone,
+                member.info.state,
+                now - member.heard_at < self._timing.silence_s,
+                member.revision,
+            )
+            for member in self._members.values()
+        ]
+        me = self._me
+        peers.append(
+            Peer(me.host, me.incarnation, me.zone, me.state, True, self._revision)
+        )
+        leaving = {mark.upstream for mark in self._marks.values() if mark.leaving}
+        return View(
+            me.host,
+            tuple(sorted(peers)),
+            tuple(sorted(self._unmet)),
+            frozenset(leaving),
+        )
+
+    def tick(self) -> None:
+        """Send heartbeats, replace silent connections, publish changes."""
+        self._forget_ended()
+        self._send_heartbeats()
+        self._replace_silent()
+        self._publish_changes()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the members' table."""
+        view = self.view()
+        return {
+            'members': [peer._asdict() for peer in view.peers],
+            'unmet_seeds': list(view.unmet),
+            'leaving_upstreams': sorted(view.leaving_upstreams),
+            'majority': view.has_majority,
+        }
+
+    def _on_received(self, received: Received) -> None:
+        heartbeat = received.message
+        if not isinstance(heartbeat, Heartbeat):
+            return
+        member = self._meet(heartbeat.sender)
+        if member is None:
+            return
+        now = self.clock.monotonic()
+        member.heard_at = now
+        member.received = heartbeat.sequence
+        member.revision = heartbeat.revision
+        if heartbeat.echo > member.echo:
+            member.echo = heartbeat.echo
+            member.echo_at = now
+        for info in heartbeat.members:
+            self._merge(info)
+        for mark in heartbeat.marks:
+            self._merge_mark(mark)
+        self._publish_changes()
+
+    def _meet(self, info: MemberInfo) -> _Member | None:
+        """Return the sender's entry, or ``None`` when it is out of date."""
+        if info.host == self._me.host:
+            return None
+        known = self._members.get(info.host)
+        if known is not None and _older(info, known.info):
+            self.metrics.count('heartbeats_outdated')
+            return None
+        now = self.clock.monotonic()
+        if known is None or known.info.incarnation != info.incarnation:
+            known = _Member(info, now)
+            self._members[info.host] = known
+        known.info = info
+        self._unmet.discard(info.address)
+        self._transport.register(info.host, info.address)
+        if info.state == ENDED:
+            self._end(known)
+            return None
+        return known
+
+    def _merge(self, info: MemberInfo) -> None:
+        """Take over gossip about a member that may not be met yet."""
+        if info.host == self._me.host:
+            return
+        known = self._members.get(info.host)
+        newer = known is None or info.incarnation > known.info.incarnation
+        if newer and info.state != ENDED:
+            self._transport.register(info.host, info.address)
+            self._unmet.discard(info.address)
+            member = _Member(info, self.clock.monotonic() - self._timing.silence_s)
+            self._members[info.host] = member
+            return
+        same = known is not None and info.incarnation == known.info.incarnation
+        if same and info.state == ENDED and known.info.state != ENDED:
+            self._end(known)
+
+    def _merge_mark(self, mark: UpstreamMark) -> None:
+        known = self._marks.get(mark.upstream)
+        if known is None or mark.version > known.version:
+            self._marks[mark.upstream] = mark
+
+    def _on_refused(self, refused: PeerRefused) -> None:
+        self._unmet.discard(refused.address)
+        for member in self._members.values():
+            running = member.info.state != ENDED
+            if member.info.address == refused.address and running:
+                self._end(member)
+        self._publish_changes()
+
+    def _on_state(self, message: SetState) -> None:
+        self._me = self._me._replace(state=message.state)
+        self._send_heartbeats()
+        self._publish_changes()
+
+    def _on_revision(self, message: SetRevision) -> None:
+        self._revision = message.revision
+        if self._me.state == STARTING:
+            self._me = self._me._replace(state=LIVE)
+        self._send_heartbeats()
+        self._publish_changes()
+
+    def _on_upstreams(self, message: ObservedUpstreams) -> None:
+        version = int(self.clock.now().timestamp() * 1000)
+        changed = False
+        for upstream, leaving in message.leaving.items():
+            known = self._marks.get(upstream)
+            if leaving != (known is not None and known.leaving):
+                self._marks[upstream] = UpstreamMark(upstream, version, leaving)
+                changed = True
+        if changed:
+            self._send_heartbeats()
+            self._publish_changes()
+
+    def _on_hosts(self, message: ObservedHosts) -> None:
+        for member in self._members.values():
+            silent = self.clock.monotonic() - member.heard_at > self._timing.silence_s
+            if member.info.host in message.gone and silent:
+                self._end(member)
+        self._publish_changes()
+
+    def _end(self, member: _Member) -> None:
+        member.info = member.info._replace(state=ENDED)
+        member.ended_at = self.clock.monotonic()
+
+    def _forget_ended(self) -> None:
+        horizon = self.clock.monotonic() - ENDED_KEPT_S
+        for host, member in list(self._members.items()):
+            if member.info.state == ENDED and member.ended_at < horizon:
+                del self._members[host]
+
+    def _send_heartbeats(self) -> None:
+        self._sequence += 1
+        now = self.clock.monotonic()
+        self._sent_at[self._sequence] = now
+        self._sent_at.pop(self._sequence - 100, None)
+        gossip = self._gossip()
+        met = set()
+        for member in self._members.values():
+            met.add(member.info.address)
+            if member.info.state != ENDED:
+                heartbeat = self._heartbeat(gossip, member.received)
+                self._transport.send(member.info.host, heartbeat)
+        for seed in self._seeds - met:
+            self._transport.send_to_address(seed, self._heartbeat(gossip, 0))
+
+    def _heartbeat(self, gossip: tuple[MemberInfo, ...], echo: int) -> Heartbeat:
+        return Heartbeat(
+            self._me,
+            self._sequence,
+            echo,
+            self._revision,
+            gossip,
+            tuple(self._marks.values()),
+        )
+
+    def _gossip(self) -> tuple[MemberInfo, ...]:
+        infos = [member.info for member in self._members.values()]
+        if len(infos) > MAX_GOSSIP_ENTRIES:
+            infos = self._rng.sample(infos, MAX_GOSSIP_ENTRIES)
+        return tuple(infos)
+
+    def _replace_silent(self) -> None:
+        now = self.clock.monotonic()
+        for member in self._members.values():
+            if member.info.state == ENDED:
+                continue
+            if now - member.echo_at > self._timing.silence_s:
+                member.echo_at = now
+                self._transport.reset(member.info.address)
+
+    def _publish_changes(self) -> None:
+        view = self.view()
+        if view != self._last_view:
+            self._last_view = view
+            self._publish(view)
+
+
+def _older(info: MemberInfo, known: MemberInfo) -> bool:
+    if info.incarnation != known.incarnation:
+        return info.incarnation < known.incarnation
+    return known.state == ENDED and info.state != ENDED
--- /dev/null
+++ b/packages/node/src/rosemaryseam/node/metrics.py
@@ -0,0 +1,122 @@
+"""Counters and latency histograms, shown in the Prometheus text format."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    SummaryMetricFamily,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from prometheus_client import Metric
+
+PREFIX = 'rosemaryseam_'
+MAX_MICROSECONDS = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (0.5, 0.95, 0.99)
+
+Labels = tuple[tuple[str, str], ...]
+
+
+class Metrics:
+    """All counters and histograms of a process."""
+
+    def __init__(self) -> None:
+        self._counters: dict[tuple[str, Labels], int] = {}
+        self._histograms: dict[tuple[str, Labels], HdrHistogram] = {}
+        self._gauges: dict[str, Callable[[], float]] = {}
+        self._registry = CollectorRegistry(auto_describe=False)
+        self._registry.register(self)
+
+    def count(self, name: str, amount: int = 1, **labels: str) -> None:
+        """Add to a counter.
+
+        :param name: without prefix and ``_total``
+        :param amount: what to add
+        :param labels: such as ``request_class``
+        """
+        key = (name, tuple(sorted(labels.items())))
+        self._counters[key] = self._counters.get(key, 0) + amount
+
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Record a duration.
+
+        :param name: without prefix and ``_seconds``
+        :param seconds: the duration
+        :param labels: such as ``request_class``
+        """
+        key = (name, tuple(sorted(labels.items())))
+        histogram = self._histograms.get(key)
+        if histogram is None:
+            histogram = HdrHistogram(1, MAX_MICROSECONDS, SIGNIFICANT_DIGITS)
+            self._histograms[key] = histogram
+        histogram.record_value(max(1, min(MAX_MICROSECONDS, int(seconds * 1e6))))
+
+    def gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Show a value that is read when it is asked for.
+
+        :param name: without prefix
+        :param read: returns the value
+        """
+        self._gauges[name] = read
+
+    def value(self, name: str, **labels: str) -> int:
+        """Return a counter.
+
+        :param name: without prefix and ``_total``
+        :param labels: as it was counted
+        """
+        return self._counters.get((name, tuple(sorted(labels.items()))), 0)
+
+    def render(self) -> bytes:
+        """Return everything in the Prometheus text format."""
+        return generate_latest(self._registry)
+
+    def dump(self) -> dict[str, int]:
+        """Return the counters in JSON's types."""
+        return {
+            name + ''.join(f',{key}={value}' for key, value in labels): count
+            for (name, labels), count in sorted(self._counters.items())
+        }
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield metric families; the registry calls this."""
+        yield from self._collect_counters()
+        yield from self._collect_histograms()
+        for name, read in self._gauges.items():
+            yield GaugeMetricFamily(PREFIX + name, name, value=read())
+
+    def _collect_counters(self) -> Iterator[Metric]:
+        families: dict[tuple[str, tuple[str, ...]], CounterMetricFamily] = {}
+        for (name, labels), value in self._counters.items():
+            names = tuple(key for key, _ in labels)
+            family = families.get((name, names))
+            if family is None:
+                family = CounterMetricFamily(PREFIX + name, name, labels=names)
+                families[name, names] = family
+            family.add_metric([text for _, text in labels], value)
+        yield from families.values()
+
+    def _collect_histograms(self) -> Iterator[Metric]:
+        for (name, labels), histogram in self._histograms.items():
+            names = [key for key, _ in labels]
+            values = [text for _, text in labels]
+            family = SummaryMetricFamily(f'{PREFIX}{name}_seconds', name, labels=names)
+            count = histogram.get_total_count()
+            total = histogram.get_mean_value() * count / 1e6
+            family.add_metric(values, count, total)
+            for quantile in QUANTILES:
+                value = histogram.get_value_at_percentile(quantile * 100) / 1e6
+                family.add_sample(
+                    f'{PREFIX}{name}_seconds',
+                    {**dict(labels), 'quantile': str(quantile)},
+                    value,
+                )
+            yield family
--- /dev/null
+++ b/packages/node/src/rosemaryseam/node/process.py
@@ -0,0 +1,353 @@
+"""A node: builds its tasks and servers, runs them and stops them gracefully."""
+
+from __future__ import annotations
+
+import errno
+import json
+import random
+from typing import TYPE_CHECKING, Any
+
+import gevent
+from gevent.event import Event
+from loguru import logger
+
+from rosemaryseam.common.addresses import parse_address
+from rosemaryseam.common.errors import ResultCode, SettingsError
+from rosemaryseam.common.keyvalue import open_key_value_store
+from rosemaryseam.common.wsgi import HttpServer, ServerBounds
+from rosemaryseam.node import messages
+from rosemaryseam.node.admin import (
+    CatalogueResource,
+    DumpResource,
+    HealthResource,
+    MetricsResource,
+    build_admin,
+)
+from rosemaryseam.node.claims import ClaimRegistry
+from rosemaryseam.node.dispatcher import CatalogueChanged, DispatcherTask
+from rosemaryseam.node.gateway.application import build_application
+from rosemaryseam.node.gateway.apps import AppResource
+from rosemaryseam.node.gateway.calls import CallRunner
+from rosemaryseam.node.gateway.completions import CompletionResource, ModelResource
+from rosemaryseam.node.gateway.identity import RequestIds
+from rosemaryseam.node.grants import GrantTask
+from rosemaryseam.node.hostlist import open_host_list
+from rosemaryseam.node.loadreports import open_load_reports
+from rosemaryseam.node.member import (
+    ENDED,
+    LEAVING,
+    STARTING,
+    MemberTask,
+    SetRevision,
+    SetState,
+    View,
+)
+from rosemaryseam.node.metrics import Metrics
+from rosemaryseam.node.pollers import HostListPoller, LoadPoller
+from rosemaryseam.node.replica import ReplicaTask
+from rosemaryseam.node.transport import TcpTransport
+from rosemaryseam.node.upstreams.http import open_upstream_client
+from rosemaryseam.policy.retry import RetryBudget
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from rosemaryseam.common.clock import Clock
+    from rosemaryseam.node.settings import Settings
+    from rosemaryseam.node.tasks import Task
+
+FAREWELL_S = 0.1  # for the last heartbeats to leave
+DRAIN_IDLE_S = 5.0  # an idle connection's life once callers have moved
+
+_TO_MEMBER = (messages.Heartbeat,)
+_TO_REPLICA = (messages.CatalogueOffer, messages.CatalogueWant)
+_TO_DISPATCHER = (
+    messages.GrantRequest,
+    messages.Withdraw,
+    messages.Release,
+    messages.Holdings,
+    messages.LeaseAck,
+    messages.Superseded,
+)
+_TO_GRANTS = (
+    messages.Grant,
+    messages.Refusal,
+    messages.NotOwner,
+    messages.Preempt,
+    messages.Takeover,
+    messages.Lease,
+)
+
+
+class Node:
+    """All parts of one node.
+
+    :param cfg: the settings
+    :param clock: the process's clock
+    :param path: of the settings file, named in errors
+    """
+
+    def __init__(self, cfg: Settings, clock: Clock, path: str) -> None:
+        self._cfg = cfg
+        self._clock = clock
+        self._path = path
+        self._incarnation = int(clock.now().timestamp() * 1000)
+        self._rng = random.Random(f'{cfg.host}-{self._incarnation}')
+        self._stopping = Event()
+        self._view: View | None = None
+        self.metrics = Metrics()
+        self._transport = TcpTransport(
+            cfg.host, self._incarnation, self._route, self._on_refused, self.metrics
+        )
+        self._member = self._build_member()
+        self._dispatcher = DispatcherTask(
+            clock, self.metrics, cfg.timing, cfg.bounds, cfg.host, self._transport
+        )
+        self._grants = GrantTask(
+            clock,
+            self.metrics,
+            cfg.timing,
+            cfg.host,
+            self._incarnation,
+            self._transport,
+        )
+        self._store = open_key_value_store(
+            parse_address(cfg.key_value), cfg.timing.key_value_s
+        )
+        self._replica = ReplicaTask(
+            clock,
+            self.metrics,
+            cfg.timing,
+            cfg.host,
+            self._store,
+            self._transport,
+            self._rng,
+            self._on_catalogue,
+        )
+        self._routes = self._build_routes()
+        self._gateway = self._build_gateway()
+        self._admin = self._build_admin()
+        self._pollers: list[gevent.Greenlet] = []
+
+    @property
+    def _tasks(self) -> list[Task]:
+        return [self._member, self._dispatcher, self._grants, self._replica]
+
+    def start(self) -> None:
+        """Open the ports and start all tasks.
+
+        :raises SettingsError: an address cannot be used
+        """
+        cfg = self._cfg
+        peer_address = parse_address(cfg.peer_listen)
+        self._open('peer_listen', lambda: self._transport.listen(peer_address))
+        self._open('admin_listen', self._admin.start)
+        self._open('listen', self._gateway.start)
+        for task in self._tasks:
+            task.start()
+        self._pollers = [gevent.spawn(poller.run) for poller in self._build_pollers()]
+        logger.info('host {} started, callers at {}', cfg.host, cfg.listen)
+
+    def request_stop(self) -> None:
+        """Begin the graceful stop; more calls change nothing."""
+        self._stopping.set()
+
+    def wait(self) -> None:
+        """Run until the graceful stop is complete."""
+        self._stopping.wait()
+        logger.info('host {} is leaving', self._cfg.host)
+        self._member.post(SetState(LEAVING))
+        self._gateway.begin_drain()
+        gevent.sleep(self._cfg.timing.drain_s)
+        self._gateway.close_listener()
+        self._gateway.end_idle(DRAIN_IDLE_S)
+        self._gateway.wait_quiet()
+        self._member.post(SetState(ENDED))
+        gevent.sleep(FAREWELL_S)
+        self._close()
+        logger.info('host {} stopped', self._cfg.host)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the whole state in JSON's types."""
+        return {
+            'host': self._cfg.host,
+            'incarnation': self._incarnation,
+            'zone': self._cfg.zone,
+            'not_ready': self.not_ready(),
+            'connections': self._gateway.connections,
+            'requests': self._gateway.requests,
+            'member': self._member.dump(),
+            'dispatcher': self._dispatcher.dump(),
+            'grants': self._grants.dump(),
+            'catalogue': self._replica.dump(),
+            'counters': self.metrics.dump(),
+        }
+
+    def log_dump(self) -> None:
+        """Write the whole state to the log."""
+        logger.info('dump {}', json.dumps(self.dump()))
+
+    def not_ready(self) -> str | None:
+        """Return why callers should go elsewhere, or ``None``."""
+        if self._stopping.is_set():
+            return 'leaving'
+        if self._replica.catalogue is None:
+            return 'no catalogue'
+        if self._view is None or not self._view.has_majority:
+            return 'no majority'
+        return None
+
+    def _close(self) -> None:
+        gevent.killall(self._pollers, block=False)
+        for task in self._tasks:
+            task.stop()
+        self._admin.stop(timeout=0)
+        self._transport.close()
+
+    def _open(self, key: str, start: Callable[[], None]) -> None:
+        try:
+            start()
+        except OSError as exc:
+            code = ResultCode.ADDRESS_INVALID
+            if exc.errno == errno.EADDRINUSE:
+                code = ResultCode.ADDRESS_IN_USE
+            value = getattr(self._cfg, key)
+            message = f'{self._path}: {key}: {value}: {exc.strerror or exc}'
+            raise SettingsError(message, code) from exc
+
+    # Messages between the tasks.
+
+    def _route(self, received: messages.Received) -> None:
+        self._routes[type(received.message)].post(received)
+
+    def _build_routes(self) -> dict[type, Task]:
+        routes: dict[type, Task] = {}
+        for task, kinds in (
+            (self._member, _TO_MEMBER),
+            (self._replica, _TO_REPLICA),
+            (self._dispatcher, _TO_DISPATCHER),
+            (self._grants, _TO_GRANTS),
+        ):
+            routes.update(dict.fromkeys(kinds, task))
+        return routes
+
+    def _on_refused(self, refused: Any) -> None:
+        self._member.post(refused)
+
+    def _on_view(self, view: View) -> None:
+        self._view = view
+        self._dispatcher.post(view)
+        self._grants.post(view)
+        self._replica.post(view)
+
+    def _on_catalogue(self, message: CatalogueChanged) -> None:
+        self._dispatcher.post(message)
+        self._grants.post(message)
+        self._member.post(SetRevision(message.revision))
+
+    def _has_ended(self, host: str, incarnation: int) -> bool:
+        """Return whether a process is known to have ended."""
+        if self._view is None:
+            return False
+        for peer in self._view.peers:
+            if peer.host == host:
+                newer = peer.incarnation > incarnation
+                return newer or (
+                    peer.incarnation == incarnation and peer.state == ENDED
+                )
+        return False
+
+    # Construction.
+
+    def _build_member(self) -> MemberTask:
+        cfg = self._cfg
+        me = messages.MemberInfo(
+            cfg.host, self._incarnation, cfg.zone, cfg.peer_listen, STARTING
+        )
+        return MemberTask(
+            self._clock,
+            self.metrics,
+            cfg.timing,
+            self._transport,
+            self._rng,
+            me,
+            cfg.seeds,
+            self._on_view,
+        )
+
+    def _build_gateway(self) -> HttpServer:
+        cfg = self._cfg
+        claims = ClaimRegistry(
+            self._store,
+            self._clock,
+            self.metrics,
+            cfg.host,
+            self._incarnation,
+            cfg.bounds.kept_answer_bytes,
+            self._has_ended,
+        )
+        runner = CallRunner(
+            self._clock,
+            self.metrics,
+            cfg.timing,
+            self._grants,
+            self._replica,
+            open_upstream_client(),
+            RetryBudget(),
+            self._member.post,
+        )
+        ids = RequestIds(cfg.host, self._incarnation)
+        application = build_application(
+            CompletionResource(self._replica, runner, cfg.bounds, ids),
+            ModelResource(self._replica),
+            AppResource(self._replica, runner, claims, cfg.bounds, ids),
+            self.metrics,
+        )
+        bounds = ServerBounds(cfg.bounds.idle_connection_s, cfg.bounds.head_s)
+        return HttpServer(
+            parse_address(cfg.listen), application, bounds, cfg.bounds.connections
+        )
+
+    def _build_admin(self) -> HttpServer:
+        application = build_admin(
+            self._cfg.admin_token,
+            HealthResource(self.not_ready),
+            MetricsResource(self.metrics),
+            DumpResource(self.dump),
+            CatalogueResource(self._replica),
+        )
+        address = parse_address(self._cfg.admin_listen)
+        return HttpServer(address, application, ServerBounds())
+
+    def _build_pollers(self) -> list[HostListPoller | LoadPoller]:
+        timing = self._cfg.timing
+        hosts = open_host_list(parse_address(self._cfg.host_list), timing.key_value_s)
+        reports = open_load_reports(timing.upstream_connect_s)
+        return [
+            HostListPoller(
+                hosts,
+                self._member,
+                self._replica,
+                self.metrics,
+                timing.host_list_poll_s,
+                self._rng,
+            ),
+            LoadPoller(
+                reports,
+                self._dispatcher,
+                self._replica,
+                self.metrics,
+                timing.load_report_poll_s,
+                self._rng,
+            ),
+        ]
+
+
+def build_node(cfg: Settings, clock: Clock, path: str) -> Node:
+    """Return a node that is not started yet.
+
+    :param cfg: the settings
+    :param clock: the process's clock
+    :param path: of the settings file, named in errors
+    """
+    return Node(cfg, clock, path)
--- /dev/null
+++ b/packages/node/src/rosemaryseam/node/settings.py
@@ -0,0 +1,100 @@
+"""The settings of a node, declared once with default, type and bounds."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Annotated, Literal, NamedTuple
+
+from pydantic import Field
+
+from rosemaryseam.common.addresses import AddressText
+from rosemaryseam.common.catalogue import Name
+from rosemaryseam.common.documents import (
+    DocumentFaultsError,
+    parse_document,
+    validate_document,
+)
+from rosemaryseam.common.errors import ResultCode, SettingsError
+
+Seconds = Annotated[float, Field(gt=0.0, le=3600.0)]
+Bytes = Annotated[int, Field(ge=1024, le=1_000_000_000)]
+Count = Annotated[int, Field(ge=1, le=1_000_000)]
+
+
+class LogSettings(NamedTuple):
+    """Where and how lines are logged."""
+
+    level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
+    format: Literal['text', 'json'] = 'text'
+
+
+class Bounds(NamedTuple):
+    """What callers may make the node hold."""
+
+    body_bytes: Bytes = 4_000_000
+    body_s: Seconds = 10.0
+    head_s: Seconds = 10.0
+    idle_connection_s: Seconds = 75.0
+    connections: Count = 10_000
+    queue_length: Count = 2_000
+    kept_answer_bytes: Bytes = 65_536
+
+
+class Timing(NamedTuple):
+    """Deadlines and intervals, in seconds."""
+
+    heartbeat_s: Seconds = 0.2
+    silence_s: Seconds = 1.0
+    lease_s: Seconds = 1.0
+    grant_ttl_s: Seconds = 1.0
+    resend_s: Seconds = 0.25
+    starvation_s: Seconds = 5.0
+    key_value_s: Seconds = 1.0
+    catalogue_poll_s: Seconds = 5.0
+    catalogue_watch_s: Seconds = 30.0
+    host_list_poll_s: Seconds = 1.0
+    load_report_poll_s: Seconds = 0.5
+    upstream_connect_s: Seconds = 1.0
+    upstream_first_byte_s: Seconds = 15.0
+    upstream_between_bytes_s: Seconds = 5.0
+    drain_s: Seconds = 2.0
+
+
+class Settings(NamedTuple):
+    """All settings of a node."""
+
+    host: Name
+    zone: Name
+    listen: AddressText
+    peer_listen: AddressText
+    admin_listen: AddressText
+    admin_token: Annotated[str, Field(min_length=8)]
+    key_value: AddressText
+    host_list: AddressText
+    region: Name = 'home'
+    seeds: tuple[AddressText, ...] = ()
+    log: LogSettings = LogSettings()
+    bounds: Bounds = Bounds()
+    timing: Timing = Timing()
+
+
+def load_settings(path: str) -> Settings:
+    """Read and check a settings file.
+
+    :param path: the YAML file
+    :raises SettingsError: the message names file, key and fault in one line
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as exc:
+        reason = getattr(exc, 'strerror', None) or 'not UTF-8'
+        message = f'{path}: {reason}'
+        raise SettingsError(message, ResultCode.SETTINGS_FILE_MISSING) from exc
+    try:
+        return validate_document(parse_document(text), Settings)
+    except DocumentFaultsError as exc:
+        fault = exc.faults[0]
+        code = ResultCode.SETTINGS_INVALID
+        if 'IP number' in fault.message:
+            code = ResultCode.ADDRESS_INVALID
+        raise SettingsError(f'{path}: {fault}', code) from exc
--- /dev/null
+++ b/packages/node/src/rosemaryseam/node/upstreams/http.py
@@ -0,0 +1,110 @@
+"""Calls to upstreams over HTTP, each on a connection of its own."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from geventhttpclient.response import HTTPProtocolViolationError
+
+from rosemaryseam.common.errors import UpstreamError
+from rosemaryseam.common.exchange import Exchange
+from rosemaryseam.node.upstreams import UpstreamAnswer, UpstreamCall, UpstreamClient
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from geventhttpclient.response import HTTPSocketResponse
+
+    from rosemaryseam.common.addresses import Address
+
+EVENT_END = b'\n\n'
+READ_BYTES = 65_536
+STATE_HEADER = 'x-upstream-state'
+LEAVING = 'leaving'
+
+_READ_ERRORS = (OSError, ValueError, HTTPProtocolViolationError)
+
+
+class HttpUpstreamClient(UpstreamClient):
+    """Opens a new connection for each call, so that none can have gone silent."""
+
+    def open(self, address: Address, call: UpstreamCall) -> UpstreamAnswer:
+        """Send a request once and wait for the answer's head."""
+        exchange = Exchange(address, call.connect_s, call.first_byte_s)
+        try:
+            exchange.connect()
+        except OSError as exc:
+            exchange.close()
+            raise UpstreamError(f'{address}: {exc}', written=False) from exc
+        try:
+            response = exchange.send(call.method, call.path, call.body, call.headers)
+        except _READ_ERRORS as exc:
+            exchange.close()
+            raise UpstreamError(f'{address}: {exc}', written=True) from exc
+        except BaseException:
+            exchange.close()
+            raise
+        exchange.set_read_timeout(call.between_bytes_s)
+        answer = HttpUpstreamAnswer(address, exchange, response)
+        if answer.refuses_as_leaving():
+            answer.close()
+            message = f'{address} is leaving'
+            raise UpstreamError(message, written=True, leaving=True)
+        return answer
+
+
+class HttpUpstreamAnswer(UpstreamAnswer):
+    """An answer on its own connection."""
+
+    def __init__(
+        self, address: Address, exchange: Exchange, response: HTTPSocketResponse
+    ) -> None:
+        self.status = response.status_code
+        self.headers = tuple(response.items())
+        self._address = address
+        self._exchange = exchange
+        self._response = response
+
+    def refuses_as_leaving(self) -> bool:
+        """Return whether the upstream refused because it is leaving."""
+        if self.status != HTTPStatus.SERVICE_UNAVAILABLE:
+            return False
+        headers = {name.lower(): value for name, value in self.headers}
+        return headers.get(STATE_HEADER) == LEAVING
+
+    def events(self) -> Iterator[bytes]:
+        """Yield whole server-sent events."""
+        while True:
+            try:
+                event = self._response.readline(EVENT_END)
+            except _READ_ERRORS as exc:
+                raise UpstreamError(f'{self._address}: {exc}', written=True) from exc
+            if not event:
+                return
+            yield event
+
+    def read(self, limit: int) -> bytes:
+        """Return the whole body."""
+        parts = []
+        size = 0
+        try:
+            while part := self._response.read(READ_BYTES):
+                parts.append(part)
+                size += len(part)
+                if size > limit:
+                    raise UpstreamError(
+                        f'{self._address}: answer too large', written=True
+                    )
+        except _READ_ERRORS as exc:
+            raise UpstreamError(f'{self._address}: {exc}', written=True) from exc
+        return b''.join(parts)
+
+    def close(self) -> None:
+        """Drop the connection."""
+        self._exchange.close()
+
+
+def open_upstream_client() -> UpstreamClient:
+    """Return the client that the gateway uses."""
+    return HttpUpstreamClient()
--- /dev/null
+++ b/packages/operator/src/rosemaryseam/operator/commands.py
@@ -0,0 +1,220 @@
+"""The subcommands: each returns a result and prints nothing."""
+
+from __future__ import annotations
+
+import difflib
+import pathlib
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from rosemaryseam.common.catalogue import load_catalogue
+from rosemaryseam.common.errors import (
+    CatalogueError,
+    PeerError,
+    ResultCode,
+    SettingsError,
+)
+from rosemaryseam.common.revisions import (
+    encode_revision,
+    read_revision,
+    write_revision,
+)
+
+if TYPE_CHECKING:
+    from rosemaryseam.common.clock import Clock
+    from rosemaryseam.common.keyvalue import KeyValueStore
+    from rosemaryseam.common.revisions import Revision
+    from rosemaryseam.operator.hosts import HostClient
+    from rosemaryseam.operator.settings import OperatorSettings
+
+
+class Result(NamedTuple):
+    """What a subcommand found: lines for people, data for programs."""
+
+    code: ResultCode
+    lines: tuple[str, ...]
+    data: Any
+
+
+class Commands:
+    """Runs subcommands.
+
+    :param cfg: the settings
+    :param store: the platform's key-value service
+    :param hosts: the admin ports
+    :param clock: gives the time noted in the history
+    """
+
+    def __init__(
+        self,
+        cfg: OperatorSettings,
+        store: KeyValueStore,
+        hosts: HostClient,
+        clock: Clock,
+    ) -> None:
+        self._cfg = cfg
+        self._store = store
+        self._hosts = hosts
+        self._clock = clock
+
+    def show(self) -> Result:
+        """Show the stored catalogue."""
+        revision = self._current()
+        data = {'revision': revision.revision, 'text': revision.text}
+        lines = (f'# revision {revision.revision}', *revision.text.splitlines())
+        return Result(ResultCode.OK, lines, data)
+
+    def history(self) -> Result:
+        """Show the last changes, the newest first."""
+        changes = list(reversed(self._current().history))
+        lines = tuple(
+            f'{change.revision}  {change.at}  {change.author}  {change.change_id}'
+            for change in changes
+        )
+        return Result(ResultCode.OK, lines, [change._asdict() for change in changes])
+
+    def diff(self, path: str) -> Result:
+        """Show how a file differs from the stored catalogue.
+
+        :param path: the YAML file
+        """
+        text = read_catalogue_file(path)
+        stored = read_revision(self._store)
+        before = stored[0].text if stored is not None else ''
+        lines = tuple(_diff(before, text))
+        return Result(ResultCode.OK, lines, list(lines))
+
+    def apply(self, path: str, base: int | None) -> Result:
+        """Store a file as the next revision and give it to the hosts.
+
+        :param path: the YAML file
+        :param base: the revision the change was made from, ``None`` for the present
+        """
+        text = read_catalogue_file(path)
+        stored = read_revision(self._store)
+        before = stored[0].text if stored is not None else ''
+        if base is None:
+            base = stored[0].revision if stored is not None else 0
+        revision = write_revision(
+            self._store, self._clock, text, base, self._cfg.author
+        )
+        return self._distribute(revision, tuple(_diff(before, text)))
+
+    def status(self) -> Result:
+        """Show hosts, partitions and catalogue revisions."""
+        lines = []
+        data: dict[str, Any] = {}
+        code = ResultCode.OK
+        for host, dump in self._hosts.dumps().items():
+            if isinstance(dump, PeerError):
+                code = ResultCode.HOST_UNREACHABLE
+                data[host] = {'error': dump.message}
+                lines.append(f'{host}: {dump.message}')
+                continue
+            summary = _summarize(dump)
+            data[host] = summary
+            lines.append(
+                f'{host}: zone {summary["zone"]}, {summary["state"]}, catalogue '
+                f'revision {summary["revision"]}, {summary["requests"]} requests, '
+                f'dispatches {", ".join(summary["partitions"]) or "nothing"}'
+            )
+        return Result(code, tuple(lines), data)
+
+    def dump(self, host: str) -> Result:
+        """Show the whole state of a host's process.
+
+        :param host: its name in the settings
+        """
+        return Result(ResultCode.OK, (), self._hosts.dump(host))
+
+    def _current(self) -> Revision:
+        stored = read_revision(self._store)
+        if stored is None:
+            message = 'there is no catalogue yet'
+            raise CatalogueError(message, ResultCode.CATALOGUE_ABSENT)
+        return stored[0]
+
+    def _distribute(self, revision: Revision, changes: tuple[str, ...]) -> Result:
+        """Give a stored revision to the hosts; one that has it spreads it."""
+        held = self._hosts.push(encode_revision(revision))
+        lines = [*changes]
+        holders = 0
+        for host, answer in held.items():
+            if isinstance(answer, PeerError):
+                lines.append(f'{host}: {answer.message}')
+            elif answer >= revision.revision:
+                holders += 1
+            else:
+                lines.append(f'{host}: holds revision {answer} and refused the change')
+        data = {
+            'revision': revision.revision,
+            'change_id': revision.change_id,
+            'hosts': {
+                host: answer.message if isinstance(answer, PeerError) else answer
+                for host, answer in held.items()
+            },
+        }
+        if not holders:
+            lines.append(
+                f'revision {revision.revision} is stored, but no host confirmed it; '
+                'the hosts read it when they reach the key-value service'
+            )
+            return Result(ResultCode.CATALOGUE_NOT_DISTRIBUTED, tuple(lines), data)
+        lines.append(
+            f'revision {revision.revision} accepted, in force on '
+            f'{holders} of {len(held)} hosts'
+        )
+        return Result(ResultCode.OK, tuple(lines), data)
+
+
+def check_catalogue(path: str) -> Result:
+    """Check a catalogue file.
+
+    :param path: the YAML file
+    """
+    catalogue = load_catalogue(read_text(path))
+    counts = {name: len(getattr(catalogue, name)) for name in catalogue._fields}
+    text = ', '.join(f'{count} {name}' for name, count in counts.items())
+    return Result(ResultCode.OK, (f'{path}: ok: {text}',), counts)
+
+
+def read_catalogue_file(path: str) -> str:
+    """Return a catalogue file's text after checking it.
+
+    :param path: the YAML file
+    :raises CatalogueError: the catalogue is invalid
+    :raises SettingsError: the file cannot be read
+    """
+    text = read_text(path)
+    load_catalogue(text)
+    return text
+
+
+def read_text(path: str) -> str:
+    """Return a file's text.
+
+    :param path: the file
+    :raises SettingsError: the file cannot be read
+    """
+    try:
+        return pathlib.Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as exc:
+        reason = getattr(exc, 'strerror', None) or 'not UTF-8'
+        message = f'{path}: {reason}'
+        raise SettingsError(message, ResultCode.SETTINGS_FILE_MISSING) from exc
+
+
+def _diff(before: str, after: str) -> list[str]:
+    lines = difflib.unified_diff(
+        before.splitlines(), after.splitlines(), 'stored', 'new', lineterm=''
+    )
+    return list(lines)
+
+
+def _summarize(dump: dict[str, Any]) -> dict[str, Any]:
+    return {
+        'zone': dump['zone'],
+        'state': dump['not_ready'] or 'ready',
+        'revision': dump['catalogue']['revision'],
+        'requests': dump['requests'],
+        'partitions': sorted(dump['dispatcher']),
+    }
--- /dev/null
+++ b/packages/policy/src/rosemaryseam/policy/ordering.py
@@ -0,0 +1,211 @@
+"""The order in which waiting requests are served.
+
+Strict by tier; inside a tier by slack to the target, fair among workspaces by
+weight. A class with a floor earns credit with every grant; credit lets its
+oldest request pass higher tiers while each of them can still meet its target, or
+when the class got nothing for a whole starvation window.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from rosemaryseam.policy.requests import Demand
+
+MAX_FLOOR_CREDIT = 2.0  # grants a class can save up
+DEFAULT_STARVATION_S = 5.0
+
+
+class ClassQueue:
+    """The waiting requests of one class, fair among its workspaces."""
+
+    def __init__(self, name: str, tier: int, floor: float, now: float) -> None:
+        self.name = name
+        self.tier = tier
+        self.floor = floor
+        self.credit = 0.0
+        self.last_served = now
+        self._by_workspace: dict[str, deque[Demand]] = {}
+        self._virtual: dict[str, float] = {}
+        self._virtual_now = 0.0
+
+    def __len__(self) -> int:
+        return sum(len(queue) for queue in self._by_workspace.values())
+
+    def __iter__(self) -> Iterator[Demand]:
+        for queue in self._by_workspace.values():
+            yield from queue
+
+    def push(self, demand: Demand, *, front: bool = False) -> None:
+        """Add a request.
+
+        :param demand: the request
+        :param front: put it before the others of its workspace
+        """
+        queue = self._by_workspace.get(demand.workspace)
+        if queue is None:
+            queue = self._by_workspace[demand.workspace] = deque()
+            start = max(self._virtual_now, self._virtual.get(demand.workspace, 0.0))
+            self._virtual[demand.workspace] = start
+        if front:
+            queue.appendleft(demand)
+        else:
+            queue.append(demand)
+
+    def heads(self) -> list[Demand]:
+        """Return the first request of each workspace, the least served first."""
+        names = sorted(self._by_workspace, key=lambda name: self._virtual[name])
+        return [self._by_workspace[name][0] for name in names]
+
+    def remove(self, demand: Demand) -> None:
+        """Take a request out without serving it.
+
+        :param demand: a request that waits here
+        """
+        queue = self._by_workspace[demand.workspace]
+        queue.remove(demand)
+        if not queue:
+            del self._by_workspace[demand.workspace]
+
+    def charge(self, demand: Demand, now: float) -> None:
+        """Count a request as served.
+
+        :param demand: the request
+        :param now: seconds on the monotonic clock
+        """
+        start = self._virtual.get(demand.workspace, 0.0)
+        self._virtual_now = max(self._virtual_now, start)
+        self._virtual[demand.workspace] = start + 1.0 / demand.weight
+        self.last_served = now
+        self.credit = max(0.0, self.credit - 1.0)
+
+    def earn(self) -> None:
+        """Add the floor's share of one grant to the credit."""
+        self.credit = min(MAX_FLOOR_CREDIT, self.credit + self.floor)
+
+
+class WaitQueue:
+    """All waiting requests of a partition.
+
+    :param starvation_s: the window in which each waiting class with a floor is
+        served at least once
+    """
+
+    def __init__(self, starvation_s: float = DEFAULT_STARVATION_S) -> None:
+        self._starvation_s = starvation_s
+        self._classes: dict[str, ClassQueue] = {}
+        self._demands: dict[str, Demand] = {}
+
+    def __len__(self) -> int:
+        return len(self._demands)
+
+    def __contains__(self, key: str) -> bool:
+        return key in self._demands
+
+    def __iter__(self) -> Iterator[Demand]:
+        return iter(list(self._demands.values()))
+
+    def get(self, key: str) -> Demand | None:
+        """Return the waiting request with a key, or ``None``.
+
+        :param key: the request's key
+        """
+        return self._demands.get(key)
+
+    def backlog(self) -> dict[int, int]:
+        """Return how many requests wait in each tier."""
+        counts: dict[int, int] = {}
+        for queue in self._classes.values():
+            counts[queue.tier] = counts.get(queue.tier, 0) + len(queue)
+        return counts
+
+    def push(self, demand: Demand, now: float) -> None:
+        """Add a request.
+
+        :param demand: the request
+        :param now: seconds on the monotonic clock
+        """
+        queue = self._classes.get(demand.request_class)
+        if queue is None:
+            queue = ClassQueue(demand.request_class, demand.tier, demand.floor, now)
+            self._classes[demand.request_class] = queue
+        if not len(queue):
+            queue.last_served = max(queue.last_served, now)
+        queue.tier = demand.tier
+        queue.floor = demand.floor
+        queue.push(demand)
+        self._demands[demand.key] = demand
+
+    def remove(self, key: str) -> Demand | None:
+        """Take a request out without serving it.
+
+        :param key: the request's key
+        """
+        demand = self._demands.pop(key, None)
+        if demand is not None:
+            self._classes[demand.request_class].remove(demand)
+        return demand
+
+    def next(self, now: float, fits: Callable[[Demand], bool]) -> Demand | None:
+        """Return the request to serve next, which stays in the queue.
+
+        :param now: seconds on the monotonic clock
+        :param fits: whether some upstream can take the request now
+        """
+        for queue in self._order(now):
+            for demand in queue.heads():
+                if fits(demand):
+                    return demand
+        return None
+
+    def serve(self, demand: Demand, now: float) -> None:
+        """Remove a request and count it as served.
+
+        :param demand: a request that waits here
+        :param now: seconds on the monotonic clock
+        """
+        queue = self._classes[demand.request_class]
+        self.remove(demand.key)
+        queue.charge(demand, now)
+        for entry in self._classes.values():
+            entry.earn()
+
+    def expired(self, now: float) -> list[Demand]:
+        """Return the requests whose time to give up has come.
+
+        :param now: seconds on the monotonic clock
+        """
+        return [entry for entry in self._demands.values() if entry.give_up <= now]
+
+    def lowest(self) -> Demand | None:
+        """Return the request to shed first: lowest tier, most slack."""
+        return max(
+            self._demands.values(),
+            key=lambda entry: (entry.tier, entry.due, entry.key),
+            default=None,
+        )
+
+    def _order(self, now: float) -> list[ClassQueue]:
+        waiting = [queue for queue in self._classes.values() if len(queue)]
+        waiting.sort(key=lambda queue: (queue.tier, _earliest_due(queue)))
+        preferred = [queue for queue in waiting if self._passes(queue, waiting, now)]
+        preferred.sort(key=lambda queue: queue.last_served)
+        return preferred + [queue for queue in waiting if queue not in preferred]
+
+    def _passes(self, queue: ClassQueue, waiting: list[ClassQueue], now: float) -> bool:
+        if queue.floor <= 0.0:
+            return False
+        if now - queue.last_served >= self._starvation_s:
+            return True
+        if queue.credit < 1.0:
+            return False
+        higher = [entry for entry in waiting if entry.tier < queue.tier]
+        return all(_earliest_due(entry) > now for entry in higher)
+
+
+def _earliest_due(queue: ClassQueue) -> float:
+    return min(demand.due for demand in queue.heads())
--- /dev/null
+++ b/packages/policy/src/rosemaryseam/policy/quorum.py
@@ -0,0 +1,22 @@
+"""Majorities of the roster."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+
+def has_majority(hosts: Collection[str], roster: Collection[str]) -> bool:
+    """Return whether hosts are more than half of the roster.
+
+    Of two equal halves, the one with the lowest name counts as more.
+
+    :param hosts: hosts that agree; those outside the roster do not count
+    :param roster: all hosts that may be running
+    """
+    agreeing = {host for host in hosts if host in roster}
+    if 2 * len(agreeing) == len(roster) and roster:
+        return min(roster) in agreeing
+    return 2 * len(agreeing) > len(roster)
--- /dev/null
+++ b/packages/policy/src/rosemaryseam/policy/rendezvous.py
@@ -0,0 +1,46 @@
+"""Assignment of partitions to hosts by rendezvous hashing."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+
+class Candidate(NamedTuple):
+    """A host that may be assigned a partition."""
+
+    host: str
+    zone: str
+
+
+def rank(key: str, names: Iterable[str]) -> list[str]:
+    """Return names in their order of preference for a key.
+
+    :param key: what is placed
+    :param names: the places
+    """
+    return sorted(names, key=lambda name: (-_score(key, name), name))
+
+
+def assign(
+    partition: str, candidates: Iterable[Candidate], zones: Mapping[str, int]
+) -> str | None:
+    """Return the host of a partition, or ``None`` without candidates.
+
+    :param partition: the partition's name
+    :param candidates: live hosts that hold a catalogue
+    :param zones: how many of the partition's upstreams stand in each zone
+    """
+    hosts = list(candidates)
+    most = max((zones.get(entry.zone, 0) for entry in hosts), default=0)
+    near = [entry.host for entry in hosts if zones.get(entry.zone, 0) == most]
+    ranked = rank(partition, near)
+    return ranked[0] if ranked else None
+
+
+def _score(key: str, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(f'{key}\x00{name}'.encode())
--- /dev/null
+++ b/packages/standins/src/rosemaryseam/standins/content.py
@@ -0,0 +1,44 @@
+"""Answers that follow from the request, so that any mix-up or gap shows."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import math
+import random
+from typing import Any
+
+MEDIAN_TOKENS = 24
+TAIL_SIGMA = 0.9  # of the log-normal output length
+MAX_TOKENS = 2000
+
+
+def digest_request(body: dict[str, Any]) -> str:
+    """Return a hex digest of what decides the answer.
+
+    :param body: the parsed completion request
+    """
+    prompt = body.get('messages', body.get('prompt'))
+    canonical = json.dumps([body.get('model'), prompt], sort_keys=True)
+    return hashlib.sha256(canonical.encode()).hexdigest()
+
+
+def answer_tokens(body: dict[str, Any]) -> list[str]:
+    """Return the tokens that an engine generates for a request.
+
+    :param body: the parsed completion request
+    """
+    digest = digest_request(body)
+    limit = body.get('max_completion_tokens') or body.get('max_tokens') or MAX_TOKENS
+    count = min(output_length(digest), limit)
+    return [f'{digest[:8]}.{index} ' for index in range(count)]
+
+
+def output_length(digest: str) -> int:
+    """Return the heavy-tailed output length that a digest decides.
+
+    :param digest: of the request
+    """
+    rng = random.Random(digest)
+    length = rng.lognormvariate(math.log(MEDIAN_TOKENS), TAIL_SIGMA)
+    return max(1, min(MAX_TOKENS, int(length)))
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,279 @@
+"""Starts nodes and stand-ins as plain processes on loopback, for demo and tests."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.request
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import yaml
+
+if TYPE_CHECKING:
+    import pathlib
+    from collections.abc import Callable
+
+ADMIN_TOKEN = 'admin-token-of-tests'
+START_S = 20.0
+STOP_S = 30.0
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+
+
+class Started(NamedTuple):
+    """A running process and where it listens."""
+
+    name: str
+    process: subprocess.Popen[bytes]
+    address: str
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that no one uses now.
+
+    :param count: how many
+    """
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for sock in sockets:
+            sock.bind(('127.0.0.1', 0))
+        return [sock.getsockname()[1] for sock in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
+
+
+def call(
+    address: str,
+    path: str,
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 5.0,
+) -> Any:
+    """Call an HTTP endpoint on loopback and return its JSON.
+
+    :param address: IP number and port
+    :param path: path and query
+    :param body: posted as JSON when not ``None``
+    """
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(
+        f'http://{address}{path}',
+        data,
+        {'Content-Type': 'application/json', **(headers or {})},
+    )
+    with urllib.request.urlopen(request, timeout=timeout_s) as response:
+        return json.load(response)
+
+
+def wait_until(condition: Callable[[], Any], what: str, timeout_s: float) -> Any:
+    """Return the first true result of a condition.
+
+    :param condition: asked again and again; its ``OSError`` counts as false
+    :param what: named in the error
+    :param timeout_s: after which ``TimeoutError`` is raised
+    """
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        try:
+            result = condition()
+        except OSError:
+            result = None
+        if result:
+            return result
+        time.sleep(0.02)
+    raise TimeoutError(what)
+
+
+class Fleet:
+    """Processes that one demo or test owns.
+
+    :param folder: for settings and logs
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.started: dict[str, Started] = {}
+        self.nodes: dict[str, dict[str, Any]] = {}
+        self.key_value = ''
+        self.host_list = ''
+
+    def start_platform(self) -> None:
+        """Start the stand-ins of the key-value service and the host list."""
+        self.key_value = self.start_standin('keyvalue', 'keyvalue')
+        self.host_list = self.start_standin('hostlist', 'hostlist')
+
+    def start_standin(self, name: str, module: str, *flags: str) -> str:
+        """Start a stand-in and return its address.
+
+        :param name: of the process
+        :param module: of the stand-ins' package
+        :param flags: of the module
+        """
+        address = f'127.0.0.1:{free_ports(1)[0]}'
+        command = [
+            sys.executable,
+            '-m',
+            f'rosemaryseam.standins.{module}',
+            f'--listen={address}',
+            *flags,
+        ]
+        self._spawn(name, command, address)
+        wait_until(lambda: call(address, '/control') is not None, name, START_S)
+        return address
+
+    def plan_nodes(self, count: int, **overrides: Any) -> None:
+        """Choose ports and write the settings of nodes.
+
+        :param count: how many
+        :param overrides: settings of each node
+        """
+        ports = free_ports(3 * count)
+        seeds = [f'127.0.0.1:{ports[3 * index + 1]}' for index in range(count)]
+        for index in range(count):
+            listen, peer, admin = ports[3 * index : 3 * index + 3]
+            settings = {
+                'host': f'host-{index + 1}',
+                'zone': ZONES[index % len(ZONES)],
+                'listen': f'127.0.0.1:{listen}',
+                'peer_listen': f'127.0.0.1:{peer}',
+                'admin_listen': f'127.0.0.1:{admin}',
+                'admin_token': ADMIN_TOKEN,
+                'key_value': self.key_value,
+                'host_list': self.host_list,
+                'seeds': seeds,
+                **overrides,
+            }
+            self.nodes[settings['host']] = settings
+            path = self.folder / f'{settings["host"]}.yaml'
+            path.write_text(yaml.safe_dump(settings))
+        self._write_operator_settings()
+
+    def start_node(self, host: str) -> None:
+        """Start a planned node and wait until its admin port answers.
+
+        :param host: its name
+        """
+        settings = self.nodes[host]
+        command = [
+            sys.executable,
+            '-m',
+            'rosemaryseam.node',
+            f'--settings={self.folder / host}.yaml',
+        ]
+        self._spawn(host, command, settings['listen'])
+        admin = settings['admin_listen']
+        wait_until(lambda: call(admin, '/healthz'), host, START_S)
+
+    def start_nodes(self) -> None:
+        """Start all planned nodes."""
+        for host in self.nodes:
+            self.start_node(host)
+
+    def wait_ready(self, *hosts: str) -> None:
+        """Wait until nodes are ready.
+
+        :param hosts: which; all when none is given
+        """
+        for host in hosts or self.nodes:
+            admin = self.nodes[host]['admin_listen']
+            wait_until(lambda at=admin: call(at, '/readyz')['ready'], host, START_S)
+
+    def wait_serving(self, *hosts: str) -> None:
+        """Wait until every partition of the catalogue has a serving dispatcher.
+
+        :param hosts: which nodes run; all when none is given
+        """
+        wait_until(lambda: self._is_serving(hosts), 'partitions serving', START_S)
+
+    def dump(self, host: str) -> dict[str, Any]:
+        """Return the whole state of a node."""
+        headers = {'Authorization': f'Bearer {ADMIN_TOKEN}'}
+        return call(self.nodes[host]['admin_listen'], '/dump', headers=headers)
+
+    def apply_catalogue(self, catalogue: dict[str, Any]) -> None:
+        """Apply a catalogue with the operators' command.
+
+        :param catalogue: the document
+        """
+        path = self.folder / 'catalogue.yaml'
+        path.write_text(yaml.safe_dump(catalogue, sort_keys=False))
+        self.operator('catalogue', 'apply', str(path), check=True)
+
+    def operator(
+        self, *words: str, check: bool = False
+    ) -> subprocess.CompletedProcess[str]:
+        """Run the operators' command.
+
+        :param words: its command line
+        :param check: raise when it fails
+        """
+        command = [
+            sys.executable,
+            '-m',
+            'rosemaryseam.operator',
+            f'--settings={self.folder / "operator.yaml"}',
+            *words,
+        ]
+        done = subprocess.run(command, capture_output=True, text=True, timeout=60)
+        if check and done.returncode:
+            raise RuntimeError(f'{words}: {done.stderr or done.stdout}')
+        return done
+
+    def kill(self, name: str) -> None:
+        """End a process without warning."""
+        process = self.started.pop(name).process
+        process.kill()
+        process.wait()
+
+    def terminate(self, name: str, timeout_s: float = STOP_S) -> int:
+        """Ask a process to stop and return its exit code."""
+        process = self.started.pop(name).process
+        process.terminate()
+        return process.wait(timeout_s)
+
+    def freeze(self, name: str) -> None:
+        """Stop a process from running."""
+        os.kill(self.started[name].process.pid, signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen process run again."""
+        os.kill(self.started[name].process.pid, signal.SIGCONT)
+
+    def stop(self) -> None:
+        """End all processes."""
+        for started in self.started.values():
+            started.process.kill()
+        for started in self.started.values():
+            started.process.wait()
+        self.started.clear()
+
+    def _is_serving(self, hosts: tuple[str, ...]) -> bool:
+        phases: dict[str, str] = {}
+        planned: set[str] = set()
+        for host in hosts or self.nodes:
+            dump = self.dump(host)
+            planned |= set(dump['grants']['assigned'])
+            for name, partition in dump['dispatcher'].items():
+                phases[name] = partition['phase']
+        serving = {name for name, phase in phases.items() if phase == 'serving'}
+        return bool(planned) and serving == planned
+
+    def _write_operator_settings(self) -> None:
+        settings = {
+            'key_value': self.key_value,
+            'admin_token': ADMIN_TOKEN,
+            'hosts': {host: cfg['admin_listen'] for host, cfg in self.nodes.items()},
+        }
+        (self.folder / 'operator.yaml').write_text(yaml.safe_dump(settings))
+
+    def _spawn(self, name: str, command: list[str], address: str) -> None:
+        log = (self.folder / f'{name}.log').open('ab')
+        with log:
+            process = subprocess.Popen(command, stdout=log, stderr=log)
+        self.started[name] = Started(name, process, address)
