Add make demo, the load tool, and treat broken answers as transport errors

Cause: the first run of the demo ended with 8 lost callers: the HTTP library's parse errors are neither OSError nor ValueError, so an answer cut short by a killed host ended the caller's greenlet. The node's upstream client had the same gap: an engine that crashed mid-stream would have been an internal error instead of a resumed stream. Ruled out: a fault of the killed host (the error rose in the client library). Change: one list of transport errors that includes the library's root error, used by the node, the platform clients and the callers; a test over five ways to break an answer; a test that a PUT is sent once, which the library itself would repeat.

--- a/packages/common/src/rosemaryseam/common/exchange.py
+++ b/packages/common/src/rosemaryseam/common/exchange.py
@@ -7,7 +7,7 @@
 
 import gevent
 from geventhttpclient import HTTPClient
-from geventhttpclient.response import HTTPSocketResponse
+from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
@@ -16,7 +16,7 @@
 
 READ_BYTES = 65_536
 
-TRANSPORT_ERRORS = (OSError, gevent.Timeout, ValueError)
+TRANSPORT_ERRORS = (OSError, gevent.Timeout, HTTPParseError, ValueError)
 
 
 class Answer(NamedTuple):
@@ -130,6 +130,6 @@
             exchange.connect()
             response = exchange.send(method, path, body, headers)
             data = bytes(response.read())
-    except (gevent.Timeout, ValueError) as exc:
+    except (gevent.Timeout, HTTPParseError, ValueError) as exc:
         raise OSError(f'{address}: {exc or "no answer"}') from exc
     return Answer(response.status_code, tuple(response.items()), data)
--- a/packages/node/src/rosemaryseam/node/settings.py
+++ b/packages/node/src/rosemaryseam/node/settings.py
@@ -2,19 +2,13 @@
 
 from __future__ import annotations
 
-import pathlib
 from typing import Annotated, Literal, NamedTuple
 
 from pydantic import Field
 
 from rosemaryseam.common.addresses import AddressText
 from rosemaryseam.common.catalogue import Name
-from rosemaryseam.common.documents import (
-    DocumentFaultsError,
-    parse_document,
-    validate_document,
-)
-from rosemaryseam.common.errors import ResultCode, SettingsError
+from rosemaryseam.common.settings import read_settings
 
 Seconds = Annotated[float, Field(gt=0.0, le=3600.0)]
 Bytes = Annotated[int, Field(ge=1024, le=1_000_000_000)]
@@ -84,17 +78,4 @@
     :param path: the YAML file
     :raises SettingsError: the message names file, key and fault in one line
     """
-    try:
-        text = pathlib.Path(path).read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as exc:
-        reason = getattr(exc, 'strerror', None) or 'not UTF-8'
-        message = f'{path}: {reason}'
-        raise SettingsError(message, ResultCode.SETTINGS_FILE_MISSING) from exc
-    try:
-        return validate_document(parse_document(text), Settings)
-    except DocumentFaultsError as exc:
-        fault = exc.faults[0]
-        code = ResultCode.SETTINGS_INVALID
-        if 'IP number' in fault.message:
-            code = ResultCode.ADDRESS_INVALID
-        raise SettingsError(f'{path}: {fault}', code) from exc
+    return read_settings(path, Settings)
--- a/packages/node/src/rosemaryseam/node/upstreams/http.py
+++ b/packages/node/src/rosemaryseam/node/upstreams/http.py
@@ -5,10 +5,8 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from geventhttpclient.response import HTTPProtocolViolationError
-
 from rosemaryseam.common.errors import UpstreamError
-from rosemaryseam.common.exchange import Exchange
+from rosemaryseam.common.exchange import TRANSPORT_ERRORS, Exchange
 from rosemaryseam.node.upstreams import UpstreamAnswer, UpstreamCall, UpstreamClient
 
 if TYPE_CHECKING:
@@ -23,8 +21,6 @@
 STATE_HEADER = 'x-upstream-state'
 LEAVING = 'leaving'
 
-_READ_ERRORS = (OSError, ValueError, HTTPProtocolViolationError)
-
 
 class HttpUpstreamClient(UpstreamClient):
     """Opens a new connection for each call, so that none can have gone silent."""
@@ -39,7 +35,7 @@
             raise UpstreamError(f'{address}: {exc}', written=False) from exc
         try:
             response = exchange.send(call.method, call.path, call.body, call.headers)
-        except _READ_ERRORS as exc:
+        except TRANSPORT_ERRORS as exc:
             exchange.close()
             raise UpstreamError(f'{address}: {exc}', written=True) from exc
         except BaseException:
@@ -78,7 +74,7 @@
         while True:
             try:
                 event = self._response.readline(EVENT_END)
-            except _READ_ERRORS as exc:
+            except TRANSPORT_ERRORS as exc:
                 raise UpstreamError(f'{self._address}: {exc}', written=True) from exc
             if not event:
                 return
@@ -96,7 +92,7 @@
                     raise UpstreamError(
                         f'{self._address}: answer too large', written=True
                     )
-        except _READ_ERRORS as exc:
+        except TRANSPORT_ERRORS as exc:
             raise UpstreamError(f'{self._address}: {exc}', written=True) from exc
         return b''.join(parts)
 
--- a/packages/operator/src/rosemaryseam/operator/commands.py
+++ b/packages/operator/src/rosemaryseam/operator/commands.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import difflib
-import pathlib
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from rosemaryseam.common.catalogue import load_catalogue
@@ -11,13 +10,13 @@
     CatalogueError,
     PeerError,
     ResultCode,
-    SettingsError,
 )
 from rosemaryseam.common.revisions import (
     encode_revision,
     read_revision,
     write_revision,
 )
+from rosemaryseam.common.settings import read_text
 
 if TYPE_CHECKING:
     from rosemaryseam.common.clock import Clock
@@ -189,20 +188,6 @@
     return text
 
 
-def read_text(path: str) -> str:
-    """Return a file's text.
-
-    :param path: the file
-    :raises SettingsError: the file cannot be read
-    """
-    try:
-        return pathlib.Path(path).read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as exc:
-        reason = getattr(exc, 'strerror', None) or 'not UTF-8'
-        message = f'{path}: {reason}'
-        raise SettingsError(message, ResultCode.SETTINGS_FILE_MISSING) from exc
-
-
 def _diff(before: str, after: str) -> list[str]:
     lines = difflib.unified_diff(
         before.splitlines(), after.splitlines(), 'stored', 'new', lineterm=''
--- /dev/null
+++ b/packages/standins/src/rosemaryseam/standins/report.py
@@ -0,0 +1,116 @@
+"""Reports of observations, by stream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypedDict
+
+from hdrh.histogram import HdrHistogram
+
+from rosemaryseam.standins.caller import (
+    FAILED,
+    INCOMPLETE,
+    MIXED,
+    SHED,
+    UNKNOWN,
+    WHOLE,
+    Observation,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from rosemaryseam.standins.scenario import Scenario, Stream
+
+MAX_MS = 3_600_000
+DIGITS = 3
+
+
+class StreamReport(TypedDict):
+    """What came of one stream of requests. Times are in milliseconds."""
+
+    offered: int
+    completed: int
+    attainment: float
+    first_p50_ms: int
+    first_p95_ms: int
+    shed: int
+    unknown: int
+    failed: int
+    incomplete: int
+    mixed: int
+    retried: int
+    tokens: int
+
+
+COLUMNS = tuple(StreamReport.__annotations__)
+
+
+def build_report(
+    scenario: Scenario, observations: Iterable[Observation]
+) -> dict[str, StreamReport]:
+    """Return a report by stream.
+
+    :param scenario: what was sent
+    :param observations: what the callers saw
+    """
+    by_stream: dict[str, list[Observation]] = {
+        stream.name: [] for stream in scenario.streams
+    }
+    for observation in observations:
+        by_stream[observation.stream].append(observation)
+    return {
+        stream.name: _report_stream(stream, by_stream[stream.name])
+        for stream in scenario.streams
+    }
+
+
+def format_table(report: dict[str, StreamReport]) -> str:
+    """Return a report as a table for people.
+
+    :param report: by stream
+    """
+    rows = [('class', *COLUMNS)]
+    rows += [
+        (name, *(_cell(entry[column]) for column in COLUMNS))
+        for name, entry in report.items()
+    ]
+    widths = [max(len(row[column]) for row in rows) for column in range(len(rows[0]))]
+    lines = [
+        '  '.join(cell.rjust(width) for cell, width in zip(row, widths, strict=True))
+        for row in rows
+    ]
+    return '\n'.join(lines)
+
+
+def _report_stream(stream: Stream, seen: list[Observation]) -> StreamReport:
+    outcomes = [entry.outcome for entry in seen]
+    firsts = HdrHistogram(1, MAX_MS, DIGITS)
+    for entry in seen:
+        if entry.first_s is not None:
+            firsts.record_value(max(1, int(entry.first_s * 1000)))
+    attained = sum(_attains(stream, entry) for entry in seen)
+    return StreamReport(
+        offered=len(seen),
+        completed=outcomes.count(WHOLE),
+        attainment=attained / len(seen) if seen else 1.0,
+        first_p50_ms=int(firsts.get_value_at_percentile(50)),
+        first_p95_ms=int(firsts.get_value_at_percentile(95)),
+        shed=outcomes.count(SHED),
+        unknown=outcomes.count(UNKNOWN),
+        failed=outcomes.count(FAILED),
+        incomplete=outcomes.count(INCOMPLETE),
+        mixed=outcomes.count(MIXED),
+        retried=sum(entry.attempts > 1 for entry in seen),
+        tokens=sum(entry.tokens for entry in seen if entry.outcome == WHOLE),
+    )
+
+
+def _attains(stream: Stream, entry: Observation) -> bool:
+    if entry.outcome != WHOLE:
+        return False
+    measured = entry.end_s if stream.target_of == 'answer' else entry.first_s
+    return measured is not None and measured * 1000 <= stream.target_ms
+
+
+def _cell(value: float | int) -> str:
+    return f'{value:.3f}' if isinstance(value, float) else str(value)
--- /dev/null
+++ b/tests/test_common/test_exchange.py
@@ -0,0 +1,62 @@
+"""A broken answer is a transport error, whatever the HTTP library calls it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from gevent.server import StreamServer
+
+from rosemaryseam.common.addresses import Address
+from rosemaryseam.common.exchange import TRANSPORT_ERRORS, call, open_exchange
+
+HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+
+@pytest.fixture
+def broken_server(request: pytest.FixtureRequest) -> Any:
+    def serve(sock: Any, _address: Any) -> None:
+        sock.recv(65_536)
+        sock.sendall(request.param)
+        sock.close()
+
+    server = StreamServer(('127.0.0.1', 0), serve)
+    server.start()
+    yield Address('127.0.0.1', server.server_port)
+    server.stop()
+
+
+BROKEN = [b'', b'HTTP/1.1 2', b'not HTTP\r\n\r\n', HEAD, HEAD + b'5\r\nab']
+
+
+@pytest.mark.parametrize('broken_server', BROKEN, indirect=True)
+def test_broken_answer_is_a_transport_error(broken_server: Address) -> None:
+    with (
+        open_exchange(broken_server, 1.0, 1.0) as exchange,
+        pytest.raises(TRANSPORT_ERRORS),
+    ):
+        exchange.connect()
+        exchange.send('GET', '/').read()
+
+
+@pytest.mark.parametrize('broken_server', BROKEN, indirect=True)
+def test_call_reports_a_broken_answer_as_oserror(broken_server: Address) -> None:
+    with pytest.raises(OSError, match='127'):
+        call(broken_server, 'GET', '/', timeout_s=1.0)
+
+
+def test_put_is_sent_once() -> None:
+    """The HTTP library repeats a PUT on a closed connection; an exchange does not."""
+    seen = []
+
+    def serve(sock: Any, _address: Any) -> None:
+        seen.append(sock.recv(65_536))
+        sock.close()
+
+    server = StreamServer(('127.0.0.1', 0), serve)
+    server.start()
+    address = Address('127.0.0.1', server.server_port)
+    with pytest.raises(OSError, match='127'):
+        call(address, 'PUT', '/', b'value', timeout_s=1.0)
+    server.stop()
+    assert len(seen) == 1
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -253,6 +253,14 @@
             started.process.wait()
         self.started.clear()
 
+    def adopt(self, name: str, process: subprocess.Popen[bytes]) -> None:
+        """Take over a process that was started elsewhere, to end it with the rest.
+
+        :param name: of the process
+        :param process: the process
+        """
+        self.started[name] = Started(name, process, '')
+
     def _is_serving(self, hosts: tuple[str, ...]) -> bool:
         phases: dict[str, str] = {}
         planned: set[str] = set()
