Prove whole answers and at-most-once under failures; first limits machine

Cause: the guarantees had no proof yet. Change: relays that lose bytes between hosts, load scenarios with copies of a request through several hosts, small history checkers with their own table of bad histories, a state machine over whole hosts for the lending limits, and process-level tests that crash, silence, freeze and kill. A host that loses the majority now refuses its waiting callers at once instead of letting them wait out their class's longest wait. Ruled out: judging by engine logs alone (what callers saw decides). Not proved yet: tier order over the fleet, starvation, leaving, graceful stop, catalogue, silent connections.

--- a/packages/node/src/rosemaryseam/node/gateway/calls.py
+++ b/packages/node/src/rosemaryseam/node/gateway/calls.py
@@ -8,6 +8,7 @@
 from rosemaryseam.common.addresses import parse_address
 from rosemaryseam.common.errors import RequestError, ResultCode, UpstreamError
 from rosemaryseam.common.wsgi import CallerGoneError
+from rosemaryseam.node.gateway.admission import CLASS_HEADER
 from rosemaryseam.node.grants import Outcome, Ticket
 from rosemaryseam.node.member import ObservedUpstreams
 from rosemaryseam.node.upstreams import UpstreamCall
@@ -25,6 +26,8 @@
     from rosemaryseam.node.upstreams import UpstreamAnswer, UpstreamClient
     from rosemaryseam.policy.retry import RetryBudget
 
+RESUME_HEADER = 'X-Resume-Events'
+
 DONE = 'done'
 FAILED = 'failed'
 PREEMPTED = 'preempted'
@@ -150,8 +153,9 @@
         :raises UpstreamError: tells whether a byte was written
         """
         headers = dict(request.headers)
+        headers[CLASS_HEADER] = request.admitted.request_class.name
         if resume:
-            headers['X-Resume-Events'] = str(resume)
+            headers[RESUME_HEADER] = str(resume)
         upstream_call = UpstreamCall(
             request.method,
             request.path,
--- a/packages/node/src/rosemaryseam/node/grants.py
+++ b/packages/node/src/rosemaryseam/node/grants.py
@@ -42,6 +42,7 @@
     from rosemaryseam.node.transport import Transport
 
 TICK_S = 0.05
+MINORITY_RETRY_S = 1.0
 REPORT_S = 1.0  # between unasked reports of holdings to a dispatcher
 NO_DISPATCHER_GRACE_S = 1.0  # past a class's wait, in case no dispatcher answers
 
@@ -145,22 +146,37 @@
         :param ticket: what the request asks for
         :raises RequestError: the request is refused or waited too long
         """
-        key = next(self._keys)
-        result = AsyncResult()
-        self.post(_Acquire(key, ticket, result))
+        key, result = self.request(ticket)
         waited = self.clock.monotonic() - ticket.arrived
         patience = max(0.0, ticket.max_wait_s - waited) + NO_DISPATCHER_GRACE_S
         try:
             grant = result.get(timeout=patience)
         except gevent.Timeout as exc:
-            self.post(_Abandon(key))
+            self.abandon(key)
             message = 'no dispatcher answered in time'
             raise RequestError(message, ResultCode.NOT_READY, 1.0) from exc
         except BaseException:
-            self.post(_Abandon(key))
+            self.abandon(key)
             raise
         return grant
 
+    def request(self, ticket: Ticket) -> tuple[str, AsyncResult]:
+        """Queue a request and return its key and what will hold its grant.
+
+        :param ticket: what the request asks for
+        """
+        key = next(self._keys)
+        result = AsyncResult()
+        self.post(_Acquire(key, ticket, result))
+        return key, result
+
+    def abandon(self, key: str) -> None:
+        """Stop waiting, or give the grant back unused.
+
+        :param key: what :meth:`request` returned
+        """
+        self.post(_Abandon(key))
+
     def release(self, grant: HeldGrant, outcome: Outcome) -> None:
         """Give a grant back.
 
@@ -214,8 +230,16 @@
 
     def _on_view(self, view: View) -> None:
         self._view = view
+        if not view.has_majority:
+            self._refuse_waiting()
         self._assign()
 
+    def _refuse_waiting(self) -> None:
+        """Tell callers at once that this host cannot serve them now."""
+        for key, waiter in list(self._waiting.items()):
+            waiter.result.set_exception(_minority())
+            self._on_abandon(_Abandon(key))
+
     def _on_catalogue(self, message: CatalogueChanged) -> None:
         self._plans = plan_partitions(message.catalogue)
         self._assign()
@@ -232,9 +256,7 @@
 
     def _on_acquire(self, message: _Acquire) -> None:
         if self._view is None or not self._view.has_majority:
-            text = 'this host does not see a majority of the fleet'
-            error = RequestError(text, ResultCode.MINORITY, 1.0)
-            message.result.set_exception(error)
+            message.result.set_exception(_minority())
             return
         partition = self._pick_partition(message.ticket.pool, message.key)
         if partition is None:
@@ -423,3 +445,8 @@
         self._ceilings[lease.partition] = lease.ceilings
         ack = LeaseAck(lease.partition, lease.epoch, lease.version)
         self._transport.send(host, ack)
+
+
+def _minority() -> RequestError:
+    text = 'this host does not see a majority of the fleet'
+    return RequestError(text, ResultCode.MINORITY, MINORITY_RETRY_S)
--- a/packages/node/src/rosemaryseam/node/process.py
+++ b/packages/node/src/rosemaryseam/node/process.py
@@ -59,24 +59,31 @@
 FAREWELL_S = 0.1  # for the last heartbeats to leave
 DRAIN_IDLE_S = 5.0  # an idle connection's life once callers have moved
 
-_TO_MEMBER = (messages.Heartbeat,)
-_TO_REPLICA = (messages.CatalogueOffer, messages.CatalogueWant)
-_TO_DISPATCHER = (
-    messages.GrantRequest,
-    messages.Withdraw,
-    messages.Release,
-    messages.Holdings,
-    messages.LeaseAck,
-    messages.Superseded,
-)
-_TO_GRANTS = (
-    messages.Grant,
-    messages.Refusal,
-    messages.NotOwner,
-    messages.Preempt,
-    messages.Takeover,
-    messages.Lease,
-)
+_TASK_OF = {
+    messages.Heartbeat: 'member',
+    messages.CatalogueOffer: 'replica',
+    messages.CatalogueWant: 'replica',
+    messages.GrantRequest: 'dispatcher',
+    messages.Withdraw: 'dispatcher',
+    messages.Release: 'dispatcher',
+    messages.Holdings: 'dispatcher',
+    messages.LeaseAck: 'dispatcher',
+    messages.Superseded: 'dispatcher',
+    messages.Grant: 'grants',
+    messages.Refusal: 'grants',
+    messages.NotOwner: 'grants',
+    messages.Preempt: 'grants',
+    messages.Takeover: 'grants',
+    messages.Lease: 'grants',
+}
+
+
+def task_of(message: messages.Message) -> str:
+    """Return the name of the task that handles a message from a peer.
+
+    :param message: the message
+    """
+    return _TASK_OF[type(message)]
 
 
 class Node:
@@ -124,15 +131,16 @@
             self._rng,
             self._on_catalogue,
         )
-        self._routes = self._build_routes()
+        self._tasks: dict[str, Task] = {
+            'member': self._member,
+            'replica': self._replica,
+            'dispatcher': self._dispatcher,
+            'grants': self._grants,
+        }
         self._gateway = self._build_gateway()
         self._admin = self._build_admin()
         self._pollers: list[gevent.Greenlet] = []
 
-    @property
-    def _tasks(self) -> list[Task]:
-        return [self._member, self._dispatcher, self._grants, self._replica]
-
     def start(self) -> None:
         """Open the ports and start all tasks.
 
@@ -143,7 +151,7 @@
         self._open('peer_listen', lambda: self._transport.listen(peer_address))
         self._open('admin_listen', self._admin.start)
         self._open('listen', self._gateway.start)
-        for task in self._tasks:
+        for task in self._tasks.values():
             task.start()
         self._pollers = [gevent.spawn(poller.run) for poller in self._build_pollers()]
         logger.info('host {} started, callers at {}', cfg.host, cfg.listen)
@@ -199,7 +207,7 @@
 
     def _close(self) -> None:
         gevent.killall(self._pollers, block=False)
-        for task in self._tasks:
+        for task in self._tasks.values():
             task.stop()
         self._admin.stop(timeout=0)
         self._transport.close()
@@ -218,18 +226,7 @@
     # Messages between the tasks.
 
     def _route(self, received: messages.Received) -> None:
-        self._routes[type(received.message)].post(received)
-
-    def _build_routes(self) -> dict[type, Task]:
-        routes: dict[type, Task] = {}
-        for task, kinds in (
-            (self._member, _TO_MEMBER),
-            (self._replica, _TO_REPLICA),
-            (self._dispatcher, _TO_DISPATCHER),
-            (self._grants, _TO_GRANTS),
-        ):
-            routes.update(dict.fromkeys(kinds, task))
-        return routes
+        self._tasks[task_of(received.message)].post(received)
 
     def _on_refused(self, refused: Any) -> None:
         self._member.post(refused)
@@ -261,8 +258,9 @@
 
     def _build_member(self) -> MemberTask:
         cfg = self._cfg
+        address = cfg.peer_advertise or cfg.peer_listen
         me = messages.MemberInfo(
-            cfg.host, self._incarnation, cfg.zone, cfg.peer_listen, STARTING
+            cfg.host, self._incarnation, cfg.zone, address, STARTING
         )
         return MemberTask(
             self._clock,
--- a/packages/node/src/rosemaryseam/node/settings.py
+++ b/packages/node/src/rosemaryseam/node/settings.py
@@ -55,7 +55,10 @@
 
 
 class Settings(NamedTuple):
-    """All settings of a node."""
+    """All settings of a node.
+
+    ``peer_advertise`` is where other hosts reach ``peer_listen``, when they differ.
+    """
 
     host: Name
     zone: Name
@@ -65,6 +68,7 @@
     admin_token: Annotated[str, Field(min_length=8)]
     key_value: AddressText
     host_list: AddressText
+    peer_advertise: AddressText | None = None
     region: Name = 'home'
     seeds: tuple[AddressText, ...] = ()
     log: LogSettings = LogSettings()
--- a/packages/node/src/rosemaryseam/node/tasks.py
+++ b/packages/node/src/rosemaryseam/node/tasks.py
@@ -69,6 +69,11 @@
         """
         self.handlers[type(message)](message)
 
+    def drain(self) -> None:
+        """Handle all messages that wait, in the caller's greenlet."""
+        while not self._inbox.empty():
+            self.step(self._inbox.get())
+
     def _run(self) -> None:
         while True:
             wait = max(0.0, self._next_tick - self.clock.monotonic())
--- a/packages/node/src/rosemaryseam/node/transport.py
+++ b/packages/node/src/rosemaryseam/node/transport.py
@@ -97,14 +97,16 @@
         self._refused = refused
         self._metrics = metrics
         self._addresses: dict[str, str] = {}
+        self._source: tuple[str, int] | None = None
         self._links: dict[str, _Link] = {}
         self._server: StreamServer | None = None
 
     def listen(self, address: Address) -> None:
-        """Accept connections.
+        """Accept connections; dial out from the same IP number.
 
         :param address: where to listen
         """
+        self._source = (address.ip, 0)
         self._server = StreamServer(tuple(address), self._serve)
         self._server.start()
 
@@ -145,6 +147,16 @@
             self._metrics.count('peer_connections_reset')
             link.close()
 
+    def dial(self, address: Address) -> Any:
+        """Open a connection to a peer.
+
+        :param address: of the peer
+        :raises OSError: the peer cannot be reached
+        """
+        return socket.create_connection(
+            tuple(address), timeout=DIAL_S, source_address=self._source
+        )
+
     def frame(self, messages: list[Message]) -> bytes:
         """Return the bytes of a frame from this process."""
         data = encode_frame(Frame(self._host, self._incarnation, tuple(messages)))
@@ -226,7 +238,7 @@
             self._transport.count('peer_messages_dropped', reason='send_failed')
 
     def _dial(self) -> None:
-        self._sock = socket.create_connection(tuple(self._address), timeout=DIAL_S)
+        self._sock = self._transport.dial(self._address)
         self._sock.settimeout(SEND_S)
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._reader = gevent.spawn(self._watch, self._sock)
@@ -243,7 +255,7 @@
 
     def _probe(self) -> None:
         try:
-            probe = socket.create_connection(tuple(self._address), timeout=DIAL_S)
+            probe = self._transport.dial(self._address)
         except ConnectionRefusedError:
             self._transport.report_refused(self._address)
         except OSError:
--- a/packages/standins/src/rosemaryseam/standins/load.py
+++ b/packages/standins/src/rosemaryseam/standins/load.py
@@ -57,10 +57,18 @@
         gevent.sleep(max(0.0, start + at - clock.monotonic()))
         nodes = rng.sample(scenario.nodes, len(scenario.nodes))
         key = rng.choice(stream.keys)
-        caller = Caller(
-            clock, nodes, stream, number, key, start + at, scenario.patience_s
-        )
-        callers.append(gevent.spawn(caller.run))
+        for copy in range(stream.copies):
+            caller = Caller(
+                clock,
+                nodes[copy:] + nodes[:copy],
+                stream,
+                number,
+                key,
+                start + at,
+                scenario.patience_s,
+                str(scenario.seed),
+            )
+            callers.append(gevent.spawn(caller.run))
     gevent.joinall(callers, timeout=scenario.patience_s + GRACE_S)
     progress.kill()
     return [caller.value for caller in callers if caller.value is not None]
@@ -96,7 +104,8 @@
     report = build_report(scenario, observations)
     print(format_table(report))
     if _REPORT.value:
-        lost = len(arrivals(scenario)) - len(observations)
+        sent = sum(stream.copies for _, stream, _ in arrivals(scenario))
+        lost = sent - len(observations)
         data = {'seed': scenario.seed, 'lost': lost, 'classes': report}
         data['observations'] = [entry._asdict() for entry in observations]
         pathlib.Path(_REPORT.value).write_text(json.dumps(data))
--- a/packages/standins/src/rosemaryseam/standins/scenario.py
+++ b/packages/standins/src/rosemaryseam/standins/scenario.py
@@ -12,7 +12,11 @@
 
 
 class Stream(NamedTuple):
-    """A stream of requests of one class. Targets are in milliseconds."""
+    """A stream of requests of one class. Targets are in milliseconds.
+
+    Each request is sent ``copies`` times at once, through different nodes, with the
+    same idempotency key.
+    """
 
     name: str
     kind: Literal['chat', 'text', 'app']
@@ -24,6 +28,7 @@
     path: str = '/v1/chat/completions'
     method: Literal['GET', 'POST'] = 'POST'
     idempotency_key: bool = False
+    copies: Annotated[int, Field(gt=0, le=4)] = 1
     model: str = 'small'
     max_tokens: Annotated[int, Field(gt=0)] = 2000
     prompt_words: Annotated[int, Field(gt=0)] = 20
--- /dev/null
+++ b/tests/test_node/fabric.py
@@ -0,0 +1,232 @@
+"""Hosts in one process: real tasks on a clock and links that the test moves."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from typing import TYPE_CHECKING, Any
+
+import yaml
+
+from catalogues import sample_catalogue
+from rosemaryseam.common.catalogue import Catalogue, load_catalogue
+from rosemaryseam.common.clock import ManualClock
+from rosemaryseam.node import messages
+from rosemaryseam.node.codec import Frame, decode_frame, encode_frame
+from rosemaryseam.node.dispatcher import CatalogueChanged, DispatcherTask
+from rosemaryseam.node.grants import GrantTask, HeldGrant, Outcome, Ticket
+from rosemaryseam.node.member import STARTING, MemberTask, SetRevision, View
+from rosemaryseam.node.metrics import Metrics
+from rosemaryseam.node.process import task_of
+from rosemaryseam.node.settings import Bounds, Timing
+from rosemaryseam.node.transport import PeerRefused, Transport
+
+if TYPE_CHECKING:
+    from gevent.event import AsyncResult
+
+STEP_S = 0.05
+STEPS_A_HEARTBEAT = 4
+
+
+def small_catalogue(concurrent: int, engines: int = 2, **change: Any) -> Catalogue:
+    """Return the sample catalogue with engines only and a given limit.
+
+    :param concurrent: calls that the owner of each engine lends
+    :param change: by class name, keys to set in that class
+    """
+    addresses = {f'engine-{n}': f'127.0.0.1:{1000 + n}' for n in range(engines)}
+    document = sample_catalogue(addresses, {}, concurrent)
+    for entry in document['classes']:
+        entry.update(change.get(entry['name'], {}))
+    return load_catalogue(yaml.safe_dump(document))
+
+
+class HostTransport(Transport):
+    """One host's end of the links."""
+
+    def __init__(self, fabric: Fabric, host: str) -> None:
+        self._fabric = fabric
+        self._host = host
+
+    def send(self, host: str, message: messages.Message) -> None:
+        """Queue a message for a host."""
+        self._fabric.enqueue(self._host, host, message)
+
+    def send_to_address(self, address: str, message: messages.Message) -> None:
+        """Queue a message for an address; addresses are host names here."""
+        self._fabric.enqueue(self._host, address, message)
+
+    def register(self, host: str, address: str) -> None:
+        """Addresses are host names here."""
+
+    def reset(self, address: str) -> None:
+        """Links do not hold state here."""
+
+
+class Host:
+    """The tasks of one running process."""
+
+    def __init__(self, fabric: Fabric, name: str, incarnation: int) -> None:
+        self.name = name
+        self.incarnation = incarnation
+        self.frozen = False
+        self.held: dict[str, HeldGrant] = {}
+        self.waiting: dict[str, AsyncResult] = {}
+        self.refused: list[tuple[str, Exception]] = []
+        self.metrics = Metrics()
+        transport = HostTransport(fabric, name)
+        clock, timing = fabric.clock, fabric.timing
+        rng = random.Random(f'{name}-{incarnation}')
+        me = messages.MemberInfo(name, incarnation, 'zone-a', name, STARTING)
+        seeds = [other for other in fabric.names if other != name]
+        self.member = MemberTask(
+            clock, self.metrics, timing, transport, rng, me, seeds, self._on_view
+        )
+        self.dispatcher = DispatcherTask(
+            clock, self.metrics, timing, Bounds(), name, transport
+        )
+        self.grants = GrantTask(
+            clock, self.metrics, timing, name, incarnation, transport
+        )
+        for task in (self.dispatcher, self.grants):
+            task.post(CatalogueChanged(1, fabric.catalogue))
+        self.member.post(SetRevision(1))
+
+    def deliver(self, received: messages.Received) -> None:
+        """Put a message from a peer in the inbox of its task."""
+        name = task_of(received.message)
+        task = {
+            'member': self.member,
+            'dispatcher': self.dispatcher,
+            'grants': self.grants,
+        }[name]
+        task.post(received)
+
+    def drain(self) -> None:
+        """Handle everything that waits."""
+        for _ in range(3):
+            for task in (self.member, self.dispatcher, self.grants):
+                task.drain()
+        self._collect()
+
+    def tick(self, *, heartbeat: bool) -> None:
+        """Run the tasks' periodic work."""
+        if heartbeat:
+            self.member.tick()
+        self.dispatcher.tick()
+        self.grants.tick()
+        self.drain()
+
+    def ask(self, request_class: str, now: float, max_wait_s: float = 30.0) -> str:
+        """Ask for a grant and return the request's key."""
+        ticket = Ticket('models', request_class, 'market', '', now, max_wait_s)
+        key, result = self.grants.request(ticket)
+        self.waiting[key] = result
+        self.drain()
+        return key
+
+    def finish(self, key: str) -> None:
+        """Give a grant back."""
+        self.grants.release(self.held.pop(key), Outcome('done', 0.05, 10))
+        self.drain()
+
+    def _on_view(self, view: View) -> None:
+        self.dispatcher.post(view)
+        self.grants.post(view)
+
+    def _collect(self) -> None:
+        for key, result in list(self.waiting.items()):
+            if not result.ready():
+                continue
+            del self.waiting[key]
+            if result.successful():
+                self.held[key] = result.get()
+            else:
+                self.refused.append((key, result.exception))
+
+
+class Fabric:
+    """All hosts, the links between them and the clock."""
+
+    def __init__(
+        self, names: tuple[str, ...], catalogue: Catalogue, timing: Timing | None = None
+    ) -> None:
+        self.names = names
+        self.catalogue = catalogue
+        self.timing = timing or Timing()
+        self.clock = ManualClock()
+        self.hosts: dict[str, Host] = {}
+        self.links: dict[tuple[str, str], deque[bytes]] = {}
+        self.cut: set[tuple[str, str]] = set()
+        self._steps = 0
+        self._incarnation = 0
+
+    def start(self, name: str) -> Host:
+        """Start a process on a host."""
+        self._incarnation += 1
+        self.hosts[name] = Host(self, name, self._incarnation)
+        return self.hosts[name]
+
+    def kill(self, name: str) -> None:
+        """End a process; its kernel resets its connections."""
+        del self.hosts[name]
+        for link in list(self.links):
+            if name in link:
+                del self.links[link]
+
+    def enqueue(self, source: str, target: str, message: messages.Message) -> None:
+        """Put a message on a link, in its form on the wire."""
+        sender = self.hosts[source]
+        if source == target:
+            sender.deliver(messages.Received(source, message))
+            return
+        if target not in self.hosts:
+            if not self._is_cut(source, target):
+                sender.member.post(PeerRefused(target))
+            return
+        data = encode_frame(Frame(source, sender.incarnation, (message,)))
+        self.links.setdefault((source, target), deque()).append(data)
+
+    def run(self, seconds: float) -> None:
+        """Move the clock, deliver messages and run the tasks."""
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+            self._steps += 1
+            heartbeat = self._steps % STEPS_A_HEARTBEAT == 0
+            for host in list(self.hosts.values()):
+                if not host.frozen:
+                    host.tick(heartbeat=heartbeat)
+            self.settle()
+
+    def settle(self) -> None:
+        """Deliver messages until none moves."""
+        moved = True
+        while moved:
+            moved = False
+            for link, queue in list(self.links.items()):
+                moved |= self._deliver(link, queue)
+
+    def in_use(self) -> dict[str, int]:
+        """Return calls in flight by upstream, as the upstreams would count them."""
+        counts: dict[str, int] = {}
+        for host in self.hosts.values():
+            for grant in host.held.values():
+                counts[grant.upstream] = counts.get(grant.upstream, 0) + 1
+        return counts
+
+    def _deliver(self, link: tuple[str, str], queue: deque[bytes]) -> bool:
+        source, target = link
+        host = self.hosts.get(target)
+        if self._is_cut(source, target):
+            queue.clear()
+            return False
+        if host is None or host.frozen or not queue:
+            return False
+        while queue:
+            frame = decode_frame(queue.popleft())
+            host.deliver(messages.Received(frame.host, frame.messages[0]))
+        host.drain()
+        return True
+
+    def _is_cut(self, source: str, target: str) -> bool:
+        return (source, target) in self.cut or (target, source) in self.cut
--- /dev/null
+++ b/tests/test_node/histories.py
@@ -0,0 +1,108 @@
+"""Checks of histories that callers and upstreams recorded."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from rosemaryseam.common.errors import ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+SHED_CODES = (ResultCode.NO_CAPACITY, ResultCode.DEADLINE_EXCEEDED)
+NOT_RUN_CODES = (
+    *SHED_CODES,
+    ResultCode.NO_UPSTREAM,
+    ResultCode.NOT_READY,
+    ResultCode.MINORITY,
+    ResultCode.CLAIM_STORE_UNAVAILABLE,
+)
+
+
+class Shed(NamedTuple):
+    """A request that was given up. Times are monotonic seconds."""
+
+    tier: int
+    asked_at: float
+    shed_at: float
+
+
+class Start(NamedTuple):
+    """A request that an upstream accepted."""
+
+    tier: int
+    at: float
+
+
+def inversions(
+    sheds: Iterable[Shed], starts: Iterable[Start], grace_s: float
+) -> list[tuple[Shed, Start]]:
+    """Return sheds while a lower tier was started.
+
+    :param grace_s: at both ends of a wait, for messages on their way
+    """
+    ordered = list(starts)
+    return [
+        (shed, start)
+        for shed in sheds
+        for start in ordered
+        if start.tier > shed.tier
+        and shed.asked_at + grace_s < start.at < shed.shed_at - grace_s
+    ]
+
+
+def longest_gap(times: Iterable[float], begin: float, end: float) -> float:
+    """Return the longest time without an event between two moments."""
+    inside = [at for at in sorted(times) if begin <= at <= end]
+    marks = [begin, *inside, end]
+    return max(after - before for before, after in zip(marks, marks[1:], strict=False))
+
+
+def repeated(executions: Iterable[dict[str, Any]]) -> dict[str, int]:
+    """Return the idempotency keys that were executed more than once."""
+    counts = Counter(entry['key'] for entry in executions if entry['key'])
+    return {key: count for key, count in counts.items() if count > 1}
+
+
+def false_not_run(
+    observations: Iterable[dict[str, Any]], executions: Iterable[dict[str, Any]]
+) -> list[str]:
+    """Return keys of callers who were told "not run" of a request that was run.
+
+    A caller that also had an attempt without any answer was told nothing of it.
+    """
+    run = {entry['key'] for entry in executions}
+    return [
+        entry['idempotency_key']
+        for entry in observations
+        if entry['last_code'] in NOT_RUN_CODES
+        and entry['outcome'] in ('shed', 'failed')
+        and not entry['unanswered']
+        and entry['idempotency_key'] in run
+    ]
+
+
+def sheds_of(
+    observations: Iterable[dict[str, Any]], tiers: dict[str, int]
+) -> list[Shed]:
+    """Return the sheds among observations of the load tool."""
+    return [
+        Shed(
+            tiers[entry['stream']],
+            entry['intended'],
+            entry['intended'] + entry['end_s'],
+        )
+        for entry in observations
+        if entry['last_code'] in SHED_CODES
+    ]
+
+
+def starts_of(logs: Iterable[list[Any]], tiers: dict[str, int]) -> list[Start]:
+    """Return the starts among engines' logs."""
+    return [
+        Start(tiers[name], at)
+        for log in logs
+        for at, event, name in log
+        if event == 'accepted'
+    ]
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -5,16 +5,14 @@
 import json
 import pathlib
 import shutil
-import subprocess
 import sys
 import time
 from collections import Counter
 from typing import Any
 
-import yaml
-
 from catalogues import KEYS, sample_catalogue
 from fleet import Fleet, call
+from rosemaryseam.standins.report import format_table
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BUILD = ROOT / 'build' / 'demo'
@@ -48,26 +46,15 @@
     fleet.wait_ready()
     fleet.wait_serving()
     print(fleet.operator('status').stdout, end='')
-    load = _start_load(fleet)
+    fleet.start_load(_scenario(fleet), show=True)
     _disturb(fleet, catalogue)
-    load.wait(LOAD_LIMIT_S)
-    return _judge(engines, apps)
+    return _judge(fleet.finish_load(LOAD_LIMIT_S), engines, apps)
 
 
 def _names(kind: str, count: int) -> list[str]:
     return [f'{kind}-{number + 1}' for number in range(count)]
 
 
-def _start_load(fleet: Fleet) -> subprocess.Popen[bytes]:
-    path = BUILD / 'scenario.yaml'
-    path.write_text(yaml.safe_dump(_scenario(fleet)))
-    command = [sys.executable, '-m', 'rosemaryseam.standins.load']
-    flags = [f'--scenario={path}', f'--report={BUILD / "load.json"}']
-    load = subprocess.Popen(command + flags)
-    fleet.adopt('load', load)
-    return load
-
-
 def _disturb(fleet: Fleet, catalogue: dict[str, Any]) -> None:
     time.sleep(DRAIN_AT_S)
     print('draining engine-3 by an edit of the catalogue')
@@ -80,32 +67,47 @@
     fleet.kill('host-2')
 
 
-def _judge(engines: dict[str, str], apps: dict[str, str]) -> int:
-    load = json.loads((BUILD / 'load.json').read_text())
+def _judge(load: dict[str, Any], engines: dict[str, str], apps: dict[str, str]) -> int:
+    report = {'lost': load['lost'], 'classes': load['classes']}
+    generated = _generated_tokens(engines)
+    duplicates = _duplicates(apps)
+    for name, entry in report['classes'].items():
+        entry['wasted_tokens'] = generated[name] - entry['tokens']
+        entry['duplicates'] = duplicates[name]
+    (BUILD / 'report.json').write_text(json.dumps(report, indent=2))
+    print(format_table(report['classes']))
+    print(f'report: {(BUILD / "report.json").relative_to(ROOT)}')
+    return 0 if _is_sound(report) else 1
+
+
+def _generated_tokens(engines: dict[str, str]) -> Counter[str]:
+    tokens: Counter[str] = Counter()
+    for address in engines.values():
+        tokens.update(call(address, '/control')['tokens_by_class'])
+    return tokens
+
+
+def _duplicates(apps: dict[str, str]) -> Counter[str]:
+    """Return repeated executions by class; keys start with the class's name."""
     executions = Counter(
         execution['key']
         for address in apps.values()
         for execution in call(address, '/control')['executions']
         if execution['key'] is not None
     )
-    counts = [call(address, '/control')['counts'] for address in engines.values()]
-    classes = load['classes']
-    report = {
-        'classes': classes,
-        'lost': load['lost'],
-        'generated_tokens': sum(entry['tokens'] for entry in counts),
-        'wasted_tokens': sum(entry['wasted_tokens'] for entry in counts),
-        'duplicates': sum(count - 1 for count in executions.values()),
-        'incomplete': sum(entry['incomplete'] for entry in classes.values()),
-        'mixed': sum(entry['mixed'] for entry in classes.values()),
-    }
-    (BUILD / 'report.json').write_text(json.dumps(report, indent=2))
-    faults = ('lost', 'duplicates', 'incomplete', 'mixed')
-    for name in ('generated_tokens', 'wasted_tokens', *faults):
-        print(f'{name}: {report[name]}')
-    print(f'report: {(BUILD / "report.json").relative_to(ROOT)}')
-    completed = all(entry['completed'] for entry in classes.values())
-    return 0 if completed and not any(report[name] for name in faults) else 1
+    duplicates: Counter[str] = Counter()
+    for key, count in executions.items():
+        duplicates[key.split('-')[0]] += count - 1
+    return duplicates
+
+
+def _is_sound(report: dict[str, Any]) -> bool:
+    """Return whether every answer was whole, its caller's own, and run once."""
+    entries = report['classes'].values()
+    faults = ('duplicates', 'incomplete', 'mixed')
+    sound = not any(entry[name] for entry in entries for name in faults)
+    served = all(entry['completed'] for entry in entries)
+    return sound and served and not report['lost']
 
 
 def _scenario(fleet: Fleet) -> dict[str, Any]:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -21,6 +21,7 @@
 ADMIN_TOKEN = 'admin-token-of-tests'
 START_S = 20.0
 STOP_S = 30.0
+PEER_NETWORK = '127.0.1'
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 
 
@@ -127,21 +128,32 @@
         wait_until(lambda: call(address, '/control') is not None, name, START_S)
         return address
 
-    def plan_nodes(self, count: int, **overrides: Any) -> None:
+    def plan_nodes(
+        self, count: int, *, relayed: bool = False, **overrides: Any
+    ) -> None:
         """Choose ports and write the settings of nodes.
 
         :param count: how many
+        :param relayed: put a relay before each node's peer port
         :param overrides: settings of each node
         """
         ports = free_ports(3 * count)
-        seeds = [f'127.0.0.1:{ports[3 * index + 1]}' for index in range(count)]
+        peers = [f'{PEER_NETWORK}.{index + 1}' for index in range(count)]
+        listens = [f'{ip}:{ports[3 * n + 1]}' for n, ip in enumerate(peers)]
+        seeds = listens
+        if relayed:
+            seeds = [
+                self.start_relay(f'relay-{n + 1}', listen)
+                for n, listen in enumerate(listens)
+            ]
         for index in range(count):
-            listen, peer, admin = ports[3 * index : 3 * index + 3]
+            listen, _, admin = ports[3 * index : 3 * index + 3]
             settings = {
                 'host': f'host-{index + 1}',
                 'zone': ZONES[index % len(ZONES)],
                 'listen': f'127.0.0.1:{listen}',
-                'peer_listen': f'127.0.0.1:{peer}',
+                'peer_listen': listens[index],
+                'peer_advertise': seeds[index],
                 'admin_listen': f'127.0.0.1:{admin}',
                 'admin_token': ADMIN_TOKEN,
                 'key_value': self.key_value,
@@ -225,6 +237,32 @@
             raise RuntimeError(f'{words}: {done.stderr or done.stdout}')
         return done
 
+    def cut(self, one: str, other: str) -> None:
+        """Lose all bytes between two relayed nodes, both ways.
+
+        :param one: a node
+        :param other: another node
+        """
+        for target, source in ((one, other), (other, one)):
+            ip = self.nodes[source]['peer_listen'].split(':')[0]
+            relay = target.replace('host', 'relay')
+            self.control(relay, {'cut_sources': [ip]})
+
+    def isolate(self, host: str) -> None:
+        """Lose all bytes between a relayed node and all others, both ways.
+
+        :param host: the node
+        """
+        ip = self.nodes[host]['peer_listen'].split(':')[0]
+        for other in self.nodes:
+            relay = other.replace('host', 'relay')
+            self.control(relay, {'cut_sources': ['*' if other == host else ip]})
+
+    def heal(self) -> None:
+        """Let the relays pass bytes again."""
+        for host in self.nodes:
+            self.control(host.replace('host', 'relay'), {'cut_sources': []})
+
     def kill(self, name: str) -> None:
         """End a process without warning."""
         process = self.started.pop(name).process
@@ -253,13 +291,65 @@
             started.process.wait()
         self.started.clear()
 
-    def adopt(self, name: str, process: subprocess.Popen[bytes]) -> None:
-        """Take over a process that was started elsewhere, to end it with the rest.
+    def start_load(self, scenario: dict[str, Any], *, show: bool = False) -> None:
+        """Start the load tool.
+
+        :param scenario: what it sends
+        :param show: print its progress
+        """
+        path = self.folder / 'scenario.yaml'
+        path.write_text(yaml.safe_dump(scenario))
+        command = [
+            sys.executable,
+            '-m',
+            'rosemaryseam.standins.load',
+            f'--scenario={path}',
+            f'--report={self.folder / "load.json"}',
+        ]
+        if show:
+            process = subprocess.Popen(command)
+            self.started['load'] = Started('load', process, '')
+        else:
+            self._spawn('load', command, '')
+
+    def finish_load(self, timeout_s: float) -> dict[str, Any]:
+        """Wait for the load tool and return its report.
+
+        :param timeout_s: how long to wait
+        """
+        code = self.started.pop('load').process.wait(timeout_s)
+        if code:
+            raise RuntimeError(f'the load tool ended with {code}')
+        return json.loads((self.folder / 'load.json').read_text())
+
+    def start_relay(self, name: str, target: str, ip: str = '127.0.0.1') -> str:
+        """Start a relay before an address and return where it accepts.
+
+        :param name: of the process
+        :param target: where the bytes go
+        :param ip: of the relay
+        """
+        control, relay = free_ports(2)
+        command = [
+            sys.executable,
+            '-m',
+            'rosemaryseam.standins.relay',
+            f'--listen=127.0.0.1:{control}',
+            f'--relay={ip}:{relay}',
+            f'--target={target}',
+        ]
+        self._spawn(name, command, f'127.0.0.1:{control}')
+        address = self.started[name].address
+        wait_until(lambda: call(address, '/control') is not None, name, START_S)
+        return f'{ip}:{relay}'
+
+    def control(self, name: str, change: Any = None) -> Any:
+        """Set faults of a stand-in, or read its counters.
 
         :param name: of the process
-        :param process: the process
+        :param change: what to set, ``None`` to read only
         """
-        self.started[name] = Started(name, process, '')
+        return call(self.started[name].address, '/control', change)
 
     def _is_serving(self, hosts: tuple[str, ...]) -> bool:
         phases: dict[str, str] = {}
