Bound what silent hosts hold when a dispatcher is lost

Cause: taking the mechanisms out one by one left the limits machine green, so it could not fail; rewriting it with long silences, isolated hosts and five directed losses of a dispatcher showed three faults. (1) A refusal sent to another host could not be encoded (an enum in place of its number), which would have ended the link's greenlet. (2) When those who heard of an isolated host's calls restart, a new dispatcher counted the isolated host as holding nothing: engine-0 carried 4 calls with a limit of 2. (3) A recovering dispatcher announced ceilings before it knew all of them, which erased what its gateways had heard. Ruled out: a longer wait after the takeover (the calls of an isolated host outlive any wait). Change: replies say whether their host ever heard ceilings; without a majority that did, a silent host counts as holding all that the owners lend. Ceilings are announced only once they are complete, in a phase of their own. A call also ends when it runs longer than its class allows. Limits of tokens a second are not enforced yet.

--- a/packages/node/src/rosemaryseam/node/dispatcher.py
+++ b/packages/node/src/rosemaryseam/node/dispatcher.py
@@ -144,7 +144,7 @@
             return
         demand = self._demand(host, message)
         if demand is None:
-            code = ResultCode.CLASS_NOT_ALLOWED
+            code = int(ResultCode.CLASS_NOT_ALLOWED)
             refusal = Refusal(message.key, code, 'unknown class or workspace', 0)
             self._transport.send(host, refusal)
             return
--- a/packages/node/src/rosemaryseam/node/gateway/calls.py
+++ b/packages/node/src/rosemaryseam/node/gateway/calls.py
@@ -173,6 +173,18 @@
                 self._observe(ObservedUpstreams({call.upstream.name: True}))
             raise
 
+    def check_run_time(self, request: Request, call: GrantedCall) -> None:
+        """End a call that runs longer than its class allows.
+
+        :param request: the request
+        :param call: the call in flight
+        :raises UpstreamError: the time is over
+        """
+        longest = request.admitted.request_class.max_run_ms / 1000
+        if self.clock.monotonic() - call.grant.since > longest:
+            message = f'{call.upstream.name}: more than {longest} s'
+            raise UpstreamError(message, written=True)
+
     def _first_byte_s(self, request: Request) -> float:
         """Return how long an upstream may think before the first byte."""
         target = request.admitted.request_class.target
--- a/packages/node/src/rosemaryseam/node/gateway/completions.py
+++ b/packages/node/src/rosemaryseam/node/gateway/completions.py
@@ -125,6 +125,7 @@
             raise self._refused(call)
         complete = False
         for event in answer.events():
+            self._runner.check_run_time(request, call)
             complete = is_last(event)
             if complete:
                 call.outcome = DONE
--- a/packages/node/src/rosemaryseam/node/grants.py
+++ b/packages/node/src/rosemaryseam/node/grants.py
@@ -432,6 +432,7 @@
             self._sequences.get(partition, 0),
             held,
             self._ceilings.get(partition, ()),
+            partition in self._ceilings,
         )
         self._transport.send(epoch.host, holdings)
 
--- a/packages/node/src/rosemaryseam/node/messages.py
+++ b/packages/node/src/rosemaryseam/node/messages.py
@@ -147,7 +147,8 @@
     """All grants of a partition that a host holds.
 
     ``sequence`` is the highest grant number seen in this epoch; ``ceilings`` are
-    the last that the host heard from any dispatcher of the partition.
+    the last that the host heard from any dispatcher of the partition, and
+    ``informed`` tells whether it heard any.
     """
 
     partition: str
@@ -155,6 +156,7 @@
     sequence: int
     held: tuple[Held, ...]
     ceilings: tuple[Ceiling, ...]
+    informed: bool
 
 
 class Superseded(NamedTuple):
--- a/packages/node/src/rosemaryseam/node/partition.py
+++ b/packages/node/src/rosemaryseam/node/partition.py
@@ -38,6 +38,7 @@
 PREEMPT_SHARE = 0.25  # of the target that passes before a call is preempted
 
 RECOVERING = 'recovering'
+CONFIRMING = 'confirming'
 SERVING = 'serving'
 
 
@@ -98,6 +99,7 @@
         self._stranded: dict[str, Counter[str]] = {}
         self._stranded_at: dict[str, float] = {}
         self._replied: set[str] = set()
+        self._informed: set[str] = set()
         self._reported: Counter[CeilingKey] = Counter()
         self._sequences: Counter[str] = Counter()
         self._lease = LeaseBook(timing.lease_s)
@@ -145,6 +147,8 @@
             self._reported[key] = max(self._reported[key], ceiling.count)
         self._reconcile(host, holdings, now)
         self._replied.add(host)
+        if holdings.informed:
+            self._informed.add(host)
         self._stranded.pop(host, None)
         self._stranded_at.pop(host, None)
         self.pump(now)
@@ -209,7 +213,8 @@
 
         :param now: seconds on the monotonic clock
         """
-        self._renew(now)
+        if self.phase != RECOVERING:
+            self._renew(now)
         self._ask(self._view.reachable - self._replied)
         self._advance_recovery(now)
         self._release_stranded(now)
@@ -260,35 +265,46 @@
                 self._send(host, Takeover(self.name, self.epoch))
 
     def _advance_recovery(self, now: float) -> None:
-        if self.phase == SERVING:
-            return
+        """Go on to the next phase when its condition is met.
+
+        First a majority replies; hosts that can be reached get a moment longer. What
+        the others may hold is bounded by the ceilings that the majority heard of.
+        Then a majority accepts a lease whose ceilings say all that.
+        """
         roster = self._view.roster
+        if self.phase == RECOVERING and self._has_replies(now):
+            informed = has_majority(self._informed, roster)
+            for host in roster - self._replied:
+                self._strand(host, now, informed=informed)
+            self.phase = CONFIRMING
+            self._renew(now)
+        if self.phase == CONFIRMING and self._lease.is_valid(roster, now):
+            self.phase = SERVING
+            self._valid_at = now
+            self._metrics.count('partitions_taken_over', partition=self.name)
+
+    def _has_replies(self, now: float) -> bool:
+        if not has_majority(self._replied, self._view.roster):
+            return False
         if self._majority_at is None:
-            if not has_majority(self._replied, roster):
-                return
             self._majority_at = now
-            self._renew(now)
-        missing = roster - self._replied
-        wait = self._timing.lease_s + self._timing.grant_ttl_s
-        if missing and now - self._majority_at < wait:
-            return
-        if not self._lease.is_valid(roster, now):
-            return
-        for host in missing:
-            self._strand(host, now)
-        self.phase = SERVING
-        self._valid_at = now
-        self._metrics.count('partitions_taken_over', partition=self.name)
-
-    def _strand(self, host: str, now: float) -> None:
-        """Count what a silent host may hold as held."""
-        held = Counter(
-            {
-                upstream: count
-                for (owner, upstream), count in self._reported.items()
-                if owner == host and count
-            }
-        )
+        waited = now - self._majority_at
+        missing = self._view.reachable - self._replied
+        return not missing or waited >= self._timing.resend_s
+
+    def _strand(self, host: str, now: float, *, informed: bool) -> None:
+        """Count what a silent host may hold as held.
+
+        :param informed: whether a majority heard a former dispatcher's ceilings;
+            otherwise the host may hold as much as the owners lend
+        """
+        held: Counter[str] = Counter()
+        for entry in self._rules.upstreams:
+            count = entry.limits.concurrent
+            if informed:
+                count = self._reported[host, entry.name]
+            if count:
+                held[entry.name] = count
         self._stranded[host] = held
         self._stranded_at[host] = now
         self._metrics.count('hosts_stranded', partition=self.name)
@@ -328,6 +344,7 @@
     def _forget(self, host: str) -> None:
         """Drop everything of a host whose process has ended."""
         self._replied.discard(host)
+        self._informed.discard(host)
         self._stranded.pop(host, None)
         self._stranded_at.pop(host, None)
         for key, holding in list(self._holdings.items()):
@@ -368,10 +385,6 @@
         for host, held in self._stranded.items():
             for upstream, count in held.items():
                 ceilings[host, upstream] = count
-        if self.phase == RECOVERING:
-            for key, count in self._reported.items():
-                if key[0] not in self._replied:
-                    ceilings[key] = max(count, ceilings.get(key, 0))
         for key, used in self._used.items():
             ceilings[key] = max(used, ceilings.get(key, 0))
         return ceilings
@@ -510,7 +523,7 @@
         self, demand: Demand, code: ResultCode, message: str, retry_after_s: float
     ) -> None:
         self._leave_queue(demand.key)
-        refusal = Refusal(demand.key, code, message, int(retry_after_s * 1000))
+        refusal = Refusal(demand.key, int(code), message, int(retry_after_s * 1000))
         self._send(demand.host, refusal)
         self._metrics.count(
             'sheds', request_class=demand.request_class, code=str(int(code))
--- a/packages/node/src/rosemaryseam/node/wire.capnp
+++ b/packages/node/src/rosemaryseam/node/wire.capnp
@@ -136,6 +136,7 @@
   sequence @2 :UInt64;
   held @3 :List(Held);
   ceilings @4 :List(Ceiling);
+  informed @5 :Bool;
 }
 
 struct Superseded {
--- a/tests/test_node/fabric.py
+++ b/tests/test_node/fabric.py
@@ -168,10 +168,10 @@
         return self.hosts[name]
 
     def kill(self, name: str) -> None:
-        """End a process; its kernel resets its connections."""
+        """End a process; what it sent before may still arrive."""
         del self.hosts[name]
         for link in list(self.links):
-            if name in link:
+            if link[1] == name:
                 del self.links[link]
 
     def enqueue(self, source: str, target: str, message: messages.Message) -> None:
@@ -198,6 +198,18 @@
                     host.tick(heartbeat=heartbeat)
             self.settle()
 
+    def isolate(self, name: str) -> None:
+        """Lose all bytes between a host and the others."""
+        self.cut |= {(name, other) for other in self.names if other != name}
+
+    def dispatcher(self) -> str:
+        """Return the host that dispatches the engines."""
+        for host in self.hosts.values():
+            dump = host.dispatcher.dump().get('models#0')
+            if not host.frozen and dump is not None and dump['phase'] == 'serving':
+                return host.name
+        raise AssertionError('no host dispatches')
+
     def settle(self) -> None:
         """Deliver messages until none moves."""
         moved = True
--- a/tests/test_node/test_lending_limits.py
+++ b/tests/test_node/test_lending_limits.py
@@ -7,6 +7,9 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+import pytest
 from fabric import Fabric, small_catalogue
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
@@ -18,6 +21,9 @@
     rule,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 LIMIT = 2
 NAMES = ('host-1', 'host-2', 'host-3')
 CLASSES = ('coaching', 'drafting', 'listing')
@@ -26,6 +32,114 @@
 hosts = st.sampled_from(NAMES)
 
 
+def _busy_fabric() -> Fabric:
+    """Return a fleet in which every slot is in use and more requests wait."""
+    fabric = Fabric(NAMES, small_catalogue(LIMIT))
+    for name in NAMES:
+        fabric.start(name)
+    fabric.run(2.0)
+    for name in NAMES:
+        for _ in range(4):
+            fabric.hosts[name].ask('drafting', fabric.clock.monotonic())
+    fabric.run(0.5)
+    assert fabric.in_use() == {'engine-0': LIMIT, 'engine-1': LIMIT}
+    return fabric
+
+
+def _assert_limits(fabric: Fabric) -> None:
+    for upstream, count in fabric.in_use().items():
+        assert count <= LIMIT, f'{upstream} carries {count} calls'
+
+
+def _ask_on_all(fabric: Fabric) -> None:
+    for host in fabric.hosts.values():
+        if not host.frozen:
+            host.ask('coaching', fabric.clock.monotonic())
+
+
+def _freeze_dispatcher(fabric: Fabric, name: str) -> None:
+    fabric.hosts[name].frozen = True
+
+
+def _isolate_dispatcher(fabric: Fabric, name: str) -> None:
+    fabric.isolate(name)
+
+
+def _kill_dispatcher(fabric: Fabric, name: str) -> None:
+    fabric.kill(name)
+
+
+def _kill_with_another_frozen(fabric: Fabric, name: str) -> None:
+    other = next(entry for entry in NAMES if entry != name)
+    fabric.hosts[other].frozen = True
+    fabric.run(2.0)
+    fabric.kill(name)
+    fabric.start(name)
+
+
+def _isolate_and_restart_others(fabric: Fabric, name: str) -> None:
+    """Those who heard of the isolated host's calls forget them."""
+    fabric.isolate(name)
+    for other in NAMES:
+        if other != name:
+            fabric.kill(other)
+            fabric.start(other)
+
+
+@pytest.mark.parametrize(
+    'fail',
+    [
+        _freeze_dispatcher,
+        _isolate_dispatcher,
+        _kill_dispatcher,
+        _kill_with_another_frozen,
+        _isolate_and_restart_others,
+    ],
+)
+def test_limits_hold_when_a_dispatcher_is_lost(
+    fail: Callable[[Fabric, str], None],
+) -> None:
+    fabric = _busy_fabric()
+    fail(fabric, fabric.dispatcher())
+    for _ in range(40):
+        _ask_on_all(fabric)
+        fabric.run(0.2)
+        _assert_limits(fabric)
+    fabric.cut.clear()
+    for host in fabric.hosts.values():
+        host.frozen = False
+    for _ in range(10):
+        _ask_on_all(fabric)
+        fabric.run(0.2)
+        _assert_limits(fabric)
+
+
+@pytest.mark.parametrize('frozen_s', [0.5, 3.0, 70.0])
+def test_grant_that_reaches_a_frozen_host_late(frozen_s: float) -> None:
+    """A grant sent before its dispatcher died is void, or was counted."""
+    fabric = _busy_fabric()
+    dispatcher = fabric.dispatcher()
+    asleep, awake = (name for name in NAMES if name != dispatcher)
+    fabric.hosts[asleep].frozen = True
+    for host in list(fabric.hosts.values()):
+        if not host.frozen:
+            for key in list(host.held):
+                host.finish(key)
+    fabric.settle()
+    fabric.run(0.1)
+    fabric.kill(dispatcher)
+    fabric.start(dispatcher)
+    for _ in range(round(frozen_s / 0.5)):
+        _ask_on_all(fabric)
+        fabric.run(0.5)
+        _assert_limits(fabric)
+    fabric.hosts[asleep].frozen = False
+    fabric.hosts[asleep].drain()
+    for _ in range(10):
+        _assert_limits(fabric)
+        fabric.run(0.2)
+
+
 class LimitMachine(RuleBasedStateMachine):
     @initialize()
     def start(self) -> None:
@@ -34,24 +148,21 @@
             self.fabric.start(name)
         self.fabric.run(2.0)
 
-    @rule(name=hosts, request_class=st.sampled_from(CLASSES))
-    def ask(self, name: str, request_class: str) -> None:
+    @rule(name=hosts, request_class=st.sampled_from(CLASSES), count=st.integers(1, 6))
+    def ask(self, name: str, request_class: str, count: int) -> None:
         host = self.fabric.hosts.get(name)
         if host is not None and not host.frozen:
-            host.ask(request_class, self.fabric.clock.monotonic())
+            for _ in range(count):
+                host.ask(request_class, self.fabric.clock.monotonic())
 
-    @rule(name=hosts)
-    def ask_often(self, name: str) -> None:
-        for _ in range(4):
-            self.ask(name, 'drafting')
-
-    @rule(name=hosts)
-    def finish_oldest(self, name: str) -> None:
+    @rule(name=hosts, count=st.integers(1, 3))
+    def finish(self, name: str, count: int) -> None:
         host = self.fabric.hosts.get(name)
-        if host is not None and not host.frozen and host.held:
-            host.finish(next(iter(host.held)))
+        if host is not None and not host.frozen:
+            for key in list(host.held)[:count]:
+                host.finish(key)
 
-    @rule(seconds=st.sampled_from([0.05, 0.2, 1.0, 3.0]))
+    @rule(seconds=st.sampled_from([0.05, 0.2, 1.0, 4.0]))
     def run(self, seconds: float) -> None:
         self.fabric.run(seconds)
 
@@ -60,6 +171,10 @@
         if one != other:
             self.fabric.cut.add((one, other))
 
+    @rule(name=hosts)
+    def isolate(self, name: str) -> None:
+        self.fabric.isolate(name)
+
     @rule()
     def heal(self) -> None:
         self.fabric.cut.clear()
@@ -102,7 +217,7 @@
             for key in list(host.held):
                 host.finish(key)
         self.fabric.run(HEAL_S)
-        self.ask('host-1', 'coaching')
+        self.ask('host-1', 'coaching', 1)
         self.fabric.run(1.0)
         self.limits_hold()
         assert self.fabric.in_use(), 'nothing is granted after the failures'
@@ -110,8 +225,8 @@
 
 TestLendingLimits = LimitMachine.TestCase
 TestLendingLimits.settings = settings(
-    max_examples=60,
-    stateful_step_count=40,
+    max_examples=80,
+    stateful_step_count=30,
     deadline=None,
     derandomize=True,
     suppress_health_check=[HealthCheck.too_slow],
