Prove tier order, floors, leaving, graceful stop and silent connections

Cause: the checks over the fleet's history found these faults. (1) A streamed request that was refused got 400 with no body: the content type of the stream was set before the refusal. Callers could not tell a shed from a broken answer. (2) An engine with a limit of 4 counted 5 calls: a cancelled call's slot was granted again before the engine had noticed. (3) A host that had just started took partitions over before it saw a majority and gave them back at once. (4) A frozen idle host took up to two slots of each engine along for the longest run of any class, which is all of a limit of 1 or 2. (5) The lease was renewed at each tick, 20 times a second. (6) While draining, answers on open connections did not say Connection: close. (7) Callers who went away were logged as internal errors. Ruled out for (2): a wrong count at the dispatcher (its counts were 4). Change: errors set their own content type; a cancelled call's grant is given back when the upstream has closed its side, or after upstream_cancel_s; take- overs need a majority in view; ceilings keep headroom only for hosts that asked in the last 5 s, and none for limits below 4; leases renew at a quarter of their time; classes that shed do so at their target, not at their longest wait; a caller that does not read loses its slot after send_s; connections waiting to be accepted are served when a host stops.

--- a/packages/common/src/rosemaryseam/common/exchange.py
+++ b/packages/common/src/rosemaryseam/common/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import socket
 from typing import TYPE_CHECKING, NamedTuple
 
 import gevent
@@ -80,6 +81,31 @@
         self._sock.sendall(head.encode('latin-1') + body)
         return HTTPSocketResponse(self._sock, method=method, block_size=READ_BYTES)
 
+    def hang_up(self) -> None:
+        """Tell the server that the answer is not wanted any more."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
+    def wait_closed(self, timeout_s: float) -> bool:
+        """Hang up and wait until the server has closed its side too.
+
+        :param timeout_s: how long to wait
+        :returns: whether the server closed
+        """
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            return True
+        try:
+            with gevent.Timeout(timeout_s):
+                while self._sock.recv(READ_BYTES):
+                    pass
+        except gevent.Timeout:
+            return False
+        except OSError:
+            return True
+        return True
+
     def close(self) -> None:
         """Drop the connection."""
         if self._sock is not None:
--- a/packages/common/src/rosemaryseam/common/wsgi.py
+++ b/packages/common/src/rosemaryseam/common/wsgi.py
@@ -20,6 +20,7 @@
 SOCKET_KEY = 'rosemaryseam.socket'
 DEFAULT_IDLE_S = 75.0
 DEFAULT_HEAD_S = 10.0
+DEFAULT_SEND_S = 10.0
 IDLE_CHECK_S = 0.2
 _READ = 1  # libev's event bit for readable
 
@@ -33,13 +34,18 @@
 
     :param idle_s: how long a connection may stay open without a request
     :param head_s: how long the rest of a request's head may take
+    :param send_s: how long the caller may keep a part of the answer from leaving
     """
 
     def __init__(
-        self, idle_s: float = DEFAULT_IDLE_S, head_s: float = DEFAULT_HEAD_S
+        self,
+        idle_s: float = DEFAULT_IDLE_S,
+        head_s: float = DEFAULT_HEAD_S,
+        send_s: float = DEFAULT_SEND_S,
     ) -> None:
         self.idle_s = idle_s
         self.head_s = head_s
+        self.send_s = send_s
 
 
 class HttpServer(WSGIServer):
@@ -79,7 +85,13 @@
         self.draining = True
 
     def close_listener(self) -> None:
-        """Close the listening socket and keep the open connections."""
+        """Close the listening socket and keep the open connections.
+
+        Connections that wait to be accepted are served, not reset.
+        """
+        self.stop_accepting()
+        while (accepted := self.do_read()) is not None:
+            self.do_handle(*accepted)
         self.close()
 
     def end_idle(self, idle_s: float) -> None:
@@ -154,11 +166,18 @@
         environ[SOCKET_KEY] = self.socket
         return environ
 
-    def start_response(self, *args: Any, **kwargs: Any) -> Any:
+    def _sendall(self, data: bytes) -> None:
+        """Send, or give up on a caller that does not read."""
+        with gevent.Timeout(self.server.bounds.send_s, CallerGoneError()):
+            super()._sendall(data)
+
+    def start_response(
+        self, status: str, headers: list[tuple[str, str]], exc_info: Any = None
+    ) -> Any:
         """Announce the end of the connection while draining."""
         if self.server.draining:
-            self.close_connection = True
-        return super().start_response(*args, **kwargs)
+            headers = [*headers, ('Connection', 'close')]
+        return super().start_response(status, headers, exc_info)
 
     def handle_one_response(self) -> None:
         """Count the request while it is served."""
--- a/packages/node/src/rosemaryseam/node/dispatcher.py
+++ b/packages/node/src/rosemaryseam/node/dispatcher.py
@@ -6,7 +6,7 @@
 
 from rosemaryseam.common.errors import ResultCode
 from rosemaryseam.node.assignment import assign_partitions, plan_partitions
-from rosemaryseam.node.member import LIVE, View
+from rosemaryseam.node.member import View
 from rosemaryseam.node.messages import (
     Epoch,
     GrantRequest,
@@ -34,7 +34,6 @@
     from rosemaryseam.node.transport import Transport
 
 TICK_S = 0.05
-RENEW_TICKS = 5  # ticks between renewals of the leases
 
 
 class CatalogueChanged(NamedTuple):
@@ -158,6 +157,9 @@
         if found is None or workspace is None:
             return None
         arrived = self.clock.monotonic() - message.age_ms / 1000
+        due = arrived + found.target.seconds
+        sheds = found.on_miss == 'shed'
+        give_up = arrived + found.max_wait_ms / 1000
         return Demand(
             key=message.key,
             host=host,
@@ -166,10 +168,10 @@
             workspace=workspace.name,
             weight=workspace.weight,
             arrived=arrived,
-            due=arrived + found.target.seconds,
-            give_up=arrived + found.max_wait_ms / 1000,
+            due=due,
+            give_up=min(due, give_up) if sheds else give_up,
             floor=found.floor,
-            sheds=found.on_miss == 'shed',
+            sheds=sheds,
             excluded=frozenset(message.excluded),
             prefix=message.prefix,
         )
@@ -218,6 +220,8 @@
         mine = {name for name, host in assigned.items() if host == self._host}
         for name in set(self._partitions) - mine:
             self._hand_over(name)
+        if not self._view.has_majority:
+            return
         for name in mine - set(self._partitions):
             if self._retry_at.get(name, 0.0) <= self.clock.monotonic():
                 self._take_over(name)
@@ -248,15 +252,3 @@
     def _rules(self, name: str) -> Rules:
         classes = {entry.name: entry for entry in self._catalogue.classes}
         return Rules(self._plans[name].upstreams, classes)
-
-    @property
-    def ready(self) -> bool:
-        """Whether this host could dispatch."""
-        return (
-            self._view is not None
-            and self._catalogue is not None
-            and any(
-                peer.host == self._host and peer.state == LIVE
-                for peer in self._view.peers
-            )
-        )
--- a/packages/node/src/rosemaryseam/node/gateway/application.py
+++ b/packages/node/src/rosemaryseam/node/gateway/application.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from rosemaryseam.common.errors import ResultCode, RosemaryseamError
+from rosemaryseam.common.wsgi import CallerGoneError
 from rosemaryseam.node.gateway.errors import ErrorHandler
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
     application.req_options.strip_url_path_trailing_slash = False
     handler = ErrorHandler(metrics)
     application.add_error_handler(Exception, _InternalErrors(handler))
+    application.add_error_handler(CallerGoneError, _reraise)
     application.add_error_handler(falcon.HTTPError, handler.handle_http)
     application.add_error_handler(RosemaryseamError, handler.handle)
     application.add_route('/v1/chat/completions', completions)
@@ -45,6 +47,13 @@
     return application
 
 
+def _reraise(
+    req: falcon.Request, resp: falcon.Response, exc: Exception, params: dict[str, Any]
+) -> None:
+    """Leave the end of the connection to the server: nobody reads an answer."""
+    raise exc
+
+
 class _InternalErrors:
     """Answers what no other handler knows, without a traceback for the caller."""
 
--- a/packages/node/src/rosemaryseam/node/gateway/calls.py
+++ b/packages/node/src/rosemaryseam/node/gateway/calls.py
@@ -5,6 +5,8 @@
 import contextlib
 from typing import TYPE_CHECKING, NamedTuple
 
+import gevent
+
 from rosemaryseam.common.addresses import parse_address
 from rosemaryseam.common.errors import RequestError, ResultCode, UpstreamError
 from rosemaryseam.common.wsgi import CallerGoneError
@@ -75,7 +77,7 @@
         """End the call because a higher tier needs the slot."""
         self.preempted = True
         if self.answer is not None:
-            self.answer.close()
+            self.answer.interrupt()
 
     def result(self) -> Outcome:
         """Return how the call ended."""
@@ -138,11 +140,18 @@
                 call.outcome = CALLER_GONE
             raise
         finally:
-            if call is not None and call.answer is not None:
-                call.answer.close()
             outcome = call.result() if call is not None else Outcome(UNUSED)
-            self._grants.release(grant, outcome)
             self._count(request, outcome)
+            if call is None or call.answer is None:
+                self._grants.release(grant, outcome)
+            else:
+                gevent.spawn(self._end, call, outcome)
+
+    def _end(self, call: GrantedCall, outcome: Outcome) -> None:
+        """Give the grant back once the upstream is done with the call."""
+        if not call.answer.close(self._timing.upstream_cancel_s):
+            self.metrics.count('cancels_unconfirmed')
+        self._grants.release(call.grant, outcome)
 
     def open(self, request: Request, call: GrantedCall, resume: int = 0) -> None:
         """Send the request on a granted call.
--- a/packages/node/src/rosemaryseam/node/gateway/completions.py
+++ b/packages/node/src/rosemaryseam/node/gateway/completions.py
@@ -75,9 +75,9 @@
         events = self._events(request, req.env.get(SOCKET_KEY))
         try:
             if body.get('stream'):
+                resp.stream = _Primed(next(events), events)
                 resp.content_type = EVENT_STREAM
                 resp.set_header('Cache-Control', 'no-store')
-                resp.stream = _Primed(next(events), events)
             else:
                 resp.media = _aggregate(events)
         except PassedOnError as exc:
--- a/packages/node/src/rosemaryseam/node/gateway/errors.py
+++ b/packages/node/src/rosemaryseam/node/gateway/errors.py
@@ -97,6 +97,7 @@
         """Answer with an error of the project."""
         self._metrics.count('errors', code=str(int(exc.code)))
         resp.status = _STATUS.get(exc.code, falcon.HTTP_500)
+        resp.content_type = falcon.MEDIA_JSON
         resp.media = error_body(exc)
         if isinstance(exc, RequestError) and exc.retry_after is not None:
             resp.set_header('Retry-After', str(max(1, math.ceil(exc.retry_after))))
--- a/packages/node/src/rosemaryseam/node/partition.py
+++ b/packages/node/src/rosemaryseam/node/partition.py
@@ -32,7 +32,10 @@
     from rosemaryseam.node.metrics import Metrics
     from rosemaryseam.node.settings import Bounds, Timing
 
-HEADROOM = 2  # grants above those in use that a ceiling leaves open
+MAX_HEADROOM = 2  # grants above those in use that a ceiling leaves open
+HEADROOM_DIVISOR = 4  # of a limit; small limits get no headroom
+ACTIVE_S = 5.0  # how long after a request a host's ceilings keep their headroom
+RENEW_SHARE = 0.25  # of a lease's time after which it is renewed
 RETRY_SOON_S = 1.0
 PREEMPT_AGAIN_S = 1.0  # after which an unanswered preemption is repeated
 PREEMPT_SHARE = 0.25  # of the target that passes before a call is preempted
@@ -93,6 +96,7 @@
         self._send = send
         self._queue = WaitQueue(timing.starvation_s)
         self._refreshed: dict[str, float] = {}
+        self._asked_at: dict[str, float] = {}
         self._holdings: dict[str, Holding] = {}
         self._used: Counter[CeilingKey] = Counter()
         self._used_by_upstream: Counter[str] = Counter()
@@ -105,6 +109,7 @@
         self._lease = LeaseBook(timing.lease_s)
         self._wanted: Counter[CeilingKey] = Counter()
         self._majority_at: float | None = None
+        self._renew_at = now
         self._valid_at = now
         self._drain = DrainRate()
         self._waiting: dict[str, int] = {}
@@ -164,6 +169,7 @@
             self._send_again(demand.key, holding)
             return
         self._refreshed[demand.key] = now
+        self._asked_at[demand.host] = now
         if demand.key in self._queue:
             return
         if self._sheds_on_arrival(demand, now):
@@ -213,7 +219,7 @@
 
         :param now: seconds on the monotonic clock
         """
-        if self.phase != RECOVERING:
+        if self.phase != RECOVERING and now >= self._renew_at:
             self._renew(now)
         self._ask(self._view.reachable - self._replied)
         self._advance_recovery(now)
@@ -356,12 +362,14 @@
         for key in [entry for entry in self._reported if entry[0] == host]:
             del self._reported[key]
         self._sequences.pop(host, None)
+        self._asked_at.pop(host, None)
 
     # The lease and its ceilings.
 
     def _renew(self, now: float) -> None:
-        ceilings = self._ceilings()
+        ceilings = self._ceilings(now)
         version = self._lease.announce(ceilings, now)
+        self._renew_at = now + self._timing.lease_s * RENEW_SHARE
         self._wanted.clear()
         entries = tuple(
             Ceiling(host, upstream, count)
@@ -371,16 +379,19 @@
         for host in self._view.reachable:
             self._send(host, lease)
 
-    def _ceilings(self) -> dict[CeilingKey, int]:
+    def _ceilings(self, now: float) -> dict[CeilingKey, int]:
         """Return ceilings a little above use, and what silent hosts may hold."""
         limits = {
             entry.name: entry.limits.concurrent for entry in self._rules.upstreams
         }
+        active = {host for host, at in self._asked_at.items() if now - at < ACTIVE_S}
         ceilings: dict[CeilingKey, int] = {}
         for host in self._replied:
             for upstream, limit in limits.items():
                 used = self._used[host, upstream]
-                headroom = HEADROOM + self._wanted[host, upstream]
+                headroom = self._wanted[host, upstream]
+                if host in active:
+                    headroom += min(MAX_HEADROOM, limit // HEADROOM_DIVISOR)
                 ceilings[host, upstream] = max(used, min(limit, used + headroom))
         for host, held in self._stranded.items():
             for upstream, count in held.items():
@@ -447,7 +458,7 @@
         pending = self._lease.version > self._lease.agreed_version(self._view.roster)
         for supply in supplies:
             if supply.free and supply.serves(demand):
-                self._wanted[demand.host, supply.name] += HEADROOM
+                self._wanted[demand.host, supply.name] += 1
         if not pending:
             self._renew(now)
 
--- a/packages/node/src/rosemaryseam/node/process.py
+++ b/packages/node/src/rosemaryseam/node/process.py
@@ -301,7 +301,9 @@
             AppResource(self._replica, runner, claims, cfg.bounds, ids),
             self.metrics,
         )
-        bounds = ServerBounds(cfg.bounds.idle_connection_s, cfg.bounds.head_s)
+        bounds = ServerBounds(
+            cfg.bounds.idle_connection_s, cfg.bounds.head_s, cfg.bounds.send_s
+        )
         return HttpServer(
             parse_address(cfg.listen), application, bounds, cfg.bounds.connections
         )
--- a/packages/node/src/rosemaryseam/node/settings.py
+++ b/packages/node/src/rosemaryseam/node/settings.py
@@ -29,6 +29,7 @@
     body_s: Seconds = 10.0
     head_s: Seconds = 10.0
     idle_connection_s: Seconds = 75.0
+    send_s: Seconds = 10.0
     connections: Count = 10_000
     queue_length: Count = 2_000
     kept_answer_bytes: Bytes = 65_536
@@ -51,6 +52,7 @@
     upstream_connect_s: Seconds = 1.0
     upstream_first_byte_s: Seconds = 15.0
     upstream_between_bytes_s: Seconds = 5.0
+    upstream_cancel_s: Seconds = 5.0
     drain_s: Seconds = 2.0
 
 
--- a/packages/node/src/rosemaryseam/node/upstreams/__init__.py
+++ b/packages/node/src/rosemaryseam/node/upstreams/__init__.py
@@ -45,8 +45,16 @@
         """
 
     @abc.abstractmethod
-    def close(self) -> None:
-        """Drop the connection, which cancels the upstream's work."""
+    def interrupt(self) -> None:
+        """Make a read in another greenlet fail; does not block."""
+
+    @abc.abstractmethod
+    def close(self, wait_s: float) -> bool:
+        """End the call; an answer that is not complete is cancelled.
+
+        :param wait_s: how long the upstream may take to confirm a cancellation
+        :returns: whether the upstream is known to be done with the call
+        """
 
 
 class UpstreamClient(abc.ABC):
--- a/packages/node/src/rosemaryseam/node/upstreams/http.py
+++ b/packages/node/src/rosemaryseam/node/upstreams/http.py
@@ -44,7 +44,7 @@
         exchange.set_read_timeout(call.between_bytes_s)
         answer = HttpUpstreamAnswer(address, exchange, response)
         if answer.refuses_as_leaving():
-            answer.close()
+            exchange.close()
             message = f'{address} is leaving'
             raise UpstreamError(message, written=True, leaving=True)
         return answer
@@ -96,9 +96,18 @@
             raise UpstreamError(f'{self._address}: {exc}', written=True) from exc
         return b''.join(parts)
 
-    def close(self) -> None:
-        """Drop the connection."""
-        self._exchange.close()
+    def interrupt(self) -> None:
+        """Make a read in another greenlet fail."""
+        self._exchange.hang_up()
+
+    def close(self, wait_s: float) -> bool:
+        """End the call; wait for the upstream to close a cancelled one."""
+        try:
+            if self._response.message_complete:
+                return True
+            return self._exchange.wait_closed(wait_s)
+        finally:
+            self._exchange.close()
 
 
 def open_upstream_client() -> UpstreamClient:
--- a/packages/standins/src/rosemaryseam/standins/engine.py
+++ b/packages/standins/src/rosemaryseam/standins/engine.py
@@ -17,6 +17,7 @@
 from gevent.queue import Queue
 
 from rosemaryseam.common.clock import Clock, SystemClock
+from rosemaryseam.common.wsgi import SOCKET_KEY, watch_caller
 from rosemaryseam.standins.content import answer_tokens, digest_request
 from rosemaryseam.standins.serving import ControlResource, main
 
@@ -239,12 +240,16 @@
         self._engine.admit(sequence)
         if body.get('stream'):
             resp.content_type = 'text/event-stream'
-            resp.stream = self._stream(sequence, resume)
+            resp.stream = self._stream(sequence, resume, req.env[SOCKET_KEY])
         else:
-            list(self._positions(sequence))
+            list(self._positions(sequence, req.env[SOCKET_KEY]))
             resp.media = self._whole(sequence)
 
-    def _positions(self, sequence: Sequence) -> Iterator[int]:
+    def _positions(self, sequence: Sequence, sock: Any) -> Iterator[int]:
+        with watch_caller(sock):
+            yield from self._watched_positions(sequence)
+
+    def _watched_positions(self, sequence: Sequence) -> Iterator[int]:
         try:
             while True:
                 item = sequence.output.get()
@@ -256,8 +261,8 @@
         finally:
             self._engine.cancel(sequence)
 
-    def _stream(self, sequence: Sequence, resume: int) -> Iterator[bytes]:
-        for position in self._positions(sequence):
+    def _stream(self, sequence: Sequence, resume: int, sock: Any) -> Iterator[bytes]:
+        for position in self._positions(sequence, sock):
             text = sequence.tokens[position]
             yield _event(self._chunk(sequence, text, None, first=position == 0))
         tail = [_event(self._chunk(sequence, '', 'stop', first=False))]
--- a/packages/standins/src/rosemaryseam/standins/serving.py
+++ b/packages/standins/src/rosemaryseam/standins/serving.py
@@ -7,9 +7,9 @@
 
 import gevent
 from absl import app, flags
-from gevent.pywsgi import WSGIServer
 
 from rosemaryseam.common.addresses import parse_address
+from rosemaryseam.common.wsgi import HttpServer, ServerBounds
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -44,14 +44,14 @@
         resp.media = self._show()
 
 
-def serve(application: falcon.App, listen: str) -> WSGIServer:
+def serve(application: falcon.App, listen: str) -> HttpServer:
     """Start a server and return it.
 
     :param application: the WSGI application
     :param listen: IP number and port
     """
     address = parse_address(listen)
-    server = WSGIServer((address.ip, address.port), application, log=None)
+    server = HttpServer(address, application, ServerBounds())
     server.start()
     return server
 
--- a/tests/test_node/fabric.py
+++ b/tests/test_node/fabric.py
@@ -67,6 +67,7 @@
     """The tasks of one running process."""
 
     def __init__(self, fabric: Fabric, name: str, incarnation: int) -> None:
+        self._fabric = fabric
         self.name = name
         self.incarnation = incarnation
         self.frozen = False
@@ -109,6 +110,10 @@
                 task.drain()
         self._collect()
 
+    def read_from(self, source: str) -> None:
+        """Read what one peer sent before anything else, and handle it."""
+        self._fabric.deliver(source, self.name)
+
     def tick(self, *, heartbeat: bool) -> None:
         """Run the tasks' periodic work."""
         if heartbeat:
@@ -210,13 +215,18 @@
                 return host.name
         raise AssertionError('no host dispatches')
 
+    def epoch(self) -> list[Any]:
+        """Return the epoch of the engines' dispatcher."""
+        dispatcher = self.hosts[self.dispatcher()].dispatcher
+        return dispatcher.dump()['models#0']['epoch']
+
     def settle(self) -> None:
         """Deliver messages until none moves."""
         moved = True
         while moved:
             moved = False
-            for link, queue in list(self.links.items()):
-                moved |= self._deliver(link, queue)
+            for link in list(self.links):
+                moved |= self.deliver(*link)
 
     def in_use(self) -> dict[str, int]:
         """Return calls in flight by upstream, as the upstreams would count them."""
@@ -226,8 +236,9 @@
                 counts[grant.upstream] = counts.get(grant.upstream, 0) + 1
         return counts
 
-    def _deliver(self, link: tuple[str, str], queue: deque[bytes]) -> bool:
-        source, target = link
+    def deliver(self, source: str, target: str) -> bool:
+        """Deliver what waits on one link and return whether anything did."""
+        queue = self.links.get((source, target), deque())
         host = self.hosts.get(target)
         if self._is_cut(source, target):
             queue.clear()
--- /dev/null
+++ b/tests/test_node/test_grants.py
@@ -0,0 +1,110 @@
+"""Which grants a gateway uses: a table over one task with a fake transport."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from fabric import small_catalogue
+
+from rosemaryseam.common.clock import ManualClock
+from rosemaryseam.node.dispatcher import CatalogueChanged
+from rosemaryseam.node.grants import GrantTask, Ticket
+from rosemaryseam.node.member import LIVE, Peer, View
+from rosemaryseam.node.messages import (
+    Epoch,
+    Grant,
+    Lease,
+    LeaseAck,
+    Received,
+    Takeover,
+)
+from rosemaryseam.node.metrics import Metrics
+from rosemaryseam.node.settings import Timing
+from rosemaryseam.node.transport import Transport
+
+OLD, NOW, NEW = Epoch(1, 'host-2'), Epoch(2, 'host-2'), Epoch(3, 'host-2')
+PARTITION = 'models#0'
+
+
+class _Recorder(Transport):
+    """Keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[Any] = []
+
+    def send(self, host: str, message: Any) -> None:
+        self.sent.append(message)
+
+    def send_to_address(self, address: str, message: Any) -> None:
+        self.sent.append(message)
+
+    def register(self, host: str, address: str) -> None:
+        pass
+
+    def reset(self, address: str) -> None:
+        pass
+
+
+class _Gateway:
+    """A gateway that has promised ``NOW`` and waits with one request."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.transport = _Recorder()
+        self.task = GrantTask(
+            self.clock, Metrics(), Timing(), 'host-1', 1, self.transport
+        )
+        peers = tuple(
+            Peer(name, 1, 'zone-a', LIVE, True, 1) for name in ('host-1', 'host-2')
+        )
+        self.task.post(View('host-1', peers, (), frozenset()))
+        self.task.post(CatalogueChanged(1, small_catalogue(4)))
+        self.receive(Takeover(PARTITION, NOW))
+        ticket = Ticket('models', 'drafting', 'market', '', 0.0, 30.0)
+        self.key, self.result = self.task.request(ticket)
+        self.receive(_grant('another', sequence=1))
+        self.transport.sent.clear()
+
+    def receive(self, message: Any) -> None:
+        self.task.post(Received('host-2', message))
+        self.task.drain()
+
+
+def _grant(key: str, **change: Any) -> Grant:
+    return Grant(key, PARTITION, NOW, 2, 'engine-0')._replace(**change)
+
+
+@pytest.mark.parametrize(
+    ('change', 'late_s', 'used'),
+    [
+        ({}, 0.0, True),
+        ({}, 0.9, True),
+        ({}, 1.1, False),
+        ({'epoch': OLD}, 0.0, False),
+        ({'epoch': NEW}, 0.0, False),
+        ({'sequence': 1}, 0.0, False),
+    ],
+    ids=['good', 'in time', 'late', 'old', 'not promised', 'out of order'],
+)
+def test_which_grants_are_used(
+    change: dict[str, Any], late_s: float, used: bool
+) -> None:
+    gateway = _Gateway()
+    gateway.clock.advance(late_s)
+    gateway.receive(_grant(gateway.key, **change))
+    assert gateway.result.ready() is used
+
+
+@pytest.mark.parametrize('epoch', [OLD, NEW])
+def test_lease_of_another_epoch_is_not_accepted(epoch: Epoch) -> None:
+    gateway = _Gateway()
+    gateway.receive(Lease(PARTITION, epoch, 1, ()))
+    kinds = [type(message) for message in gateway.transport.sent]
+    assert LeaseAck not in kinds
+
+
+def test_unused_grant_is_given_back() -> None:
+    gateway = _Gateway()
+    gateway.receive(_grant('never asked'))
+    assert [message.outcome for message in gateway.transport.sent] == ['unused']
--- a/tests/test_node/test_lending_limits.py
+++ b/tests/test_node/test_lending_limits.py
@@ -21,12 +21,15 @@
     rule,
 )
 
+from rosemaryseam.node.partition import ACTIVE_S
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 LIMIT = 2
 NAMES = ('host-1', 'host-2', 'host-3')
 CLASSES = ('coaching', 'drafting', 'listing')
+LONGEST_RUN_S = 60.0
 HEAL_S = 6.0  # silence, lease, grant life and two heartbeats, with room
 
 hosts = st.sampled_from(NAMES)
@@ -114,30 +117,121 @@
         _assert_limits(fabric)
 
 
+def _idle_fabric(limit: int) -> Fabric:
+    short = {'max_run_ms': int(LONGEST_RUN_S * 1000)}
+    catalogue = small_catalogue(limit, engines=1, coaching=short)
+    fabric = Fabric(NAMES, catalogue)
+    for name in NAMES:
+        fabric.start(name)
+    fabric.run(2.0)
+    return fabric
+
+
+def _ask(fabric: Fabric, name: str, count: int) -> None:
+    for _ in range(count):
+        fabric.hosts[name].ask('drafting', fabric.clock.monotonic())
+
+
+def _assert_limit(fabric: Fabric, limit: int) -> None:
+    assert fabric.in_use().get('engine-0', 0) <= limit
+
+
+def test_isolated_dispatcher_grants_no_more_than_it_announced() -> None:
+    """Its lease still holds when it is cut off, and its successor does not see it."""
+    limit = 8
+    fabric = _idle_fabric(limit)
+    dispatcher = fabric.dispatcher()
+    fabric.isolate(dispatcher)
+    _ask(fabric, dispatcher, limit)
+    fabric.settle()
+    others = [name for name in NAMES if name != dispatcher]
+    for _ in range(20):
+        _ask(fabric, others[0], 1)
+        fabric.run(0.2)
+        _assert_limit(fabric, limit)
+    assert fabric.hosts[others[0]].held, 'the successor grants what is left'
+
+
+def test_thawed_dispatcher_does_not_grant_by_its_old_lease() -> None:
+    """Its successor stopped counting it once its longest call was over."""
+    limit = 8
+    fabric = _idle_fabric(limit)
+    dispatcher = fabric.dispatcher()
+    frozen = fabric.hosts[dispatcher]
+    _ask(fabric, dispatcher, 1)
+    fabric.run(0.5)
+    frozen.finish(next(iter(frozen.held)))
+    frozen.frozen = True
+    fabric.run(LONGEST_RUN_S + HEAL_S)
+    _ask(fabric, next(name for name in NAMES if name != dispatcher), limit)
+    fabric.run(1.0)
+    assert fabric.in_use() == {'engine-0': limit}
+    frozen.frozen = False
+    _ask(fabric, dispatcher, limit)
+    _assert_limit(fabric, limit)
+    fabric.run(2.0)
+    _assert_limit(fabric, limit)
+
+
+def test_idle_host_that_freezes_takes_no_capacity_along() -> None:
+    """Even a limit of one is granted to others while an idle dispatcher is frozen."""
+    fabric = _idle_fabric(1)
+    dispatcher = fabric.dispatcher()
+    fabric.run(ACTIVE_S)
+    fabric.hosts[dispatcher].frozen = True
+    fabric.run(2.0)
+    _ask(fabric, next(name for name in NAMES if name != dispatcher), 1)
+    fabric.run(1.0)
+    assert fabric.in_use() == {'engine-0': 1}
+
+
 @pytest.mark.parametrize('frozen_s', [0.5, 3.0, 70.0])
 def test_grant_that_reaches_a_frozen_host_late(frozen_s: float) -> None:
     """A grant sent before its dispatcher died is void, or was counted."""
-    fabric = _busy_fabric()
+    limit = 2
+    fabric = _idle_fabric(limit)
     dispatcher = fabric.dispatcher()
     asleep, awake = (name for name in NAMES if name != dispatcher)
+    _ask(fabric, awake, limit)
+    fabric.run(0.2)
+    assert fabric.in_use() == {'engine-0': limit}
+    _ask(fabric, asleep, limit)
+    fabric.settle()
     fabric.hosts[asleep].frozen = True
-    for host in list(fabric.hosts.values()):
-        if not host.frozen:
-            for key in list(host.held):
-                host.finish(key)
+    for key in list(fabric.hosts[awake].held):
+        fabric.hosts[awake].finish(key)
     fabric.settle()
-    fabric.run(0.1)
     fabric.kill(dispatcher)
     fabric.start(dispatcher)
     for _ in range(round(frozen_s / 0.5)):
-        _ask_on_all(fabric)
+        _ask(fabric, awake, 1)
         fabric.run(0.5)
-        _assert_limits(fabric)
-    fabric.hosts[asleep].frozen = False
-    fabric.hosts[asleep].drain()
-    for _ in range(10):
-        _assert_limits(fabric)
-        fabric.run(0.2)
+        _assert_limit(fabric, limit)
+    thawed = fabric.hosts[asleep]
+    thawed.frozen = False
+    thawed.read_from(dispatcher)
+    _assert_limit(fabric, limit)
+    fabric.run(2.0)
+    _assert_limit(fabric, limit)
+
+
+def test_capacity_returns_after_a_quick_restart() -> None:
+    """A host that restarts within one heartbeat holds nothing any more."""
+    limit = 2
+    fabric = _idle_fabric(limit)
+    dispatcher = fabric.dispatcher()
+    holder, other = (name for name in NAMES if name != dispatcher)
+    _ask(fabric, holder, limit)
+    fabric.run(0.5)
+    assert len(fabric.hosts[holder].held) == limit
+    epoch = fabric.epoch()
+    fabric.kill(holder)
+    fabric.start(holder)
+    fabric.run(1.0)
+    assert fabric.epoch() == epoch, 'a host that starts takes nothing over'
+    _ask(fabric, other, limit)
+    fabric.run(1.0)
+    assert len(fabric.hosts[other].held) == limit
 
 
 class LimitMachine(RuleBasedStateMachine):
--- /dev/null
+++ b/tests/test_node/test_tiers.py
@@ -0,0 +1,78 @@
+"""Tier order and floors, checked over the whole fleet's history."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any
+
+from histories import inversions, longest_gap, sheds_of, starts_of
+from loads import TIERS, chat, scenario
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+GRACE_S = 0.3  # for messages on their way at both ends of a wait
+WINDOW_S = 2.0  # the starvation window that the test sets
+LONGEST_SERVICE_S = 3.0  # 60 tokens on a full batch, prefills of others included
+BURST_PER_S = 60.0  # twice what two engines with four slots each can do
+
+
+def _without_floors(catalogue: dict[str, Any]) -> None:
+    """Let every class wait, so that waits are long enough to be overtaken."""
+    for entry in catalogue['classes']:
+        entry['floor'] = 0.0
+        entry['on_miss'] = 'wait'
+
+
+def _logs(fleet: Any) -> list[list[Any]]:
+    return [fleet.control(name)['log'] for name in fleet.engines]
+
+
+def test_no_shed_in_favour_of_a_lower_tier(own_fleet: Callable[..., Any]) -> None:
+    """Bursts, a killed dispatcher and a host that is cut off, one after the other."""
+    fleet = own_fleet(
+        engines=2, apps=0, concurrent=4, change=_without_floors, relayed=True
+    )
+    streams = [
+        chat('coaching', BURST_PER_S),
+        chat('drafting', 8.0),
+        chat('listing', 8.0),
+    ]
+    fleet.start_load(scenario(fleet, *streams, duration_s=12.0, patience_s=8.0))
+    time.sleep(4.0)
+    fleet.kill('host-1')
+    time.sleep(3.0)
+    fleet.isolate('host-2')
+    time.sleep(3.0)
+    fleet.heal()
+    fleet.start_node('host-1')
+    report = fleet.finish_load(60)
+    sheds = sheds_of(report['observations'], TIERS)
+    starts = starts_of(_logs(fleet), TIERS)
+    assert len([shed for shed in sheds if shed.tier == 0]) > 20
+    assert len(starts) > 50
+    assert inversions(sheds, starts, GRACE_S) == []
+
+
+def test_no_class_starves(own_fleet: Callable[..., Any]) -> None:
+    fleet = own_fleet(
+        engines=2, apps=0, concurrent=4, timing={'starvation_s': WINDOW_S}
+    )
+    streams = [
+        chat('coaching', BURST_PER_S),
+        chat('drafting', 4.0),
+        chat('listing', 4.0),
+    ]
+    fleet.start_load(scenario(fleet, *streams, duration_s=15.0, patience_s=10.0))
+    begin = time.monotonic() + 2.0
+    fleet.finish_load(60)
+    end = begin + 12.0
+    for name in ('coaching', 'drafting', 'listing'):
+        completed = [
+            at
+            for log in _logs(fleet)
+            for at, event, entry in log
+            if event == 'completed' and entry == name
+        ]
+        gap = longest_gap(completed, begin, end)
+        assert gap <= WINDOW_S + LONGEST_SERVICE_S, f'{name}: nothing for {gap:.1f} s'
