Prove the catalogue, settings, stand-ins and the path over plain HTTP

Cause: these points had no proof. Stored records were arrays, because named tuples serialize so: a key added later would have shifted every value, and a person could not read them. A junk value in the service ended the operators' command with a traceback. Change: stored records are objects; the catalogue's tests watch every host's revision all the while under an outage, a lost answer, a frozen host, racing operators, older and invalid values; tables of wrong settings, catalogues and requests; a state machine and its naive twin for the order of service; the decisions' own tables; tests of the stand-ins. Limits of tokens a second are still not enforced.

--- a/packages/common/src/rosemaryseam/common/documents.py
+++ b/packages/common/src/rosemaryseam/common/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from typing import TYPE_CHECKING, Any, NamedTuple, TypeVar
 
 import yaml
@@ -96,6 +97,14 @@
         raise DocumentFaultsError(faults) from exc
 
 
+def to_json(value: Any) -> bytes:
+    """Return named tuples as JSON objects, so that stored data can gain keys.
+
+    :param value: a named tuple of JSON's types and further named tuples
+    """
+    return json.dumps(_plain(value)).encode()
+
+
 def dotted(path: Sequence[str | int]) -> str:
     """Return a path in dotted form.
 
@@ -104,6 +113,14 @@
     return '.'.join(str(part) for part in path) or 'document'
 
 
+def _plain(value: Any) -> Any:
+    if hasattr(value, '_asdict'):
+        return {key: _plain(item) for key, item in value._asdict().items()}
+    if isinstance(value, list | tuple):
+        return [_plain(item) for item in value]
+    return value
+
+
 def _plain_message(error: Any) -> str:
     if error['type'] in ('extra_forbidden', 'unexpected_keyword_argument'):
         return 'unknown key'
--- a/packages/common/src/rosemaryseam/common/revisions.py
+++ b/packages/common/src/rosemaryseam/common/revisions.py
@@ -8,6 +8,7 @@
 from pydantic import TypeAdapter, ValidationError
 
 from rosemaryseam.common.catalogue import Catalogue, load_catalogue
+from rosemaryseam.common.documents import to_json
 from rosemaryseam.common.errors import (
     CatalogueError,
     PlatformError,
@@ -53,7 +54,7 @@
 
     :param revision: the revision
     """
-    return _ADAPTER.dump_json(revision)
+    return to_json(revision)
 
 
 def decode_revision(data: bytes) -> tuple[Revision, Catalogue]:
@@ -62,10 +63,7 @@
     :param data: what :func:`encode_revision` made
     :raises CatalogueError: the envelope or the document in it is invalid
     """
-    try:
-        revision = _ADAPTER.validate_json(data)
-    except ValidationError as exc:
-        raise CatalogueError(f'stored catalogue: {exc.errors()[0]["msg"]}') from exc
+    revision = _parse(data)
     if not revision.history or revision.history[-1].revision != revision.revision:
         raise CatalogueError('stored catalogue: history does not match the revision')
     return revision, load_catalogue(revision.text)
@@ -88,8 +86,7 @@
     stored = store.get(CATALOGUE_KEY)
     history: tuple[Change, ...] = ()
     if stored is not None:
-        current = _ADAPTER.validate_json(stored.value)
-        history = current.history
+        history = _parse(stored.value).history
     found = history[-1].revision if history else 0
     if found != base:
         raise _conflict(base, history)
@@ -117,6 +114,13 @@
     return None if stored is None else decode_revision(stored.value)
 
 
+def _parse(data: bytes) -> Revision:
+    try:
+        return _ADAPTER.validate_json(data)
+    except ValidationError as exc:
+        raise CatalogueError(f'stored catalogue: {exc.errors()[0]["msg"]}') from exc
+
+
 def _took_effect(store: KeyValueStore, change_id: str) -> bool:
     try:
         history = _read_history(store)
@@ -133,7 +137,7 @@
     stored = store.get(CATALOGUE_KEY)
     if stored is None:
         return ()
-    return _ADAPTER.validate_json(stored.value).history
+    return _parse(stored.value).history
 
 
 def _conflict(base: int, history: tuple[Change, ...]) -> CatalogueError:
--- a/packages/node/src/rosemaryseam/node/claims.py
+++ b/packages/node/src/rosemaryseam/node/claims.py
@@ -15,6 +15,7 @@
 from loguru import logger
 from pydantic import TypeAdapter, ValidationError
 
+from rosemaryseam.common.documents import to_json
 from rosemaryseam.common.errors import (
     PlatformError,
     RequestError,
@@ -192,7 +193,7 @@
 
     def _write(self, key: str, record: Record, index: int) -> Claim | None:
         """Create the record; resolve a lost answer by reading back."""
-        data = _ADAPTER.dump_json(record)
+        data = to_json(record)
         try:
             self._store.put(key, data, index)
         except UnknownOutcomeError:
@@ -218,7 +219,7 @@
     def _block_late_write(self, key: str, record: Record, index: int) -> None:
         """Move the index on, so that the unanswered write fails if it arrives."""
         note = record._replace(state=NOT_RUN)
-        self._store.put(key, _ADAPTER.dump_json(note), index)
+        self._store.put(key, to_json(note), index)
 
     def mark_unknown(self, claim: Claim) -> bool:
         """Note that the request was sent and its end is not known.
@@ -230,7 +231,7 @@
 
     def _settle(self, claim: Claim, record: Record) -> bool:
         try:
-            data = _ADAPTER.dump_json(record)
+            data = to_json(record)
             return self._store.put(claim.key, data, claim.index)
         except PlatformError:
             self._metrics.count('claims_unsettled')
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,21 +3,15 @@
 from __future__ import annotations
 
 import pathlib
-import sys
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import pytest
-
-ROOT = pathlib.Path(__file__).resolve().parent.parent
-sys.path.insert(0, str(ROOT / 'tools'))
-
-from catalogues import sample_catalogue  # noqa: E402
-from fleet import Fleet  # noqa: E402
+from fleets import StartedFleet, start_fleet
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-KNOWN_RED = ROOT / 'KNOWN-RED.txt'
+KNOWN_RED = pathlib.Path(__file__).resolve().parent.parent / 'KNOWN-RED.txt'
 
 
 def _known_red() -> dict[str, str]:
@@ -46,65 +40,6 @@
         terminalreporter.write_line(f'known red: {line}')
 
 
-class StartedFleet(Fleet):
-    """A fleet with its upstreams by name."""
-
-    engines: dict[str, str]
-    apps: dict[str, str]
-    catalogue: dict[str, Any]
-    key_value_direct: str
-
-
-def start_fleet(
-    folder: pathlib.Path,
-    nodes: int = 3,
-    engines: int = 2,
-    apps: int = 2,
-    concurrent: int = 8,
-    engine_flags: tuple[str, ...] = (),
-    change: Callable[[dict[str, Any]], None] | None = None,
-    relayed: bool = False,
-    via_relay: bool = False,
-    **settings: object,
-) -> StartedFleet:
-    """Start a fleet with the sample catalogue and wait until it serves.
-
-    :param folder: for settings and logs
-    :param concurrent: calls that the owner of each upstream lends
-    :param engine_flags: of each engine stand-in
-    :param change: edits the sample catalogue before it is applied
-    :param relayed: put a relay before each node's peer port
-    :param via_relay: put a relay before the key-value service
-    :param settings: of each node
-    """
-    fleet = StartedFleet(folder)
-    try:
-        fleet.start_platform()
-        fleet.key_value_direct = fleet.key_value
-        if via_relay:
-            fleet.key_value = fleet.start_relay('relay-keyvalue', fleet.key_value)
-        fleet.engines = {
-            name: fleet.start_standin(name, 'engine', *engine_flags)
-            for name in (f'engine-{n + 1}' for n in range(engines))
-        }
-        fleet.apps = {
-            name: fleet.start_standin(name, 'apprunner')
-            for name in (f'app-{n + 1}' for n in range(apps))
-        }
-        fleet.plan_nodes(nodes, relayed=relayed, **settings)
-        fleet.start_nodes()
-        fleet.catalogue = sample_catalogue(fleet.engines, fleet.apps, concurrent)
-        if change is not None:
-            change(fleet.catalogue)
-        fleet.apply_catalogue(fleet.catalogue)
-        fleet.wait_ready()
-        fleet.wait_serving()
-    except BaseException:
-        fleet.stop()
-        raise
-    return fleet
-
-
 @pytest.fixture(scope='session')
 def shared_fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[StartedFleet]:
     """A fleet for tests that leave it as they found it."""
--- a/tests/test_node/test_openai_client.py
+++ b/tests/test_node/test_openai_client.py
@@ -13,7 +13,7 @@
 from rosemaryseam.standins.content import answer_tokens
 
 if TYPE_CHECKING:
-    from conftest import StartedFleet
+    from fleets import StartedFleet
 
 CHAT = {'model': 'small', 'messages': [{'role': 'user', 'content': 'A stall, please.'}]}
 TEXT = {'model': 'small', 'prompt': 'Write listing copy.'}
--- /dev/null
+++ b/tests/test_node/test_path.py
@@ -0,0 +1,209 @@
+"""The whole path over plain HTTP: passing, classes, refusals, retries."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import urllib.error
+import urllib.request
+from typing import TYPE_CHECKING, Any
+
+import openai
+import pytest
+
+from catalogues import KEYS
+from fleet import ADMIN_TOKEN, call, wait_until
+from rosemaryseam.common.errors import ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fleets import StartedFleet
+
+MARKET = {'Authorization': f'Bearer {KEYS["market"]}'}
+
+
+def _send(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+) -> tuple[int, dict[str, str], bytes]:
+    url = f'http://{address}{path}'
+    request = urllib.request.Request(url, body, headers or MARKET, method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=10) as response:
+            return response.status, dict(response.headers), response.read()
+    except urllib.error.HTTPError as exc:
+        return exc.code, dict(exc.headers), exc.read()
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'body'),
+    [
+        ('GET', '/availability/7?from=1&to=%C3%A9', None),
+        ('POST', '/bookings', b'{"unit": 1}'),
+        ('PUT', '/units/5/photo', bytes(range(256))),
+        ('DELETE', '/units/5', None),
+        ('PATCH', '/a/b/c/', b'x' * 100_000),
+    ],
+)
+def test_app_request_is_passed_whole(
+    shared_fleet: StartedFleet, method: str, path: str, body: bytes | None
+) -> None:
+    address = shared_fleet.nodes['host-2']['listen']
+    headers = {**MARKET, 'X-Custom': 'kept', 'Content-Type': 'application/x-any'}
+    status, _, data = _send(address, method, f'/apps/desk{path}', body, headers)
+    answer = json.loads(data)
+    assert status == 200
+    assert answer['method'] == method
+    assert answer['path'] == urllib.request.unquote(path.split('?')[0])
+    assert answer['query'] == path.partition('?')[2]
+    assert answer['digest'] == hashlib.sha256(body or b'').hexdigest()
+    assert answer['header'] == 'kept'
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'body', 'headers', 'status', 'code'),
+    [
+        ('GET', '/v1/models', None, {'X': '1'}, 401, ResultCode.UNAUTHENTICATED),
+        ('GET', '/v1/nothing', None, MARKET, 404, ResultCode.NOT_FOUND),
+        ('DELETE', '/v1/models', None, MARKET, 404, ResultCode.NOT_FOUND),
+        ('GET', '/apps/nowhere/x', None, MARKET, 404, ResultCode.NOT_FOUND),
+        ('GET', '/apps/models/x', None, MARKET, 404, ResultCode.NOT_FOUND),
+        ('POST', '/v1/completions', b'{', MARKET, 400, ResultCode.BAD_REQUEST),
+        ('POST', '/v1/completions', b'[]', MARKET, 400, ResultCode.BAD_REQUEST),
+        ('POST', '/v1/completions', b'[' * 90000, MARKET, 400, ResultCode.BAD_REQUEST),
+        (
+            'POST',
+            '/v1/completions',
+            b'x' * 4_000_001,
+            MARKET,
+            413,
+            ResultCode.BODY_TOO_LARGE,
+        ),
+        (
+            'POST',
+            '/apps/desk/bookings',
+            b'{}',
+            {**MARKET, 'Idempotency-Key': 'k' * 300},
+            400,
+            ResultCode.BAD_REQUEST,
+        ),
+    ],
+)
+def test_refusals(
+    shared_fleet: StartedFleet,
+    method: str,
+    path: str,
+    body: bytes | None,
+    headers: dict[str, str],
+    status: int,
+    code: int,
+) -> None:
+    address = shared_fleet.nodes['host-1']['listen']
+    got, _, data = _send(address, method, path, body, headers)
+    assert got == status
+    assert json.loads(data)['error']['result_code'] == code
+
+
+def test_key_of_another_request_is_refused(shared_fleet: StartedFleet) -> None:
+    address = shared_fleet.nodes['host-1']['listen']
+    headers = {**MARKET, 'Idempotency-Key': 'used'}
+    assert _send(address, 'POST', '/apps/desk/fees', b'1', headers)[0] == 200
+    status, answer_headers, data = _send(
+        address, 'POST', '/apps/desk/fees', b'2', headers
+    )
+    assert status == 422
+    assert json.loads(data)['error']['result_code'] == ResultCode.KEY_REUSED
+    assert answer_headers['x-should-retry'] == 'false'
+
+
+@pytest.mark.parametrize('stream', [True, False])
+def test_given_up_request_is_told_with_a_time_to_come_back(
+    own_fleet: Callable[..., Any], stream: bool
+) -> None:
+    """With every engine drained, a class that sheds is told at its target."""
+
+    def drain(catalogue: dict[str, Any]) -> None:
+        for upstream in catalogue['upstreams']:
+            upstream['drain'] = True
+
+    fleet = own_fleet(nodes=2, engines=1, apps=0, change=drain)
+    body = json.dumps({'model': 'small', 'prompt': 'x', 'stream': stream}).encode()
+    headers = {**MARKET, 'X-Request-Class': 'coaching'}
+    for settings in fleet.nodes.values():
+        status, answer_headers, data = _send(
+            settings['listen'], 'POST', '/v1/completions', body, headers
+        )
+        error = json.loads(data)['error']
+        assert status == 503
+        assert error['result_code'] == ResultCode.DEADLINE_EXCEEDED
+        assert int(answer_headers['retry-after']) >= 1
+
+
+def test_openai_client_comes_back_when_told(own_fleet: Callable[..., Any]) -> None:
+    """The client's own retries meet a fleet whose only engine returns."""
+
+    def shed(catalogue: dict[str, Any]) -> None:
+        for upstream in catalogue['upstreams']:
+            upstream['drain'] = True
+
+    fleet = own_fleet(nodes=1, engines=1, apps=0, change=shed)
+    document = fleet.catalogue
+    client = openai.OpenAI(
+        base_url=f'http://{fleet.nodes["host-1"]["listen"]}/v1',
+        api_key=KEYS['market'],
+        default_headers={'X-Request-Class': 'coaching'},
+        max_retries=5,
+    )
+    with pytest.raises(openai.InternalServerError):
+        client.with_options(max_retries=0).completions.create(model='small', prompt='x')
+    document['upstreams'][0]['drain'] = False
+    fleet.apply_catalogue(document)
+    answer = client.completions.create(model='small', prompt='x')
+    assert answer.choices[0].finish_reason == 'stop'
+
+
+def test_unknown_end_is_told_as_unknown(own_fleet: Callable[..., Any]) -> None:
+    """A runner that executes and never answers: the end is unknown, then still so."""
+    timing = {'upstream_first_byte_s': 1.0}
+    fleet = own_fleet(nodes=2, engines=0, apps=1, timing=timing)
+    fleet.control('app-1', {'silent': True})
+    headers = {**MARKET, 'Idempotency-Key': 'silent'}
+    for settings in fleet.nodes.values():
+        status, answer_headers, data = _send(
+            settings['listen'], 'POST', '/apps/desk/fees', b'1', headers
+        )
+        assert status == 502
+        assert json.loads(data)['error']['result_code'] == ResultCode.OUTCOME_UNKNOWN
+        assert answer_headers['x-should-retry'] == 'false'
+    assert len(fleet.control('app-1')['executions']) == 1
+
+
+def test_without_a_key_the_node_sends_once(own_fleet: Callable[..., Any]) -> None:
+    timing = {'upstream_first_byte_s': 1.0}
+    fleet = own_fleet(nodes=1, engines=0, apps=2, timing=timing)
+    for name in fleet.apps:
+        fleet.control(name, {'silent': True})
+    address = fleet.nodes['host-1']['listen']
+    status, _, data = _send(address, 'POST', '/apps/desk/fees', b'1')
+    assert status == 502
+    assert json.loads(data)['error']['result_code'] == ResultCode.OUTCOME_UNKNOWN
+    executions = [fleet.control(name)['executions'] for name in fleet.apps]
+    assert sum(len(entries) for entries in executions) == 1
+
+
+def test_admin_port(shared_fleet: StartedFleet) -> None:
+    admin = shared_fleet.nodes['host-1']['admin_listen']
+    token = {'Authorization': f'Bearer {ADMIN_TOKEN}'}
+    assert call(admin, '/healthz') == {'status': 'ok'}
+    assert call(admin, '/readyz')['ready'] is True
+    for path in ('/dump', '/metrics', '/catalogue'):
+        assert _send(admin, 'GET', path)[0] == 401
+    status, _, text = _send(admin, 'GET', '/metrics', None, token)
+    assert status == 200
+    assert b'rosemaryseam_grants_total' in text or b'rosemaryseam_' in text
+    dump = call(admin, '/dump', headers=token)
+    wait_until(lambda: dump['member']['majority'], 'a majority', 1.0)
--- /dev/null
+++ b/tests/test_policy/test_decisions.py
@@ -0,0 +1,125 @@
+"""Placement, preemption, quorum, drain rate, retries and rendezvous hashing."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from test_ordering import demand
+
+from rosemaryseam.policy.drain import MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S, DrainRate
+from rosemaryseam.policy.placement import load, place
+from rosemaryseam.policy.preemption import Running, choose_victim
+from rosemaryseam.policy.quorum import has_majority
+from rosemaryseam.policy.rendezvous import Candidate, assign, rank
+from rosemaryseam.policy.requests import Supply
+from rosemaryseam.policy.retry import RetryBudget
+
+
+def supply(name: str, **change: Any) -> Supply:
+    entry = Supply(name, 'zone-a', frozenset(), 4, 0, 0, False, False)
+    return entry._replace(**change)
+
+
+supplies = st.lists(
+    st.builds(
+        supply,
+        st.sampled_from('abcdef'),
+        used=st.integers(0, 4),
+        leaving=st.booleans(),
+        reported_waiting=st.integers(0, 3),
+        classes=st.sampled_from([frozenset(), frozenset({'listing'})]),
+    ),
+    unique_by=lambda entry: entry.name,
+)
+
+
+@given(supplies, st.sampled_from(['', 'prefix-1', 'prefix-2']))
+@settings(derandomize=True, deadline=None)
+def test_place_against_the_naive_choice(found: list[Supply], prefix: str) -> None:
+    """The naive twin: any upstream that is open, else none."""
+    request = demand(1, 'coaching', 0.0, prefix=prefix, excluded=frozenset('a'))
+    allowed = [
+        entry
+        for entry in found
+        if entry.used < entry.concurrent
+        and not entry.leaving
+        and entry.name != 'a'
+        and not entry.classes
+    ]
+    chosen = place(request, found)
+    assert (chosen in allowed) if allowed else chosen is None
+    if chosen is not None and not prefix:
+        assert load(chosen) == min(load(entry) for entry in allowed)
+
+
+@pytest.mark.parametrize(
+    ('running', 'victim'),
+    [
+        ([], None),
+        ([Running('k', 0, 'a', 1.0)], None),
+        ([Running('k', 1, 'b', 1.0)], None),
+        ([Running('k', 1, 'a', 1.0)], 'k'),
+        ([Running('k', 1, 'a', 9.0), Running('l', 2, 'a', 1.0)], 'l'),
+        ([Running('k', 2, 'a', 1.0), Running('l', 2, 'a', 9.0)], 'l'),
+    ],
+)
+def test_victim(running: list[Running], victim: str | None) -> None:
+    """Lowest tier first, then the one that ran the shortest; never upwards."""
+    chosen = choose_victim(demand(1, 'coaching', 0.0), running, frozenset('a'))
+    assert (chosen.key if chosen else None) == victim
+
+
+@given(st.sets(st.sampled_from('abcdefg'), min_size=1), st.data())
+@settings(derandomize=True, deadline=None)
+def test_two_majorities_share_a_host(roster: set[str], data: st.DataObject) -> None:
+    one = data.draw(st.sets(st.sampled_from(sorted(roster))))
+    other = data.draw(st.sets(st.sampled_from(sorted(roster))))
+    if has_majority(one, roster) and has_majority(other, roster):
+        assert one & other
+    rest = roster - one
+    assert has_majority(one, roster) != has_majority(rest, roster)
+
+
+@pytest.mark.parametrize(
+    ('grants', 'ahead', 'expected'),
+    [(0, 10, MIN_RETRY_AFTER_S), (20, 40, 20.0), (20, 1, 1.0), (1, 1000, 60.0)],
+)
+def test_retry_after_follows_the_drain_rate(
+    grants: int, ahead: int, expected: float
+) -> None:
+    drain = DrainRate(window_s=10.0)
+    for number in range(grants):
+        drain.record(number * 10.0 / grants)
+    wait = drain.retry_after_s(ahead, 10.0)
+    assert wait == pytest.approx(expected, rel=0.1)
+    assert MIN_RETRY_AFTER_S <= wait <= MAX_RETRY_AFTER_S
+
+
+def test_retry_budget_is_a_share_of_first_tries() -> None:
+    budget = RetryBudget(ratio=0.2, minimum=0.0, maximum=10.0)
+    spent = 0
+    for _ in range(1000):
+        budget.record_first_try()
+        spent += budget.spend()
+    assert spent == pytest.approx(200, abs=1)
+
+
+@given(st.sets(st.text('abcdef', min_size=1, max_size=3), min_size=2), st.text())
+@settings(derandomize=True, deadline=None)
+def test_rank_moves_only_what_a_lost_host_held(names: set[str], key: str) -> None:
+    first, *rest = rank(key, names)
+    assert rank(key, rest) == rest
+    assert rank(key, names - {rest[-1]})[0] == first
+
+
+def test_partitions_spread_over_hosts_of_the_zone() -> None:
+    hosts = [Candidate(f'host-{n}', f'zone-{n % 2}') for n in range(8)]
+    placed = Counter(
+        assign(f'pool#{n}', hosts, {'zone-1': 3, 'zone-0': 1}) for n in range(400)
+    )
+    assert set(placed) == {'host-1', 'host-3', 'host-5', 'host-7'}
+    assert max(placed.values()) < 2 * min(placed.values())
