Take lower tiers' slots before shedding on arrival; split the partition

Cause: a class that sheds on arrival was judged by the queue's drain rate alone. With every slot held by long drafting calls the rate is low, so a single coaching request was refused although calls of a lower tier could have been preempted: an inversion. Ruled out: preempting at once for each arrival (most free slots come within a quarter of the target). Change: preemptible calls of lower tiers count as slots that come free. Grants that end unused or preempted no longer count as drain.

--- a/packages/node/src/rosemaryseam/node/partition.py
+++ b/packages/node/src/rosemaryseam/node/partition.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import Counter
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -17,13 +16,12 @@
     Refusal,
     Takeover,
 )
-from rosemaryseam.policy.drain import DrainRate
-from rosemaryseam.policy.leases import CeilingKey, LeaseBook
+from rosemaryseam.node.recovery import Recovery
+from rosemaryseam.node.waits import Given, Waits
+from rosemaryseam.policy.leases import CeilingKey, HostUse, LeaseBook, next_ceiling
 from rosemaryseam.policy.lengths import LengthPredictor
-from rosemaryseam.policy.ordering import WaitQueue
 from rosemaryseam.policy.placement import place
-from rosemaryseam.policy.preemption import Running, choose_victim
-from rosemaryseam.policy.quorum import has_majority
+from rosemaryseam.policy.preemption import Running, choose_victim, spare_calls
 from rosemaryseam.policy.rates import TokenLimits
 from rosemaryseam.policy.requests import Demand, Supply
 
@@ -36,15 +34,13 @@
     from rosemaryseam.node.metrics import Metrics
     from rosemaryseam.node.settings import Bounds, Timing
 
-MAX_HEADROOM = 2  # grants above those in use that a ceiling leaves open
-HEADROOM_DIVISOR = 4  # of a limit; small limits get no headroom
-ACTIVE_S = 5.0  # how long after a request a host's ceilings keep their headroom
 RENEW_SHARE = 0.25  # of a lease's time after which it is renewed
 RETRY_SOON_S = 1.0
 PREEMPT_AGAIN_S = 1.0  # after which an unanswered preemption is repeated
 PREEMPT_SHARE = 0.25  # of the target that passes before a call is preempted
 
 WHOLE = 'done'  # outcome of a call whose whole answer came
+STILL_WANTED = ('preempted', 'unused')  # outcomes after which a request may wait again
 
 RECOVERING = 'recovering'
 CONFIRMING = 'confirming'
@@ -86,23 +82,20 @@
         self._view = view
         self._rules = rules
         self._timing = timing
-        self._bounds = bounds
         self._metrics = metrics
         self._send = send
-        self._queue = WaitQueue(timing.starvation_s)
-        self._refreshed: dict[str, float] = {}
-        self._asked_at: dict[str, float] = {}
+        self._waits = Waits(
+            timing.starvation_s,
+            bounds.queue_length,
+            timing.lease_s + timing.resend_s,
+        )
         self._holdings = HoldingBook()
-        self._replied: set[str] = set()
-        self._informed: set[str] = set()
-        self._reported: Counter[CeilingKey] = Counter()
+        self._recovery = Recovery(timing.resend_s)
         self._sequences: Counter[str] = Counter()
         self._lease = LeaseBook(timing.lease_s)
         self._wanted: Counter[CeilingKey] = Counter()
-        self._majority_at: float | None = None
         self._renew_at = now
         self._valid_at = now
-        self._drain = DrainRate()
         self._waiting: dict[str, int] = {}
         self._lengths = LengthPredictor()
         self._token_limits = TokenLimits()
@@ -142,13 +135,8 @@
         """
         if holdings.epoch != self.epoch:
             return
-        for ceiling in holdings.ceilings:
-            key = (ceiling.host, ceiling.upstream)
-            self._reported[key] = max(self._reported[key], ceiling.count)
         self._reconcile(host, holdings, now)
-        self._replied.add(host)
-        if holdings.informed:
-            self._informed.add(host)
+        self._recovery.record(host, holdings.ceilings, informed=holdings.informed)
         self._holdings.unstrand(host)
         self.pump(now)
 
@@ -162,14 +150,16 @@
         if holding is not None:
             self._send_again(demand.key, holding)
             return
-        self._refreshed[demand.key] = now
-        self._asked_at[demand.host] = now
-        if demand.key in self._queue:
+        if self._waits.refresh(demand, now):
             return
-        if self._sheds_on_arrival(demand, now):
+        shed = self._shed_on_arrival(demand, now)
+        if shed is not None:
+            self._give_up(shed)
             return
-        self._queue.push(demand, now)
-        self._shed_overflow(now)
+        self._waits.push(demand, now)
+        overflow = self._waits.overflow(now)
+        if overflow is not None:
+            self._give_up(overflow)
         self.pump(now)
 
     def on_withdraw(self, host: str, key: str, now: float) -> None:
@@ -179,7 +169,7 @@
         :param key: the request's key
         :param now: seconds on the monotonic clock
         """
-        self._leave_queue(key)
+        self._waits.leave(key)
         holding = self._holdings.get(key)
         if holding is not None and holding.host == host:
             self._holdings.drop(key)
@@ -196,7 +186,8 @@
         if holding is not None and holding.host == host:
             self._settle_charge(holding, release, now)
             self._holdings.drop(release.key)
-            self._drain.record(now)
+            if release.outcome not in STILL_WANTED:
+                self._waits.record_drain(now)
             self.pump(now)
 
     def on_ack(self, host: str, version: int, now: float) -> None:
@@ -216,18 +207,19 @@
         """
         if self.phase != RECOVERING and now >= self._renew_at:
             self._renew(now)
-        self._ask(self._view.reachable - self._replied)
+        self._ask(self._view.reachable - self._recovery.replied)
         self._advance_recovery(now)
         self._holdings.expire(self._longest_run_s(), now)
-        self._drop_stale(now)
-        self._refuse_expired(now)
+        self._waits.drop_stale(now)
+        for given in self._waits.due_ends(now):
+            self._give_up(given)
         self._refuse_without_lease(now)
         self.pump(now)
         self._preempt(now)
 
     def abandon(self) -> list[Demand]:
         """Return the requests that wait, for another dispatcher to serve."""
-        return list(self._queue)
+        return list(self._waits)
 
     def pump(self, now: float) -> None:
         """Grant what can be granted.
@@ -235,7 +227,7 @@
         :param now: seconds on the monotonic clock
         """
         self._advance_recovery(now)
-        if self.phase != SERVING or not len(self._queue):
+        if self.phase != SERVING or not len(self._waits):
             return
         if not self._lease.is_valid(self._view.roster, now):
             return
@@ -244,14 +236,14 @@
 
     def backlog(self) -> dict[int, int]:
         """Return how many requests wait in each tier."""
-        return self._queue.backlog()
+        return self._waits.backlog()
 
     def dump(self) -> dict[str, Any]:
         """Return the state in JSON's types."""
         return {
             'epoch': list(self.epoch),
             'phase': self.phase,
-            'waiting': {str(tier): n for tier, n in self._queue.backlog().items()},
+            'waiting': {str(tier): n for tier, n in self._waits.backlog().items()},
             'used': {
                 entry.name: self._holdings.total(entry.name)
                 for entry in self._rules.upstreams
@@ -259,7 +251,7 @@
             'stranded': {
                 host: dict(counts) for host, counts in self._holdings.stranded().items()
             },
-            'replied': sorted(self._replied),
+            'replied': sorted(self._recovery.replied),
             'lease_version': self._lease.version,
         }
 
@@ -277,41 +269,28 @@
         the others may hold is bounded by the ceilings that the majority heard of.
         Then a majority accepts a lease whose ceilings say all that.
         """
-        roster = self._view.roster
-        if self.phase == RECOVERING and self._has_replies(now):
-            informed = has_majority(self._informed, roster)
-            for host in roster - self._replied:
-                self._strand(host, now, informed=informed)
+        view = self._view
+        if self.phase == RECOVERING and self._recovery.is_complete(
+            view.roster, view.reachable, now
+        ):
+            for host in view.roster - self._recovery.replied:
+                self._strand(host, now)
             self.phase = CONFIRMING
             self._renew(now)
-        if self.phase == CONFIRMING and self._lease.is_valid(roster, now):
+        if self.phase == CONFIRMING and self._lease.is_valid(view.roster, now):
             self.phase = SERVING
             self._valid_at = now
             self._metrics.count('partitions_taken_over', partition=self.name)
 
-    def _has_replies(self, now: float) -> bool:
-        if not has_majority(self._replied, self._view.roster):
-            return False
-        if self._majority_at is None:
-            self._majority_at = now
-        waited = now - self._majority_at
-        missing = self._view.reachable - self._replied
-        return not missing or waited >= self._timing.resend_s
-
-    def _strand(self, host: str, now: float, *, informed: bool) -> None:
-        """Count what a silent host may hold as held.
-
-        :param informed: whether a majority heard a former dispatcher's ceilings;
-            otherwise the host may hold as much as the owners lend
-        """
-        held: Counter[str] = Counter()
+    def _strand(self, host: str, now: float) -> None:
+        """Count what a silent host may hold as held."""
+        counts: Counter[str] = Counter()
         for entry in self._rules.upstreams:
-            count = entry.limits.concurrent
-            if informed:
-                count = self._reported[host, entry.name]
-            if count:
-                held[entry.name] = count
-        self._holdings.strand(host, held, now)
+            limit = entry.limits.concurrent
+            counts[entry.name] = self._recovery.most_held(
+                host, entry.name, limit, self._view.roster
+            )
+        self._holdings.strand(host, +counts, now)
         self._metrics.count('hosts_stranded', partition=self.name)
 
     def _reconcile(self, host: str, holdings: Holdings, now: float) -> None:
@@ -327,7 +306,7 @@
                     host, entry.upstream, entry.request_class, entry.workspace, 0, now
                 )
                 self._holdings.add(key, holding)
-                self._leave_queue(key)
+                self._waits.leave(key)
             self._charge_up_to(key, entry.events, now)
 
     def _longest_run_s(self) -> float:
@@ -341,20 +320,14 @@
         return {host for host in now if before.get(host, now[host]) != now[host]}
 
     def _known_hosts(self) -> set[str]:
-        return self._holdings.hosts() | self._replied
+        return self._holdings.hosts() | self._recovery.replied
 
     def _forget(self, host: str, now: float) -> None:
         """Drop everything of a host whose process has ended."""
         self._holdings.end(host, now)
-        self._replied.discard(host)
-        self._informed.discard(host)
-        for demand in list(self._queue):
-            if demand.host == host:
-                self._leave_queue(demand.key)
-        for key in [entry for entry in self._reported if entry[0] == host]:
-            del self._reported[key]
+        self._recovery.forget(host)
+        self._waits.forget(host)
         self._sequences.pop(host, None)
-        self._asked_at.pop(host, None)
 
     # The lease and its ceilings.
 
@@ -373,19 +346,14 @@
 
     def _ceilings(self, now: float) -> dict[CeilingKey, int]:
         """Return ceilings a little above use, and what silent hosts may hold."""
-        limits = {
-            entry.name: entry.limits.concurrent for entry in self._rules.upstreams
-        }
-        active = {host for host, at in self._asked_at.items() if now - at < ACTIVE_S}
+        active = self._waits.active_hosts(now)
         held = self._holdings.used()
         ceilings: dict[CeilingKey, int] = {}
-        for host in self._replied:
-            for upstream, limit in limits.items():
-                used = held[host, upstream]
-                headroom = self._wanted[host, upstream]
-                if host in active:
-                    headroom += min(MAX_HEADROOM, limit // HEADROOM_DIVISOR)
-                ceilings[host, upstream] = max(used, min(limit, used + headroom))
+        for host in self._recovery.replied:
+            for entry in self._rules.upstreams:
+                key = (host, entry.name)
+                use = HostUse(held[key], self._wanted[key], host in active)
+                ceilings[key] = next_ceiling(use, entry.limits.concurrent)
         for host, counts in self._holdings.stranded().items():
             for upstream, count in counts.items():
                 ceilings[host, upstream] = count
@@ -399,15 +367,16 @@
             return
         if self._view.has_majority or now - self._valid_at < self._timing.lease_s:
             return
-        for demand in list(self._queue):
+        for demand in list(self._waits):
             message = 'this host does not see a majority of the fleet'
-            self._refuse(demand, ResultCode.MINORITY, message, RETRY_SOON_S)
+            given = Given(demand, ResultCode.MINORITY, message, RETRY_SOON_S)
+            self._give_up(given)
 
     # Granting.
 
     def _grant_next(self, now: float) -> bool:
         supplies = self._supplies(now)
-        demand = self._queue.next(now, lambda entry: self._fits(entry, supplies))
+        demand = self._waits.next(now, lambda entry: self._fits(entry, supplies))
         if demand is None:
             return False
         allowed = [
@@ -417,8 +386,7 @@
         if supply is None:
             self._raise_ceilings(demand, supplies, now)
             return False
-        self._queue.serve(demand, now)
-        self._refreshed.pop(demand.key, None)
+        self._waits.serve(demand, now)
         self._sequences[demand.host] += 1
         holding = Holding(
             demand.host,
@@ -439,7 +407,7 @@
         return True
 
     def _fits(self, demand: Demand, supplies: list[Supply]) -> bool:
-        if demand.host not in self._replied:
+        if demand.host not in self._recovery.replied:
             return False
         return any(supply.free and supply.serves(demand) for supply in supplies)
 
@@ -512,58 +480,35 @@
 
     # Ending waits.
 
-    def _sheds_on_arrival(self, demand: Demand, now: float) -> bool:
+    def _shed_on_arrival(self, demand: Demand, now: float) -> Given | None:
+        """Return the refusal of a request that cannot meet its target.
+
+        Lower tiers that can be preempted count as slots that come free at once.
+        """
         if not demand.sheds or any(entry.free for entry in self._supplies(now)):
-            return False
-        wait = self._drain.wait_s(self._ahead(demand), now)
+            return None
+        lower = [call for call in self._spare_calls(now) if call.tier > demand.tier]
+        places = self._waits.ahead(demand) - len(lower)
+        wait = self._waits.wait_s(places, now)
         if wait is None or now + wait <= demand.due:
-            return False
+            return None
         message = 'the target cannot be met at the present load'
-        self._refuse(demand, ResultCode.NO_CAPACITY, message, wait)
-        return True
-
-    def _shed_overflow(self, now: float) -> None:
-        while len(self._queue) > self._bounds.queue_length:
-            demand = self._queue.lowest()
-            wait = self._drain.retry_after_s(len(self._queue), now)
-            self._refuse(demand, ResultCode.NO_CAPACITY, 'the queue is full', wait)
-
-    def _refuse_expired(self, now: float) -> None:
-        for demand in self._queue.expired(now):
-            wait = self._drain.retry_after_s(self._ahead(demand), now)
-            message = 'no upstream came free in time'
-            self._refuse(demand, ResultCode.DEADLINE_EXCEEDED, message, wait)
-
-    def _refuse(
-        self, demand: Demand, code: ResultCode, message: str, retry_after_s: float
-    ) -> None:
-        self._leave_queue(demand.key)
-        refusal = Refusal(demand.key, int(code), message, int(retry_after_s * 1000))
+        return Given(demand, ResultCode.NO_CAPACITY, message, wait)
+
+    def _give_up(self, given: Given) -> None:
+        """Tell a caller's gateway at once that its request is given up."""
+        demand, code = given.demand, int(given.code)
+        self._waits.leave(demand.key)
+        retry_after_ms = int(given.retry_after_s * 1000)
+        refusal = Refusal(demand.key, code, given.message, retry_after_ms)
         self._send(demand.host, refusal)
-        self._metrics.count(
-            'sheds', request_class=demand.request_class, code=str(int(code))
-        )
-
-    def _ahead(self, demand: Demand) -> int:
-        backlog = self._queue.backlog()
-        return 1 + sum(n for tier, n in backlog.items() if tier <= demand.tier)
-
-    def _drop_stale(self, now: float) -> None:
-        """Forget requests whose host stopped asking."""
-        horizon = now - self._timing.lease_s - self._timing.resend_s
-        for demand in list(self._queue):
-            if self._refreshed.get(demand.key, now) < horizon:
-                self._leave_queue(demand.key)
-
-    def _leave_queue(self, key: str) -> None:
-        self._queue.remove(key)
-        self._refreshed.pop(key, None)
+        self._metrics.count('sheds', request_class=demand.request_class, code=str(code))
 
     # Preemption.
 
     def _preempt(self, now: float) -> None:
         """Make room for requests that have waited a share of their target."""
-        if self.phase != SERVING or not len(self._queue):
+        if self.phase != SERVING or not len(self._waits):
             return
         supplies = [entry for entry in self._supplies(now) if not entry.leaving]
         pending = Counter(
@@ -571,7 +516,7 @@
             for _, holding in self._holdings
             if _is_preempting(holding, now)
         )
-        for demand in sorted(self._queue, key=lambda entry: (entry.tier, entry.due)):
+        for demand in sorted(self._waits, key=lambda entry: (entry.tier, entry.due)):
             serving = frozenset(
                 entry.name for entry in supplies if entry.serves(demand)
             )
@@ -582,7 +527,7 @@
                 continue
             if any(entry.free and entry.name in serving for entry in supplies):
                 continue
-            victim = choose_victim(demand, self._running(now), serving)
+            victim = choose_victim(demand, self._spare_calls(now), serving)
             if victim is None:
                 continue
             holding = self._holdings.change(victim.key, preempted_at=now)
@@ -592,26 +537,25 @@
     def _is_late(self, demand: Demand, now: float) -> bool:
         return now >= demand.arrived + PREEMPT_SHARE * (demand.due - demand.arrived)
 
-    def _running(self, now: float) -> list[Running]:
-        """Return the calls that may be preempted.
-
-        A class keeps its floor's share of the slots, so that what a floor has served
-        is also completed.
-        """
-        slots = sum(entry.limits.concurrent for entry in self._rules.upstreams)
-        by_class: dict[str, list[Running]] = {}
-        for key, holding in self._holdings:
-            entry = self._rules.classes.get(holding.request_class)
-            if entry is None or not entry.preemptible or _is_preempting(holding, now):
-                continue
-            call = Running(key, entry.tier, holding.upstream, holding.since)
-            by_class.setdefault(entry.name, []).append(call)
-        return [
-            call
-            for name, calls in by_class.items()
-            if len(calls) > math.ceil(self._rules.classes[name].floor * slots)
-            for call in calls
+    def _spare_calls(self, now: float) -> list[Running]:
+        """Return the calls that may be preempted."""
+        classes = self._rules.classes
+        running = [
+            Running(
+                key,
+                holding.request_class,
+                classes[holding.request_class].tier,
+                holding.upstream,
+                holding.since,
+            )
+            for key, holding in self._holdings
+            if holding.request_class in classes
+            and classes[holding.request_class].preemptible
+            and not _is_preempting(holding, now)
         ]
+        floors = {name: entry.floor for name, entry in classes.items()}
+        slots = sum(entry.limits.concurrent for entry in self._rules.upstreams)
+        return spare_calls(running, floors, slots)
 
 
 def _is_preempting(holding: Holding, now: float) -> bool:
--- a/packages/policy/src/rosemaryseam/policy/leases.py
+++ b/packages/policy/src/rosemaryseam/policy/leases.py
@@ -17,6 +17,9 @@
 
 CeilingKey = tuple[str, str]  # host, upstream
 
+MAX_HEADROOM = 2  # grants above those in use that a ceiling leaves open
+HEADROOM_DIVISOR = 4  # of a limit; small limits get no headroom
+
 
 class _Announcement(NamedTuple):
     sent_at: float
@@ -109,3 +112,26 @@
     def _sent_at(self, version: int) -> float:
         entry = self._announced.get(version)
         return entry.sent_at if entry is not None else float('-inf')
+
+
+class HostUse(NamedTuple):
+    """How a host uses an upstream, for its next ceiling."""
+
+    used: int
+    wanted: int
+    active: bool
+
+
+def next_ceiling(use: HostUse, limit: int) -> int:
+    """Return the ceiling to announce for a host on an upstream.
+
+    A host that asked lately gets headroom, so that its next grant needs no
+    announcement first. What a host has is never above its ceiling.
+
+    :param use: how the host uses the upstream
+    :param limit: what the owner lends
+    """
+    headroom = use.wanted
+    if use.active:
+        headroom += min(MAX_HEADROOM, limit // HEADROOM_DIVISOR)
+    return max(use.used, min(limit, use.used + headroom))
--- a/packages/standins/src/rosemaryseam/standins/caller.py
+++ b/packages/standins/src/rosemaryseam/standins/caller.py
@@ -227,6 +227,7 @@
         body: dict[str, Any] = {'number': self._number, 'words': words}
         if stream.kind != 'app':
             body = {'model': stream.model, 'max_tokens': stream.max_tokens}
+            body['min_tokens'] = stream.min_tokens
             body['stream'] = stream.streamed
         if stream.kind == 'chat':
             body['messages'] = [{'role': 'user', 'content': words}]
--- a/packages/standins/src/rosemaryseam/standins/content.py
+++ b/packages/standins/src/rosemaryseam/standins/content.py
@@ -30,7 +30,7 @@
     """
     digest = digest_request(body)
     limit = body.get('max_completion_tokens') or body.get('max_tokens') or MAX_TOKENS
-    count = min(output_length(digest), limit)
+    count = min(max(output_length(digest), body.get('min_tokens', 0)), limit)
     return [f'{digest[:8]}.{index} ' for index in range(count)]
 
 
--- a/packages/standins/src/rosemaryseam/standins/engine.py
+++ b/packages/standins/src/rosemaryseam/standins/engine.py
@@ -85,11 +85,15 @@
             'while_leaving': 0,
         }
         self.tokens_by_class: dict[str, int] = {}
-        self.log: list[tuple[float, str, str]] = []
+        self.log: list[tuple[float, str, str, str]] = []
         gevent.spawn(self._run)
 
     def apply(self, faults: dict[str, Any]) -> None:
-        """Set ``leaving``, ``silent``, ``slow``, ``crash_s`` or ``drop_events``."""
+        """Set faults.
+
+        ``leaving``, ``silent``, ``slow`` (a factor), ``crash_s``, ``lag_s`` of load
+        reports, ``drop_events`` (each n-th cache event) and ``events_lag_s``.
+        """
         self.faults.update(faults)
         if 'crash_s' in faults:
             self._crash(faults['crash_s'])
@@ -142,10 +146,14 @@
         return (old[-1][1], old[-1][2]) if old else (0, 0)
 
     def cache_events(self, after: int) -> list[dict[str, Any]]:
-        """Return cache events from a position, without those that got lost."""
+        """Return cache events from a position: late, and without those lost."""
         gap = self.faults.get('drop_events', 0)
-        events = self._events[after:]
-        return [entry for entry in events if not gap or entry['seq'] % gap]
+        horizon = self._clock.monotonic() - self.faults.get('events_lag_s', 0.0)
+        return [
+            entry
+            for entry in self._events[after:]
+            if entry['at'] <= horizon and (not gap or entry['seq'] % gap)
+        ]
 
     def _run(self) -> None:
         while True:
@@ -184,7 +192,14 @@
         self._cache[prefix] = None
         if len(self._cache) > CACHE_PREFIXES:
             del self._cache[next(iter(self._cache))]
-        self._events.append({'seq': len(self._events), 'stored': prefix, 'hit': hit})
+        self._events.append(
+            {
+                'seq': len(self._events),
+                'at': self._clock.monotonic(),
+                'stored': prefix,
+                'hit': hit,
+            }
+        )
         return hit
 
     def _emit(self, sequence: Sequence) -> None:
@@ -208,7 +223,9 @@
 
     def _note(self, event: str, sequence: Sequence) -> None:
         """Record an event for history checks, with the machine's monotonic time."""
-        self.log.append((self._clock.monotonic(), event, sequence.request_class))
+        moment = self._clock.monotonic()
+        entry = (moment, event, sequence.request_class, sequence.request_id)
+        self.log.append(entry)
 
     def _drop(self, sequence: Sequence) -> None:
         if sequence in self.running:
--- a/packages/standins/src/rosemaryseam/standins/scenario.py
+++ b/packages/standins/src/rosemaryseam/standins/scenario.py
@@ -31,6 +31,7 @@
     copies: Annotated[int, Field(gt=0, le=4)] = 1
     model: str = 'small'
     max_tokens: Annotated[int, Field(gt=0)] = 2000
+    min_tokens: Annotated[int, Field(ge=0)] = 0
     prompt_words: Annotated[int, Field(gt=0)] = 20
     request_class: str | None = None
 
--- a/tests/test_common/test_errors.py
+++ b/tests/test_common/test_errors.py
@@ -10,7 +10,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PAGE = ROOT / 'docs' / 'using' / 'result-codes.md'
-ROW = re.compile(r'^\| (\d+) \| ([A-Z_]+) \| (\d*) \|', re.MULTILINE)
+ROW = re.compile(r'^\| (\d+) \| ([A-Z_]+) \| *(\d*) *\|', re.MULTILINE)
 
 
 def test_page_lists_every_code() -> None:
--- a/tests/test_node/histories.py
+++ b/tests/test_node/histories.py
@@ -35,6 +35,14 @@
     at: float
 
 
+class Span(NamedTuple):
+    """A call that an upstream carried."""
+
+    tier: int
+    begin: float
+    end: float
+
+
 def inversions(
     sheds: Iterable[Shed], starts: Iterable[Start], grace_s: float
 ) -> list[tuple[Shed, Start]]:
@@ -52,6 +60,24 @@
     ]
 
 
+def overlaps(
+    sheds: Iterable[Shed], spans: Iterable[Span], grace_s: float
+) -> list[tuple[Shed, Span]]:
+    """Return sheds while a lower tier ran on, before and after the shed.
+
+    :param grace_s: before the shed for its start, after it for its preemption
+    """
+    ordered = list(spans)
+    return [
+        (shed, span)
+        for shed in sheds
+        for span in ordered
+        if span.tier > shed.tier
+        and span.begin < shed.shed_at - grace_s
+        and span.end > shed.shed_at + grace_s
+    ]
+
+
 def longest_gap(times: Iterable[float], begin: float, end: float) -> float:
     """Return the longest time without an event between two moments."""
     inside = [at for at in sorted(times) if begin <= at <= end]
@@ -103,6 +129,19 @@
     return [
         Start(tiers[name], at)
         for log in logs
-        for at, event, name in log
+        for at, event, name, _ in log
         if event == 'accepted'
     ]
+
+
+def spans_of(logs: Iterable[list[Any]], tiers: dict[str, int]) -> list[Span]:
+    """Return the calls among engines' logs that have ended."""
+    spans = []
+    for log in logs:
+        begun: dict[str, float] = {}
+        for at, event, name, request_id in log:
+            if event == 'accepted':
+                begun[request_id] = at
+            elif request_id in begun:
+                spans.append(Span(tiers[name], begun.pop(request_id), at))
+    return spans
--- a/tests/test_node/test_catalogue_in_force.py
+++ b/tests/test_node/test_catalogue_in_force.py
@@ -206,7 +206,7 @@
     _wait_in_force(fleet, before + 1)
     moment = time.monotonic() + IN_FORCE_S
     log = fleet.control('engine-1')['log']
-    assert not [at for at, event, _ in log if event == 'accepted' and at > moment]
+    assert not [at for at, event, *_ in log if event == 'accepted' and at > moment]
     fleet.apply_catalogue(fleet.catalogue)
 
 
--- a/tests/test_node/test_histories.py
+++ b/tests/test_node/test_histories.py
@@ -5,7 +5,17 @@
 from typing import Any
 
 import pytest
-from histories import Shed, Start, false_not_run, inversions, longest_gap, repeated
+from histories import (
+    Shed,
+    Span,
+    Start,
+    false_not_run,
+    inversions,
+    longest_gap,
+    overlaps,
+    repeated,
+    spans_of,
+)
 
 KEYED = {'key': 'booking-1'}
 
@@ -26,6 +36,31 @@
     assert bool(inversions([shed], [start], grace_s=0.3)) is found
 
 
+@pytest.mark.parametrize(
+    ('span', 'found'),
+    [
+        (Span(1, 1.0, 9.0), True),
+        (Span(0, 1.0, 9.0), False),
+        (Span(1, 3.9, 9.0), False),
+        (Span(1, 1.0, 4.1), False),
+    ],
+)
+def test_overlaps(span: Span, found: bool) -> None:
+    assert bool(overlaps([Shed(0, 2.0, 4.0)], [span], grace_s=0.5)) is found
+
+
+def test_spans_pair_a_request_with_its_end() -> None:
+    log = [
+        [1.0, 'accepted', 'listing', 'a'],
+        [2.0, 'accepted', 'coaching', 'b'],
+        [3.0, 'cancelled', 'listing', 'a'],
+        [4.0, 'accepted', 'listing', 'a'],
+        [5.0, 'completed', 'listing', 'a'],
+    ]
+    spans = spans_of([log], {'listing': 2, 'coaching': 0})
+    assert spans == [Span(2, 1.0, 3.0), Span(2, 4.0, 5.0)]
+
+
 @pytest.mark.parametrize(
     ('times', 'gap'), [([], 10.0), ([5.0], 5.0), ([2.0, 9.0], 7.0), ([1, 11], 9.0)]
 )
--- a/tests/test_node/test_leaving.py
+++ b/tests/test_node/test_leaving.py
@@ -20,7 +20,7 @@
 
 def _accepted_after(fleet: Any, name: str, moment: float) -> int:
     log = fleet.control(name)['log']
-    return sum(event == 'accepted' and at > moment for at, event, _ in log)
+    return sum(event == 'accepted' and at > moment for at, event, *_ in log)
 
 
 @pytest.mark.parametrize('source', ['host list', 'refusal'])
--- a/tests/test_node/test_lending_limits.py
+++ b/tests/test_node/test_lending_limits.py
@@ -21,7 +21,7 @@
     rule,
 )
 
-from rosemaryseam.node.partition import ACTIVE_S
+from rosemaryseam.node.waits import ACTIVE_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/test_node/test_path.py
+++ b/tests/test_node/test_path.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import json
+import threading
 import urllib.error
 import urllib.request
 from typing import TYPE_CHECKING, Any
@@ -125,12 +126,7 @@
     own_fleet: Callable[..., Any], stream: bool
 ) -> None:
     """With every engine drained, a class that sheds is told at its target."""
-
-    def drain(catalogue: dict[str, Any]) -> None:
-        for upstream in catalogue['upstreams']:
-            upstream['drain'] = True
-
-    fleet = own_fleet(nodes=2, engines=1, apps=0, change=drain)
+    fleet = own_fleet(nodes=2, engines=1, apps=0, change=_drain_all)
     body = json.dumps({'model': 'small', 'prompt': 'x', 'stream': stream}).encode()
     headers = {**MARKET, 'X-Request-Class': 'coaching'}
     for settings in fleet.nodes.values():
@@ -144,26 +140,36 @@
 
 
 def test_openai_client_comes_back_when_told(own_fleet: Callable[..., Any]) -> None:
-    """The client's own retries meet a fleet whose only engine returns."""
-
-    def shed(catalogue: dict[str, Any]) -> None:
-        for upstream in catalogue['upstreams']:
-            upstream['drain'] = True
-
-    fleet = own_fleet(nodes=1, engines=1, apps=0, change=shed)
-    document = fleet.catalogue
+    """The client's own retries, told when to come, find the engine that returned."""
+    fleet = own_fleet(nodes=1, engines=1, apps=0, change=_drain_all)
     client = openai.OpenAI(
         base_url=f'http://{fleet.nodes["host-1"]["listen"]}/v1',
         api_key=KEYS['market'],
         default_headers={'X-Request-Class': 'coaching'},
-        max_retries=5,
+        max_retries=8,
     )
-    with pytest.raises(openai.InternalServerError):
-        client.with_options(max_retries=0).completions.create(model='small', prompt='x')
-    document['upstreams'][0]['drain'] = False
-    fleet.apply_catalogue(document)
-    answer = client.completions.create(model='small', prompt='x')
-    assert answer.choices[0].finish_reason == 'stop'
+    answers: list[Any] = []
+
+    def ask() -> None:
+        answers.append(client.completions.create(model='small', prompt='x'))
+
+    asker = threading.Thread(target=ask)
+    asker.start()
+    wait_until(lambda: _refused(fleet, 'host-1') >= 1, 'the first refusal', 10.0)
+    fleet.catalogue['upstreams'][0]['drain'] = False
+    fleet.apply_catalogue(fleet.catalogue)
+    asker.join()
+    assert answers[0].choices[0].finish_reason == 'stop'
+
+
+def _refused(fleet: Any, host: str) -> int:
+    code = int(ResultCode.DEADLINE_EXCEEDED)
+    return fleet.dump(host)['counters'].get(f'errors,code={code}', 0)
+
+
+def _drain_all(catalogue: dict[str, Any]) -> None:
+    for upstream in catalogue['upstreams']:
+        upstream['drain'] = True
 
 
 def test_unknown_end_is_told_as_unknown(own_fleet: Callable[..., Any]) -> None:
--- a/tests/test_node/test_tiers.py
+++ b/tests/test_node/test_tiers.py
@@ -5,13 +5,21 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from histories import inversions, longest_gap, sheds_of, starts_of
+from histories import (
+    inversions,
+    longest_gap,
+    overlaps,
+    sheds_of,
+    spans_of,
+    starts_of,
+)
 from loads import TIERS, chat, scenario
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 GRACE_S = 0.3  # for messages on their way at both ends of a wait
+PREEMPT_S = 0.5  # a quarter of coaching's target, and the cancellation
 WINDOW_S = 2.0  # the starvation window that the test sets
 LONGEST_SERVICE_S = 3.0  # 60 tokens on a full batch, prefills of others included
 BURST_PER_S = 60.0  # twice what two engines with four slots each can do
@@ -54,6 +62,30 @@
     assert inversions(sheds, starts, GRACE_S) == []
 
 
+def test_shedding_class_is_not_shed_while_lower_tiers_run(
+    own_fleet: Callable[..., Any],
+) -> None:
+    """A class that sheds on arrival first takes the slots of long lower calls."""
+
+    def without_floors(catalogue: dict[str, Any]) -> None:
+        for entry in catalogue['classes']:
+            entry['floor'] = 0.0
+
+    fleet = own_fleet(engines=2, apps=0, concurrent=4, change=without_floors)
+    streams = [
+        chat('coaching', 2.0),
+        chat('drafting', 6.0, min_tokens=300, max_tokens=300),
+    ]
+    load = scenario(fleet, *streams, duration_s=15.0, patience_s=6.0)
+    fleet.start_load(load)
+    report = fleet.finish_load(60)
+    sheds = sheds_of(report['observations'], TIERS)
+    coaching = [shed for shed in sheds if shed.tier == 0]
+    spans = spans_of(_logs(fleet), TIERS)
+    assert len([span for span in spans if span.tier > 0]) > 20
+    assert overlaps(coaching, spans, PREEMPT_S) == []
+
+
 def test_no_class_starves(own_fleet: Callable[..., Any]) -> None:
     fleet = own_fleet(
         engines=2, apps=0, concurrent=4, timing={'starvation_s': WINDOW_S}
@@ -71,7 +103,7 @@
         completed = [
             at
             for log in _logs(fleet)
-            for at, event, entry in log
+            for at, event, entry, _ in log
             if event == 'completed' and entry == name
         ]
         gap = longest_gap(completed, begin, end)
--- a/tests/test_policy/test_decisions.py
+++ b/tests/test_policy/test_decisions.py
@@ -12,7 +12,7 @@
 
 from rosemaryseam.policy.drain import MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S, DrainRate
 from rosemaryseam.policy.placement import load, place
-from rosemaryseam.policy.preemption import Running, choose_victim
+from rosemaryseam.policy.preemption import Running, choose_victim, spare_calls
 from rosemaryseam.policy.quorum import has_majority
 from rosemaryseam.policy.rendezvous import Candidate, assign, rank
 from rosemaryseam.policy.requests import Supply
@@ -56,15 +56,27 @@
         assert load(chosen) == min(load(entry) for entry in allowed)
 
 
+def call(key: str, tier: int, upstream: str, since: float) -> Running:
+    return Running(key, f'tier-{tier}', tier, upstream, since)
+
+
+@pytest.mark.parametrize(
+    ('floor', 'count', 'spare'), [(0.0, 1, 1), (0.05, 1, 0), (0.05, 2, 2), (0.5, 4, 0)]
+)
+def test_floor_keeps_its_share(floor: float, count: int, spare: int) -> None:
+    calls = [call(f'{n}', 1, 'a', 1.0) for n in range(count)]
+    assert len(spare_calls(calls, {'tier-1': floor}, slots=8)) == spare
+
+
 @pytest.mark.parametrize(
     ('running', 'victim'),
     [
         ([], None),
-        ([Running('k', 0, 'a', 1.0)], None),
-        ([Running('k', 1, 'b', 1.0)], None),
-        ([Running('k', 1, 'a', 1.0)], 'k'),
-        ([Running('k', 1, 'a', 9.0), Running('l', 2, 'a', 1.0)], 'l'),
-        ([Running('k', 2, 'a', 1.0), Running('l', 2, 'a', 9.0)], 'l'),
+        ([call('k', 0, 'a', 1.0)], None),
+        ([call('k', 1, 'b', 1.0)], None),
+        ([call('k', 1, 'a', 1.0)], 'k'),
+        ([call('k', 1, 'a', 9.0), call('l', 2, 'a', 1.0)], 'l'),
+        ([call('k', 2, 'a', 1.0), call('l', 2, 'a', 9.0)], 'l'),
     ],
 )
 def test_victim(running: list[Running], victim: str | None) -> None:
--- a/tests/test_standins/test_standins.py
+++ b/tests/test_standins/test_standins.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import threading
 import time
 import urllib.error
 import urllib.request
@@ -14,6 +15,7 @@
 from rosemaryseam.common.addresses import parse_address
 from rosemaryseam.common.errors import PlatformError, UnknownOutcomeError
 from rosemaryseam.common.keyvalue import open_key_value_store
+from rosemaryseam.node.loadreports import open_load_reports
 from rosemaryseam.standins.content import answer_tokens
 
 if TYPE_CHECKING:
@@ -53,17 +55,33 @@
     assert _post(fleet, BODY, **headers) == whole[resume:]
 
 
-def test_engine_reports_lag_and_events_have_gaps(fleet: Fleet) -> None:
+def test_cache_events_come_late_and_with_gaps(fleet: Fleet) -> None:
     address = fleet.started['engine'].address
-    fleet.control('engine', {'drop_events': 2})
+    fleet.control('engine', {'drop_events': 2, 'events_lag_s': 3600.0})
     for number in range(6):
         _post(fleet, {**BODY, 'prompt': f'p{number}'})
+    assert call(address, '/cache_events?after=0') == []
+    fleet.control('engine', {'events_lag_s': 0.0})
     events = call(address, '/cache_events?after=0')
     assert events
     assert all(entry['seq'] % 2 for entry in events)
     fleet.control('engine', {'drop_events': 0})
 
 
+def test_load_reports_lag(fleet: Fleet) -> None:
+    reports = open_load_reports(1.0)
+    address = parse_address(fleet.started['engine'].address)
+    fleet.control('engine', {'lag_s': 3600.0, 'slow': 4.0})
+    worker = threading.Thread(target=_post, args=(fleet, BODY))
+    worker.start()
+    wait_until(lambda: fleet.control('engine')['running'], 'the call runs', 5.0)
+    assert reports.read(address).running == 0
+    fleet.control('engine', {'lag_s': 0.0})
+    wait_until(lambda: reports.read(address).running == 1, 'the report', 5.0)
+    worker.join()
+    fleet.control('engine', {'slow': 1.0})
+
+
 def test_engine_that_leaves_refuses(fleet: Fleet) -> None:
     fleet.control('engine', {'leaving': True})
     with pytest.raises(urllib.error.HTTPError) as caught:
