Let an interrupted answer wait anew; serve nobody who left the queue

Cause: found by reading as a newcomer. (1) A preempted or broken answer asked for its next upstream with its whole age: a draft that had run for longer than its class may wait would have been given up in the middle, and one of a class that sheds at once. (2) A request avoided every upstream that had failed it, so with one engine it waited until it was given up. (3) A booking whose caller left the queue was still run. Ruled out: dropping the age (it gives an interrupted request its place back). Change: requests for grants say how long this wait is, beside their age; avoided upstreams are tried again when none else is left; the caller's connection is watched while a request waits, until it is sent. A refusal of a leaving app runner still ends a booking as unknown.

--- a/packages/node/src/rosemaryseam/node/dispatcher.py
+++ b/packages/node/src/rosemaryseam/node/dispatcher.py
@@ -156,10 +156,13 @@
         workspace = workspaces.get(message.workspace)
         if found is None or workspace is None:
             return None
-        arrived = self.clock.monotonic() - message.age_ms / 1000
-        due = arrived + found.target.seconds
-        sheds = found.on_miss == 'shed'
-        give_up = arrived + found.max_wait_ms / 1000
+        now = self.clock.monotonic()
+        arrived = now - message.age_ms / 1000
+        began = now - message.waiting_ms / 1000
+        due = began + found.target.seconds
+        give_up = began + found.max_wait_ms / 1000
+        resumed = message.waiting_ms < message.age_ms
+        sheds = found.on_miss == 'shed' and not resumed
         return Demand(
             key=message.key,
             host=host,
--- a/packages/node/src/rosemaryseam/node/gateway/apps.py
+++ b/packages/node/src/rosemaryseam/node/gateway/apps.py
@@ -18,6 +18,8 @@
 from rosemaryseam.node.gateway.calls import DONE, UNUSED, Request
 
 if TYPE_CHECKING:
+    import socket
+
     import falcon
 
     from rosemaryseam.node.claims import Claim, ClaimRegistry
@@ -130,20 +132,23 @@
         """Run a request at most once; nothing is repeated after a byte is written."""
         key = req.get_header(IDEMPOTENCY_HEADER)
         if key is None:
-            return self._send_once(request, None)
+            return self._send_once(request, None, req.env.get(SOCKET_KEY))
         if not 0 < len(key) <= MAX_KEY_LENGTH:
             raise RequestError(
                 f'{IDEMPOTENCY_HEADER} has 1 to {MAX_KEY_LENGTH} characters'
             )
         self._claims.check_available()
-        return self._send_once(request, key)
+        return self._send_once(request, key, req.env.get(SOCKET_KEY))
 
-    def _send_once(self, request: Request, key: str | None) -> AppAnswer:
+    def _send_once(
+        self, request: Request, key: str | None, caller: socket.socket | None
+    ) -> AppAnswer:
+        """Claim, send and settle; a caller who leaves before that is not served."""
         claim: Claim | None = None
         excluded: frozenset[str] = frozenset()
         while True:
             try:
-                with self._runner.granted(request, excluded) as call:
+                with self._runner.granted(request, excluded, caller=caller) as call:
                     call.outcome = UNUSED
                     if key is not None and claim is None:
                         claim = self._claim(request, key)
--- a/packages/node/src/rosemaryseam/node/gateway/calls.py
+++ b/packages/node/src/rosemaryseam/node/gateway/calls.py
@@ -9,13 +9,14 @@
 
 from rosemaryseam.common.addresses import parse_address
 from rosemaryseam.common.errors import RequestError, ResultCode, UpstreamError
-from rosemaryseam.common.wsgi import CallerGoneError
+from rosemaryseam.common.wsgi import CallerGoneError, watch_caller
 from rosemaryseam.node.gateway.admission import CLASS_HEADER
 from rosemaryseam.node.grants import Outcome, RunningCall, Ticket
 from rosemaryseam.node.member import ObservedUpstreams
 from rosemaryseam.node.upstreams import UpstreamCall
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Callable, Iterator, Mapping
 
     from rosemaryseam.common.catalogue import Upstream
@@ -28,6 +29,7 @@
     from rosemaryseam.node.upstreams import UpstreamClient, UpstreamExchange
     from rosemaryseam.policy.retry import RetryBudget
 
+ALL_FAILED_PAUSE_S = 0.2  # before a pool whose upstreams all failed is tried again
 RESUME_HEADER = 'X-Resume-Events'
 
 DONE = 'done'
@@ -115,12 +117,19 @@
 
     @contextlib.contextmanager
     def granted(
-        self, request: Request, excluded: frozenset[str]
+        self,
+        request: Request,
+        excluded: frozenset[str],
+        *,
+        resumed: bool = False,
+        caller: socket.socket | None = None,
     ) -> Iterator[GrantedCall]:
         """Hold a grant for a request and give it back at the end.
 
         :param request: the request
-        :param excluded: upstreams that must not be chosen
+        :param excluded: upstreams that failed and are avoided, unless all have
+        :param resumed: whether a part of the answer has come already
+        :param caller: the caller's connection, watched while the request waits
         :raises RequestError: no upstream could be had
         """
         admitted = request.admitted
@@ -131,9 +140,11 @@
             request.prefix,
             request.arrived,
             admitted.request_class.max_wait_ms / 1000,
-            excluded,
+            self._avoid(admitted.pool.name, excluded),
+            resumed,
         )
-        grant = self._grants.acquire(ticket)
+        with watch_caller(caller):
+            grant = self._grants.acquire(ticket)
         call = None
         try:
             call = GrantedCall(self._find_upstream(grant.upstream), grant, self.clock)
@@ -151,6 +162,18 @@
             else:
                 gevent.spawn(self._end, call, outcome)
 
+    def _avoid(self, pool: str, excluded: frozenset[str]) -> frozenset[str]:
+        """Return the upstreams to avoid: none when every one of the pool failed."""
+        names = {
+            entry.name
+            for entry in self._replica.catalogue.upstreams
+            if entry.pool == pool
+        }
+        if names - excluded:
+            return excluded
+        gevent.sleep(ALL_FAILED_PAUSE_S)
+        return frozenset()
+
     def _end(self, call: GrantedCall, outcome: Outcome) -> None:
         """Give the grant back once the upstream is done with the call."""
         if not call.exchange.close(self._timing.upstream_cancel_s):
--- a/packages/node/src/rosemaryseam/node/gateway/completions.py
+++ b/packages/node/src/rosemaryseam/node/gateway/completions.py
@@ -96,7 +96,8 @@
         self._runner.budget.record_first_try()
         while True:
             try:
-                with self._runner.granted(request, excluded) as call:
+                resumed = delivered > 0
+                with self._runner.granted(request, excluded, resumed=resumed) as call:
                     for event in self._call_events(request, call, delivered):
                         call.record_event()
                         self._observe_first(request, delivered)
--- a/packages/node/src/rosemaryseam/node/grants.py
+++ b/packages/node/src/rosemaryseam/node/grants.py
@@ -49,7 +49,10 @@
 
 
 class Ticket(NamedTuple):
-    """What a request asks of the dispatcher. ``arrived`` is monotonic seconds."""
+    """What a request asks of the dispatcher. ``arrived`` is monotonic seconds.
+
+    ``resumed`` tells that a part of the answer has come already: the wait begins anew.
+    """
 
     pool: str
     request_class: str
@@ -58,6 +61,7 @@
     arrived: float
     max_wait_s: float
     excluded: frozenset[str] = frozenset()
+    resumed: bool = False
 
 
 class HeldGrant(NamedTuple):
@@ -113,8 +117,11 @@
 
 
 class _Waiter:
-    def __init__(self, ticket: Ticket, partition: str, result: AsyncResult) -> None:
+    def __init__(
+        self, ticket: Ticket, partition: str, result: AsyncResult, began: float
+    ) -> None:
         self.ticket = ticket
+        self.began = began
         self.partition = partition
         self.result = result
         self.sent_at = float('-inf')
@@ -163,7 +170,8 @@
         """
         key, result = self.request(ticket)
         waited = self.clock.monotonic() - ticket.arrived
-        patience = max(0.0, ticket.max_wait_s - waited) + NO_DISPATCHER_GRACE_S
+        left = ticket.max_wait_s if ticket.resumed else ticket.max_wait_s - waited
+        patience = max(0.0, left) + NO_DISPATCHER_GRACE_S
         try:
             grant = result.get(timeout=patience)
         except gevent.Timeout as exc:
@@ -280,7 +288,10 @@
                 RequestError(text, ResultCode.NO_UPSTREAM, 5.0)
             )
             return
-        waiter = _Waiter(message.ticket, partition, message.result)
+        began = message.ticket.arrived
+        if message.ticket.resumed:
+            began = self.clock.monotonic()
+        waiter = _Waiter(message.ticket, partition, message.result, began)
         self._waiting[message.key] = waiter
         self._ask(message.key, waiter)
 
@@ -307,6 +318,7 @@
             tuple(sorted(ticket.excluded)),
             ticket.prefix,
             int((now - ticket.arrived) * 1000),
+            int((now - waiter.began) * 1000),
         )
         self._transport.send(owner, request)
 
--- a/packages/node/src/rosemaryseam/node/messages.py
+++ b/packages/node/src/rosemaryseam/node/messages.py
@@ -50,7 +50,12 @@
 
 
 class GrantRequest(NamedTuple):
-    """Asks the dispatcher of a partition for an upstream; may be sent again."""
+    """Asks the dispatcher of a partition for an upstream; may be sent again.
+
+    ``age_ms`` counts from the request's arrival and gives it its place;
+    ``waiting_ms`` counts from the begin of this wait, which comes later for a request
+    whose answer was interrupted.
+    """
 
     key: str
     partition: str
@@ -59,6 +64,7 @@
     excluded: tuple[str, ...]
     prefix: str
     age_ms: int
+    waiting_ms: int
 
 
 class Epoch(NamedTuple):
--- a/packages/node/src/rosemaryseam/node/wire.capnp
+++ b/packages/node/src/rosemaryseam/node/wire.capnp
@@ -66,6 +66,7 @@
   excluded @4 :List(Text);
   prefix @5 :Text;
   ageMs @6 :UInt64;
+  waitingMs @7 :UInt64;
 }
 
 struct Epoch {
--- a/tests/test_node/test_path.py
+++ b/tests/test_node/test_path.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import json
+import socket
 import threading
 import urllib.error
 import urllib.request
@@ -201,6 +202,29 @@
     assert sum(len(entries) for entries in executions) == 1
 
 
+def test_booking_of_a_caller_who_left_the_queue_is_not_run(
+    own_fleet: Callable[..., Any],
+) -> None:
+    fleet = own_fleet(nodes=1, engines=0, apps=1, concurrent=1)
+    fleet.control('app-1', {'service_ms': 1500})
+    address = fleet.nodes['host-1']['listen']
+    first = threading.Thread(target=_send, args=(address, 'POST', '/apps/desk/a', b'1'))
+    first.start()
+    wait_until(lambda: fleet.control('app-1')['open'] == 1, 'the first runs', 5.0)
+    ip, port = address.split(':')
+    with socket.create_connection((ip, int(port))) as second:
+        second.sendall(
+            f'POST /apps/desk/b HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n'
+            f'Authorization: {MARKET["Authorization"]}\r\n\r\n2'.encode()
+        )
+        wait_until(lambda: fleet.dump('host-1')['grants']['waiting'], 'it waits', 5.0)
+    first.join()
+    third = _send(address, 'POST', '/apps/desk/c', b'3')
+    assert third[0] == 200
+    paths = [entry['path'] for entry in fleet.control('app-1')['executions']]
+    assert paths == ['/a', '/c']
+
+
 def test_admin_port(shared_fleet: StartedFleet) -> None:
     admin = shared_fleet.nodes['host-1']['admin_listen']
     token = {'Authorization': f'Bearer {ADMIN_TOKEN}'}
--- a/tests/test_node/test_tiers.py
+++ b/tests/test_node/test_tiers.py
@@ -84,6 +84,7 @@
     spans = spans_of(_logs(fleet), TIERS)
     assert len([span for span in spans if span.tier > 0]) > 20
     assert overlaps(coaching, spans, PREEMPT_S) == []
+    assert report['classes']['drafting']['mixed'] == 0
 
 
 def test_no_class_starves(own_fleet: Callable[..., Any]) -> None:
--- a/tests/test_node/test_whole_answers.py
+++ b/tests/test_node/test_whole_answers.py
@@ -47,6 +47,19 @@
     assert broken == [], 'the fleet hides failures of engines from callers'
 
 
+def test_answers_continue_when_the_only_engine_returns(
+    own_fleet: Callable[..., Any],
+) -> None:
+    fleet = own_fleet(engines=1, apps=0, nodes=2, timing=FAST_TIMING)
+    load = scenario(fleet, chat('drafting', 3.0), duration_s=6.0)
+    fleet.start_load(load)
+    time.sleep(2.0)
+    fleet.control('engine-1', {'crash_s': 0.5})
+    report = fleet.finish_load(60)
+    assert _faults(report) == {'lost': 0, 'incomplete': 0, 'mixed': 0, 'failed': 0}
+    assert report['classes']['drafting']['retried'] == 0
+
+
 def test_answers_are_whole_when_hosts_fail(own_fleet: Callable[..., Any]) -> None:
     """Callers that ask again after a host's death get their whole answer."""
     fleet = own_fleet(engines=2, apps=0, timing=FAST_TIMING)
