Move tickets and the choice of preempted calls to modules of their own

Cause: partition.py and grants.py had grown past one job each. Ruled out: splitting the partition by phase (its state is shared by all). After the move: policy, dispatcher, limits and grants 69 passed, tiers, limits in processes and the openai client 19 passed; the whole suite was not run again by hand.

--- a/packages/node/src/rosemaryseam/node/assignment.py
+++ b/packages/node/src/rosemaryseam/node/assignment.py
@@ -10,7 +10,7 @@
 from rosemaryseam.policy.rendezvous import Candidate, assign, rank
 
 if TYPE_CHECKING:
-    from rosemaryseam.common.catalogue import Catalogue, Pool, Upstream
+    from rosemaryseam.common.catalogue import Catalogue, Pool, RequestClass, Upstream
     from rosemaryseam.node.member import View
 
 MAX_PARTITION_UPSTREAMS = 32
@@ -24,6 +24,13 @@
     upstreams: tuple[Upstream, ...]
 
 
+class Rules(NamedTuple):
+    """What the catalogue says of a partition."""
+
+    upstreams: tuple[Upstream, ...]
+    classes: dict[str, RequestClass]
+
+
 def plan_partitions(catalogue: Catalogue) -> dict[str, PartitionPlan]:
     """Return the partitions of all pools by name.
 
--- a/packages/node/src/rosemaryseam/node/dispatcher.py
+++ b/packages/node/src/rosemaryseam/node/dispatcher.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from rosemaryseam.common.errors import ResultCode
-from rosemaryseam.node.assignment import assign_partitions, plan_partitions
+from rosemaryseam.node.assignment import Rules, assign_partitions, plan_partitions
 from rosemaryseam.node.member import View
 from rosemaryseam.node.messages import (
     Epoch,
@@ -19,7 +19,7 @@
     Superseded,
     Withdraw,
 )
-from rosemaryseam.node.partition import Partition, Rules
+from rosemaryseam.node.partition import Partition
 from rosemaryseam.node.tasks import Task
 from rosemaryseam.policy.requests import Demand
 
--- a/packages/node/src/rosemaryseam/node/gateway/calls.py
+++ b/packages/node/src/rosemaryseam/node/gateway/calls.py
@@ -11,8 +11,8 @@
 from rosemaryseam.common.errors import RequestError, ResultCode, UpstreamError
 from rosemaryseam.common.wsgi import CallerGoneError, watch_caller
 from rosemaryseam.node.gateway.admission import CLASS_HEADER
-from rosemaryseam.node.grants import Outcome, RunningCall, Ticket
 from rosemaryseam.node.member import ObservedUpstreams
+from rosemaryseam.node.tickets import Outcome, RunningCall, Ticket
 from rosemaryseam.node.upstreams import UpstreamCall
 
 if TYPE_CHECKING:
@@ -22,10 +22,11 @@
     from rosemaryseam.common.catalogue import Upstream
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.node.gateway.admission import Admitted
-    from rosemaryseam.node.grants import GrantTask, HeldGrant
+    from rosemaryseam.node.grants import GrantTask
     from rosemaryseam.node.metrics import Metrics
     from rosemaryseam.node.replica import ReplicaTask
     from rosemaryseam.node.settings import Timing
+    from rosemaryseam.node.tickets import HeldGrant
     from rosemaryseam.node.upstreams import UpstreamClient, UpstreamExchange
     from rosemaryseam.policy.retry import RetryBudget
 
--- a/packages/node/src/rosemaryseam/node/grants.py
+++ b/packages/node/src/rosemaryseam/node/grants.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import abc
 import itertools
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -32,6 +31,7 @@
     Withdraw,
 )
 from rosemaryseam.node.tasks import Task
+from rosemaryseam.node.tickets import HeldGrant, Outcome, RunningCall, Ticket
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -48,54 +48,6 @@
 NO_DISPATCHER_GRACE_S = 1.0  # past a class's wait, in case no dispatcher answers
 
 
-class Ticket(NamedTuple):
-    """What a request asks of the dispatcher. ``arrived`` is monotonic seconds.
-
-    ``resumed`` tells that a part of the answer has come already: the wait begins anew.
-    """
-
-    pool: str
-    request_class: str
-    workspace: str
-    prefix: str
-    arrived: float
-    max_wait_s: float
-    excluded: frozenset[str] = frozenset()
-    resumed: bool = False
-
-
-class HeldGrant(NamedTuple):
-    """A grant that a request uses."""
-
-    key: str
-    partition: str
-    upstream: str
-    request_class: str
-    workspace: str
-    since: float
-
-
-class RunningCall(abc.ABC):
-    """What the task knows of the call that uses a grant."""
-
-    @property
-    @abc.abstractmethod
-    def event_count(self) -> int:
-        """Events of the answer that have come."""
-
-    @abc.abstractmethod
-    def preempt(self) -> None:
-        """End the call because a higher tier needs the slot; must not block."""
-
-
-class Outcome(NamedTuple):
-    """How a granted call ended. ``first_token_s`` is negative without a token."""
-
-    name: str
-    first_token_s: float = -1.0
-    events: int = 0
-
-
 class _Acquire(NamedTuple):
     key: str
     ticket: Ticket
--- a/packages/node/src/rosemaryseam/node/partition.py
+++ b/packages/node/src/rosemaryseam/node/partition.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any
 
 from rosemaryseam.common.errors import ResultCode
 from rosemaryseam.node.holdings import Holding, HoldingBook
@@ -16,19 +16,19 @@
     Refusal,
     Takeover,
 )
+from rosemaryseam.node.preemptor import Preemptor
 from rosemaryseam.node.recovery import Recovery
 from rosemaryseam.node.waits import Given, Waits
 from rosemaryseam.policy.leases import CeilingKey, HostUse, LeaseBook, next_ceiling
 from rosemaryseam.policy.lengths import LengthPredictor
 from rosemaryseam.policy.placement import place
-from rosemaryseam.policy.preemption import Running, choose_victim, spare_calls
 from rosemaryseam.policy.rates import TokenLimits
 from rosemaryseam.policy.requests import Demand, Supply
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from rosemaryseam.common.catalogue import RequestClass, Upstream
+    from rosemaryseam.node.assignment import Rules
     from rosemaryseam.node.member import View
     from rosemaryseam.node.messages import Holdings, Message, Release
     from rosemaryseam.node.metrics import Metrics
@@ -36,8 +36,6 @@
 
 RENEW_SHARE = 0.25  # of a lease's time after which it is renewed
 RETRY_SOON_S = 1.0
-PREEMPT_AGAIN_S = 1.0  # after which an unanswered preemption is repeated
-PREEMPT_SHARE = 0.25  # of the target that passes before a call is preempted
 
 WHOLE = 'done'  # outcome of a call whose whole answer came
 STILL_WANTED = ('preempted', 'unused')  # outcomes after which a request may wait again
@@ -47,13 +45,6 @@
 SERVING = 'serving'
 
 
-class Rules(NamedTuple):
-    """What the catalogue says of a partition."""
-
-    upstreams: tuple[Upstream, ...]
-    classes: dict[str, RequestClass]
-
-
 class Partition:
     """Decides, for one epoch, which request gets which upstream.
 
@@ -90,6 +81,7 @@
             timing.lease_s + timing.resend_s,
         )
         self._holdings = HoldingBook()
+        self._preemptor = Preemptor(self._holdings)
         self._recovery = Recovery(timing.resend_s)
         self._sequences: Counter[str] = Counter()
         self._lease = LeaseBook(timing.lease_s)
@@ -487,7 +479,8 @@
         """
         if not demand.sheds or any(entry.free for entry in self._supplies(now)):
             return None
-        lower = [call for call in self._spare_calls(now) if call.tier > demand.tier]
+        spare = self._preemptor.spare_calls(self._rules, now)
+        lower = [call for call in spare if call.tier > demand.tier]
         places = self._waits.ahead(demand) - len(lower)
         wait = self._waits.wait_s(places, now)
         if wait is None or now + wait <= demand.due:
@@ -510,54 +503,8 @@
         """Make room for requests that have waited a share of their target."""
         if self.phase != SERVING or not len(self._waits):
             return
-        supplies = [entry for entry in self._supplies(now) if not entry.leaving]
-        pending = Counter(
-            holding.upstream
-            for _, holding in self._holdings
-            if _is_preempting(holding, now)
-        )
-        for demand in sorted(self._waits, key=lambda entry: (entry.tier, entry.due)):
-            serving = frozenset(
-                entry.name for entry in supplies if entry.serves(demand)
-            )
-            if any(pending[name] > 0 for name in serving):
-                pending.subtract([name for name in serving if pending[name] > 0][:1])
-                continue
-            if not self._is_late(demand, now):
-                continue
-            if any(entry.free and entry.name in serving for entry in supplies):
-                continue
-            victim = choose_victim(demand, self._spare_calls(now), serving)
-            if victim is None:
-                continue
-            holding = self._holdings.change(victim.key, preempted_at=now)
-            self._send(holding.host, Preempt(victim.key, self.name))
+        supplies = self._supplies(now)
+        for key in self._preemptor.choose(self._waits, supplies, self._rules, now):
+            holding = self._holdings.change(key, preempted_at=now)
+            self._send(holding.host, Preempt(key, self.name))
             self._metrics.count('preemptions', request_class=holding.request_class)
-
-    def _is_late(self, demand: Demand, now: float) -> bool:
-        return now >= demand.arrived + PREEMPT_SHARE * (demand.due - demand.arrived)
-
-    def _spare_calls(self, now: float) -> list[Running]:
-        """Return the calls that may be preempted."""
-        classes = self._rules.classes
-        running = [
-            Running(
-                key,
-                holding.request_class,
-                classes[holding.request_class].tier,
-                holding.upstream,
-                holding.since,
-            )
-            for key, holding in self._holdings
-            if holding.request_class in classes
-            and classes[holding.request_class].preemptible
-            and not _is_preempting(holding, now)
-        ]
-        floors = {name: entry.floor for name, entry in classes.items()}
-        slots = sum(entry.limits.concurrent for entry in self._rules.upstreams)
-        return spare_calls(running, floors, slots)
-
-
-def _is_preempting(holding: Holding, now: float) -> bool:
-    since = holding.preempted_at
-    return since is not None and now - since < PREEMPT_AGAIN_S
--- /dev/null
+++ b/packages/node/src/rosemaryseam/node/preemptor.py
@@ -0,0 +1,95 @@
+"""Which running calls of a partition make room for requests of higher tiers."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from rosemaryseam.policy.preemption import Running, choose_victim, spare_calls
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from rosemaryseam.node.assignment import Rules
+    from rosemaryseam.node.holdings import Holding, HoldingBook
+    from rosemaryseam.policy.requests import Demand, Supply
+
+PREEMPT_AGAIN_S = 1.0  # after which an unanswered preemption is repeated
+PREEMPT_SHARE = 0.25  # of the target that passes before a call is preempted
+
+
+class Preemptor:
+    """Chooses calls to preempt; the caller marks and tells them.
+
+    :param holdings: the partition's grants in use
+    """
+
+    def __init__(self, holdings: HoldingBook) -> None:
+        self._holdings = holdings
+
+    def spare_calls(self, rules: Rules, now: float) -> list[Running]:
+        """Return the calls that may be preempted.
+
+        :param rules: from the catalogue
+        :param now: seconds on the monotonic clock
+        """
+        running = [
+            Running(
+                key,
+                holding.request_class,
+                rules.classes[holding.request_class].tier,
+                holding.upstream,
+                holding.since,
+            )
+            for key, holding in self._holdings
+            if holding.request_class in rules.classes
+            and rules.classes[holding.request_class].preemptible
+            and not _is_preempting(holding, now)
+        ]
+        floors = {name: entry.floor for name, entry in rules.classes.items()}
+        slots = sum(entry.limits.concurrent for entry in rules.upstreams)
+        return spare_calls(running, floors, slots)
+
+    def choose(
+        self,
+        waiting: Iterable[Demand],
+        supplies: Iterable[Supply],
+        rules: Rules,
+        now: float,
+    ) -> Iterator[str]:
+        """Yield the keys of calls to preempt, one for each late request.
+
+        Each must be marked as preempted before the next is asked for.
+
+        :param waiting: the requests that wait
+        :param supplies: the upstreams of the partition
+        :param rules: from the catalogue
+        :param now: seconds on the monotonic clock
+        """
+        staying = [entry for entry in supplies if not entry.leaving]
+        pending = Counter(
+            holding.upstream
+            for _, holding in self._holdings
+            if _is_preempting(holding, now)
+        )
+        for demand in sorted(waiting, key=lambda entry: (entry.tier, entry.due)):
+            serving = [entry for entry in staying if entry.serves(demand)]
+            promised = next((e.name for e in serving if pending[e.name] > 0), None)
+            if promised is not None:
+                pending[promised] -= 1
+                continue
+            if not _is_late(demand, now) or any(entry.free for entry in serving):
+                continue
+            names = frozenset(entry.name for entry in serving)
+            victim = choose_victim(demand, self.spare_calls(rules, now), names)
+            if victim is not None:
+                yield victim.key
+
+
+def _is_late(demand: Demand, now: float) -> bool:
+    return now >= demand.arrived + PREEMPT_SHARE * (demand.due - demand.arrived)
+
+
+def _is_preempting(holding: Holding, now: float) -> bool:
+    since = holding.preempted_at
+    return since is not None and now - since < PREEMPT_AGAIN_S
--- a/tests/test_node/test_dispatcher.py
+++ b/tests/test_node/test_dispatcher.py
@@ -6,7 +6,7 @@
 from fabric import Fabric, small_catalogue
 
 from rosemaryseam.common.errors import RequestError, ResultCode
-from rosemaryseam.node.grants import Ticket
+from rosemaryseam.node.tickets import Ticket
 
 NAMES = ('host-1', 'host-2', 'host-3')
 LIMIT = 1
--- a/tests/test_node/test_grants.py
+++ b/tests/test_node/test_grants.py
@@ -9,7 +9,7 @@
 
 from rosemaryseam.common.clock import ManualClock
 from rosemaryseam.node.dispatcher import CatalogueChanged
-from rosemaryseam.node.grants import GrantTask, Ticket
+from rosemaryseam.node.grants import GrantTask
 from rosemaryseam.node.member import LIVE, Peer, View
 from rosemaryseam.node.messages import (
     Epoch,
@@ -21,6 +21,7 @@
 )
 from rosemaryseam.node.metrics import Metrics
 from rosemaryseam.node.settings import Timing
+from rosemaryseam.node.tickets import Ticket
 from rosemaryseam.node.transport import Transport
 
 OLD, NOW, NEW = Epoch(1, 'host-2'), Epoch(2, 'host-2'), Epoch(3, 'host-2')
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -14,11 +14,11 @@
 from rosemaryseam.common.catalogue import Catalogue, load_catalogue
 from rosemaryseam.common.clock import SystemClock
 from rosemaryseam.node import messages
-from rosemaryseam.node.assignment import assign_partitions, plan_partitions
+from rosemaryseam.node.assignment import Rules, assign_partitions, plan_partitions
 from rosemaryseam.node.codec import Frame, decode_frame, encode_frame
 from rosemaryseam.node.member import LIVE, MemberTask, Peer, View
 from rosemaryseam.node.metrics import Metrics
-from rosemaryseam.node.partition import Partition, Rules
+from rosemaryseam.node.partition import Partition
 from rosemaryseam.node.settings import Bounds, Timing
 from rosemaryseam.node.transport import Transport
 from rosemaryseam.policy.requests import Demand
