Replace two checks that could not fail

One test of the token limits compared constants with each other, and the admin port's test accepted any metric. Ruled out: keeping the comparison beside the simulation (it shows nothing).

--- a/tests/test_node/test_path.py
+++ b/tests/test_node/test_path.py
@@ -234,6 +234,5 @@
         assert _send(admin, 'GET', path)[0] == 401
     status, _, text = _send(admin, 'GET', '/metrics', None, token)
     assert status == 200
-    assert b'rosemaryseam_grants_total' in text or b'rosemaryseam_' in text
-    dump = call(admin, '/dump', headers=token)
-    wait_until(lambda: dump['member']['majority'], 'a majority', 1.0)
+    assert b'rosemaryseam_peer_bytes_sent_total' in text
+    assert call(admin, '/dump', headers=token)['member']['majority'] is True
--- a/tests/test_policy/test_rates.py
+++ b/tests/test_policy/test_rates.py
@@ -15,10 +15,13 @@
 REPORT_S = 1.0  # between reports of progress
 
 
-def _generate(seed: int, seconds: float, slots: int) -> list[float]:
+def _generate(
+    seed: int, seconds: float, slots: int, *, charges: bool = True
+) -> list[float]:
     """Return tokens generated in each step by calls that a bucket admits."""
     rng = random.Random(seed)
-    bucket = TokenBucket(RATE, 0.0)
+    bucket = TokenBucket(RATE, -BURST_S)
+    charge = bucket.charge if charges else lambda _tokens, _now: None
     lengths = LengthPredictor()
     running: list[list[float]] = []  # length, generated, charged
     steps = []
@@ -26,36 +29,36 @@
         now = step * STEP_S
         while len(running) < slots and bucket.is_open(now):
             expected = lengths.mean('drafting', 'market') or 0.0
-            bucket.charge(expected, now)
+            charge(expected, now)
             running.append([rng.lognormvariate(3.2, 0.9), 0.0, expected])
         report = step % round(REPORT_S / STEP_S) == 0
         for call in running:
             call[1] += STREAM_PER_S * STEP_S
             if report and call[1] > call[2]:
-                bucket.charge(call[1] - call[2], now)
+                charge(call[1] - call[2], now)
                 call[2] = call[1]
         steps.append(len(running) * STREAM_PER_S * STEP_S)
         for call in [entry for entry in running if entry[1] >= entry[0]]:
             running.remove(call)
-            bucket.charge(call[1] - call[2], now)
+            charge(call[1] - call[2], now)
             lengths.record('drafting', 'market', int(call[1]))
     return steps
 
 
-@pytest.mark.parametrize('seed', range(5))
-def test_rate_holds_over_ten_seconds(seed: int) -> None:
-    """Eight streams could generate four times the limit."""
-    steps = _generate(seed, 120.0, slots=8)
+def _most_in_ten_seconds(steps: list[float]) -> float:
     window = round(10.0 / STEP_S)
-    sums = [sum(steps[at : at + window]) for at in range(0, len(steps) - window, 20)]
-    in_flight = 8 * STREAM_PER_S * REPORT_S  # generated before it is reported
-    assert max(sums) <= RATE * (10.0 + BURST_S) + in_flight
-    assert sum(steps) >= 0.8 * RATE * 120.0, 'the limit is also used'
+    return max(sum(steps[at : at + window]) for at in range(len(steps) - window))
 
 
-def test_bucket_without_charges_would_pass_the_rate() -> None:
-    """The check above fails when nothing is charged."""
-    assert 8 * STREAM_PER_S * 10.0 > RATE * (10.0 + BURST_S) + 8 * STREAM_PER_S
+@pytest.mark.parametrize('seed', range(5))
+@pytest.mark.parametrize('charges', [True, False])
+def test_rate_holds_over_ten_seconds(seed: int, charges: bool) -> None:
+    """Eight streams could generate four times the limit; uncharged ones do."""
+    steps = _generate(seed, 120.0, slots=8, charges=charges)
+    in_flight = 8 * STREAM_PER_S * REPORT_S  # generated before it is reported
+    bound = RATE * (10.0 + BURST_S) + in_flight
+    assert (_most_in_ten_seconds(steps) <= bound) is charges
+    assert sum(steps) >= 0.8 * RATE * 120.0, 'the limit is also used'
 
 
 @pytest.mark.parametrize(
