--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := common policy node operator standins
+PACKAGES := common policy node operator standins router
 INSTALLED := $(VENV)/.installed
 
 .PHONY: demo test format clean
--- a/packages/common/src/rosemaryseam/common/clock.py
+++ b/packages/common/src/rosemaryseam/common/clock.py
@@ -31,6 +31,14 @@
         return datetime.now(UTC)
 
 
+class BootClock(SystemClock):
+    """The clock of a machine that may be suspended: suspended time counts too."""
+
+    def monotonic(self) -> float:
+        """Return seconds since the machine was started."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock(Clock):
     """A clock that moves only when it is told to."""
 
--- /dev/null
+++ b/packages/router/src/rosemaryseam/router/callers.py
@@ -0,0 +1,436 @@
+"""Connections of callers: reads requests, writes answers, notices who left."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import socket as std_socket
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import gevent
+import h11
+from gevent.hub import get_hub
+from gevent.pool import Pool
+from gevent.server import StreamServer
+
+from rosemaryseam.common.decisionlog import log_event, log_warning
+from rosemaryseam.common.errors import ResultCode
+from rosemaryseam.router.codec import RequestLine
+from rosemaryseam.router.reply import CallerGoneError, Reply
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from rosemaryseam.common.addresses import Address
+    from rosemaryseam.common.clock import Clock
+    from rosemaryseam.node.metrics import Metrics
+    from rosemaryseam.router.requests import RawHeaders
+    from rosemaryseam.router.routes import CallerLimits
+
+READ_BYTES = 65_536
+READ_AHEAD_BYTES = 65_536  # of a caller that sends its next request early
+SEND_S = 10.0  # how long a caller may keep a part of its answer from leaving
+BACKLOG = 1024
+_READABLE = 1  # libev's event bit
+
+
+class Received(NamedTuple):
+    """A request with its body, as it was read from a connection."""
+
+    line: RequestLine
+    body: bytes
+    arrived: float
+
+
+class RefusedRequestError(Exception):
+    """A request that is answered without being read to its end.
+
+    :param status: the HTTP status
+    :param code: the numbered result
+    """
+
+    def __init__(self, status: int, code: ResultCode, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+
+
+class BodyMemory:
+    """Bounds the bytes of bodies that a process holds at a time.
+
+    :param limit: bytes
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self.held = 0
+
+    def take(self, count: int) -> bool:
+        """Reserve bytes and return whether they were to be had.
+
+        :param count: how many
+        """
+        if self.held + count > self._limit:
+            return False
+        self.held += count
+        return True
+
+    def give_back(self, count: int) -> None:
+        """Free bytes.
+
+        :param count: how many
+        """
+        self.held -= count
+
+
+class CallerServer:
+    """Listens for callers.
+
+    :param address: where to listen
+    :param handle: answers a request
+    :param clock: the process's clock
+    :param metrics: the process's counters
+    :param limits: returns the bounds on callers in force
+    :param memory: bounds the bodies that are held
+    :param max_connections: accepted at a time
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        handle: Callable[[Received, ConnectionReply], None],
+        clock: Clock,
+        metrics: Metrics,
+        limits: Callable[[], CallerLimits],
+        memory: BodyMemory,
+        max_connections: int,
+    ) -> None:
+        self.handle = handle
+        self.clock = clock
+        self.metrics = metrics
+        self.limits = limits
+        self.memory = memory
+        self.draining = False
+        self._connections: set[CallerConnection] = set()
+        self._server = StreamServer(
+            tuple(address), self._serve, backlog=BACKLOG, spawn=Pool(max_connections)
+        )
+
+    def start(self) -> None:
+        """Start to listen.
+
+        :raises OSError: the address cannot be used
+        """
+        self._server.start()
+
+    def begin_drain(self) -> None:
+        """Answer with ``Connection: close`` from now on."""
+        self.draining = True
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket and keep the open connections."""
+        self._server.stop_accepting()
+        while (accepted := self._server.do_read()) is not None:
+            self._server.do_handle(*accepted)
+        self._server.close()
+
+    def close_idle(self) -> None:
+        """Close the connections that carry no request."""
+        for conn in list(self._connections):
+            if conn.is_idle:
+                conn.close()
+
+    @property
+    def open_connections(self) -> int:
+        """The number of connections of callers."""
+        return len(self._connections)
+
+    @property
+    def busy_connections(self) -> int:
+        """The number of connections that carry a request."""
+        return sum(1 for conn in self._connections if not conn.is_idle)
+
+    def _serve(self, sock: Any, peer: tuple[str, int]) -> None:
+        conn = CallerConnection(sock, self)
+        self._connections.add(conn)
+        try:
+            conn.run()
+        except CallerGoneError:
+            self.metrics.count('callers_gone')
+        finally:
+            self._connections.discard(conn)
+            conn.close()
+
+
+class CallerConnection:
+    """One connection of a caller.
+
+    :param sock: the accepted socket
+    :param server: its server
+    """
+
+    def __init__(self, sock: Any, server: CallerServer) -> None:
+        self._sock = sock
+        self._server = server
+        self._limits = server.limits()
+        self._http = h11.Connection(h11.SERVER, self._limits.head_bytes)
+        self._ahead = bytearray()
+        self._eof = False
+        self.is_idle = True
+        sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
+
+    def run(self) -> None:
+        """Serve requests until either side closes."""
+        while True:
+            reply = ConnectionReply(self)
+            try:
+                received = self._read_request()
+            except RefusedRequestError as exc:
+                self._refuse(reply, exc)
+                return
+            if received is None:
+                return
+            try:
+                self._answer(received, reply)
+            finally:
+                self._server.memory.give_back(len(received.body))
+            if not self._next_cycle():
+                return
+            self.is_idle = True
+
+    def send(self, event: Any) -> None:
+        """Write an HTTP event.
+
+        :param event: of h11
+        :raises CallerGoneError: the caller is gone or does not read
+        """
+        data = self._http.send(event)
+        try:
+            self._sock.settimeout(SEND_S)
+            self._sock.sendall(data)
+        except OSError as exc:
+            raise CallerGoneError(str(exc)) from exc
+
+    def must_close(self) -> bool:
+        """Return whether answers carry ``Connection: close``."""
+        return self._server.draining
+
+    def close(self) -> None:
+        """Drop the connection."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(std_socket.SHUT_RDWR)
+        self._sock.close()
+
+    def end_output(self) -> None:
+        """Tell the caller that nothing more comes, and read what it still sends."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(std_socket.SHUT_WR)
+            self._sock.settimeout(1.0)
+            while self._sock.recv(READ_BYTES):
+                pass
+
+    def _answer(self, received: Received, reply: ConnectionReply) -> None:
+        try:
+            with self._watch():
+                self._server.handle(received, reply)
+        except CallerGoneError:
+            raise
+        except Exception:
+            self._server.metrics.count('internal_errors')
+            log_warning('request_failed_internally', target=str(received.line.target))
+            raise
+
+    def _refuse(self, reply: ConnectionReply, exc: RefusedRequestError) -> None:
+        self._server.metrics.count('requests_refused', status=str(exc.status))
+        log_event('request_unreadable', status=exc.status, reason=str(exc))
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            retry = 0.5 if exc.status in (408, 503) else None
+            reply.refuse(
+                exc.status, exc.code, str(exc), retry_after_s=retry, close=True
+            )
+            self.end_output()
+
+    def _next_cycle(self) -> bool:
+        if self._http.our_state is h11.MUST_CLOSE:
+            self.end_output()
+            return False
+        try:
+            self._http.start_next_cycle()
+        except h11.ProtocolError:
+            return False
+        if self._ahead:
+            data, self._ahead = bytes(self._ahead), bytearray()
+            self._http.receive_data(data)
+        return not self._eof
+
+    # Reading.
+
+    def _read_request(self) -> Received | None:
+        try:
+            request = self._read_head()
+            if request is None:
+                return None
+            arrived = self._server.clock.monotonic()
+            line = RequestLine(
+                request.method, request.target, list(request.headers.raw_items())
+            )
+            _check_framing(line.headers)
+            body = self._read_body(line)
+        except h11.RemoteProtocolError as exc:
+            status = exc.error_status_hint
+            raise RefusedRequestError(status, ResultCode.BAD_REQUEST, str(exc)) from exc
+        return Received(line, body, arrived)
+
+    def _read_head(self) -> h11.Request | None:
+        """Return the next request's head, or ``None`` when there is none."""
+        deadline = None
+        while True:
+            event = self._http.next_event()
+            if isinstance(event, h11.Request):
+                self.is_idle = False
+                return event
+            if event is not h11.NEED_DATA:
+                return None
+            pending = bool(self._http.trailing_data[0])
+            if pending and deadline is None:
+                deadline = self._server.clock.monotonic() + self._limits.head_s
+            if not self._receive_head(deadline):
+                return None
+
+    def _receive_head(self, deadline: float | None) -> bool:
+        wait = self._limits.idle_s
+        if deadline is not None:
+            wait = deadline - self._server.clock.monotonic()
+        try:
+            if wait <= 0:
+                return False
+            self._receive(wait)
+        except OSError:
+            return False
+        return True
+
+    def _receive(self, wait_s: float) -> None:
+        self._sock.settimeout(wait_s)
+        data = self._sock.recv(READ_BYTES)
+        self._http.receive_data(data)
+
+    def _read_body(self, line: RequestLine) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        memory = self._server.memory
+        try:
+            while True:
+                event = self._http.next_event()
+                if isinstance(event, h11.EndOfMessage):
+                    return b''.join(parts)
+                if isinstance(event, h11.Data):
+                    self._admit(size + len(event.data), len(event.data))
+                    size += len(event.data)
+                    parts.append(bytes(event.data))
+                    continue
+                if event is not h11.NEED_DATA:
+                    raise CallerGoneError('the caller closed in its body')
+                self._receive_body()
+        except BaseException:
+            memory.give_back(size)
+            raise
+
+    def _admit(self, size: int, added: int) -> None:
+        """Reserve memory for a part of a body."""
+        if size > self._limits.body_bytes:
+            raise RefusedRequestError(
+                413, ResultCode.BODY_TOO_LARGE, 'the body is too large'
+            )
+        if not self._server.memory.take(added):
+            raise RefusedRequestError(
+                503, ResultCode.NO_CAPACITY, 'too many bodies in memory'
+            )
+
+    def _receive_body(self) -> None:
+        if self._http.they_are_waiting_for_100_continue:
+            self.send(h11.InformationalResponse(status_code=100, headers=[]))
+        try:
+            self._receive(self._limits.idle_s)
+        except TimeoutError as exc:
+            raise RefusedRequestError(
+                408, ResultCode.BAD_REQUEST, 'the body did not arrive in time'
+            ) from exc
+        except OSError as exc:
+            raise CallerGoneError(str(exc)) from exc
+
+    # Watching for callers that leave.
+
+    @contextlib.contextmanager
+    def _watch(self) -> Iterator[None]:
+        """Raise :exc:`CallerGoneError` in this greenlet when the caller hangs up."""
+        greenlet = gevent.getcurrent()
+        watcher = get_hub().loop.io(self._sock.fileno(), _READABLE)
+
+        def on_readable() -> None:
+            try:
+                data = os.read(self._sock.fileno(), READ_BYTES)
+            except BlockingIOError:
+                return
+            except OSError:
+                data = b''
+            if not data:
+                self._eof = True
+                watcher.stop()
+                greenlet.throw(CallerGoneError('the caller closed'))
+                return
+            self._ahead += data
+            if len(self._ahead) >= READ_AHEAD_BYTES:
+                watcher.stop()
+
+        watcher.start(on_readable)
+        try:
+            yield
+        finally:
+            watcher.stop()
+            watcher.close()
+
+
+class ConnectionReply(Reply):
+    """The answer to one request of a connection.
+
+    :param conn: the connection
+    """
+
+    def __init__(self, conn: CallerConnection) -> None:
+        self._conn = conn
+        self.started = False
+
+    def start(self, status: int, reason: bytes, headers: RawHeaders) -> None:
+        """Write the head."""
+        self.started = True
+        if self._conn.must_close():
+            names = {name.lower() for name, _ in headers}
+            if b'connection' not in names:
+                headers = [*headers, (b'Connection', b'close')]
+        self._conn.send(
+            h11.Response(status_code=status, reason=reason, headers=headers)
+        )
+
+    def write(self, data: bytes) -> None:
+        """Write a part of the body."""
+        if data:
+            self._conn.send(h11.Data(data=data))
+
+    def finish(self) -> None:
+        """End the answer so that it is complete."""
+        self._conn.send(h11.EndOfMessage())
+
+    def abort(self) -> None:
+        """Close the connection so that the answer does not look complete."""
+        raise CallerGoneError('the answer was broken off')
+
+
+def _check_framing(headers: RawHeaders) -> None:
+    """Refuse a request whose length can be read in two ways."""
+    names = [name.lower() for name, _ in headers]
+    if b'transfer-encoding' in names and b'content-length' in names:
+        raise RefusedRequestError(
+            400, ResultCode.BAD_REQUEST, 'both a length and a transfer encoding'
+        )
+    if names.count(b'host') > 1:
+        raise RefusedRequestError(400, ResultCode.BAD_REQUEST, 'more than one host')
--- /dev/null
+++ b/packages/router/src/rosemaryseam/router/events.py
@@ -0,0 +1,66 @@
+"""Events of a text/event-stream, cut at their ends."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+MAX_EVENT_BYTES = 1_000_000  # an event that never ends must not fill the memory
+
+
+class Event(NamedTuple):
+    """One event with its separator; ``id`` is ``None`` when it carries none."""
+
+    data: bytes
+    id: bytes | None
+
+
+class EventTooLongError(Exception):
+    """An event does not end within :data:`MAX_EVENT_BYTES`."""
+
+
+class EventSplitter:
+    """Cuts a byte stream into whole events."""
+
+    def __init__(self) -> None:
+        self._rest = b''
+
+    @property
+    def rest(self) -> bytes:
+        """Bytes after the last whole event."""
+        return self._rest
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Return the events that end in new bytes.
+
+        :param data: the next bytes of the stream
+        :raises EventTooLongError: an event has no end
+        """
+        buffer = self._rest + data
+        events = []
+        start = 0
+        while (end := _find_end(buffer, start)) >= 0:
+            event = buffer[start:end]
+            events.append(Event(event, _find_id(event)))
+            start = end
+        self._rest = buffer[start:]
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise EventTooLongError('an event does not end')
+        return events
+
+
+def _find_end(buffer: bytes, start: int) -> int:
+    """Return the index after an event's empty line, or -1."""
+    plain = buffer.find(b'\n\n', start)
+    crlf = buffer.find(b'\r\n\r\n', start)
+    if plain < 0 and crlf < 0:
+        return -1
+    if crlf < 0 or 0 <= plain < crlf:
+        return plain + 2
+    return crlf + 4
+
+
+def _find_id(event: bytes) -> bytes | None:
+    for line in event.splitlines():
+        if line.startswith(b'id:'):
+            return line[3:].strip()
+    return None
--- /dev/null
+++ b/packages/router/src/rosemaryseam/router/exchange.py
@@ -0,0 +1,198 @@
+"""One connection to an upstream, which carries one request at a time."""
+
+from __future__ import annotations
+
+import contextlib
+import select
+import socket as std_socket
+from typing import TYPE_CHECKING, Any
+
+import gevent
+import h11
+from gevent import socket
+
+from rosemaryseam.router.faults import BrokenError, ForeignBytesError, NotSentError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from rosemaryseam.common.addresses import Address
+    from rosemaryseam.common.clock import Clock
+    from rosemaryseam.router.codec import HttpCodec
+    from rosemaryseam.router.requests import AnswerHead, RawHeaders
+
+READ_BYTES = 65_536
+INLINE_BODY_BYTES = 4096  # longer bodies are written while the answer is read
+MAX_HEAD_BYTES = 65_536
+KEEP_ALIVE_MARGIN_S = 1.0  # before the upstream's own idle timeout
+
+
+class UpstreamConnection:
+    """A connection that tells what may have reached the upstream.
+
+    :param sock: the connected socket
+    :param codec: reads heads
+    :param clock: the process's clock
+    """
+
+    def __init__(self, sock: Any, codec: HttpCodec, clock: Clock) -> None:
+        self._sock = sock
+        self._codec = codec
+        self._clock = clock
+        self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
+        self._writer: gevent.Greenlet | None = None
+        self._sent: list[Any] = []
+        self._head: AnswerHead | None = None
+        self.served = 0
+        self.last_used = clock.monotonic()
+        self.idle_limit_s: float | None = None
+
+    def is_quiet(self) -> bool:
+        """Return whether nothing has arrived and the other end has not closed."""
+        try:
+            readable, _, _ = select.select([self._sock.fileno()], [], [], 0)
+        except (OSError, ValueError):
+            return False
+        return not readable and not self._http.trailing_data[0]
+
+    def idle_s(self) -> float:
+        """Return how long the connection has carried nothing."""
+        return self._clock.monotonic() - self.last_used
+
+    def is_expired(self) -> bool:
+        """Return whether the upstream may close the connection by now."""
+        limit = self.idle_limit_s
+        return limit is not None and self.idle_s() > limit - KEEP_ALIVE_MARGIN_S
+
+    def send(
+        self, method: bytes, target: bytes, headers: RawHeaders, body: bytes
+    ) -> None:
+        """Write a request; a long body goes out while the answer is read.
+
+        :param method: the HTTP method
+        :param target: path and query as the caller sent them
+        :param headers: all headers, host first
+        :param body: the whole body
+        :raises BrokenError: the connection failed; bytes may have arrived
+        """
+        self._head = None
+        self._sent = [h11.Request(method=method, target=target, headers=headers)]
+        if body:
+            self._sent.append(h11.Data(data=body))
+        self._sent.append(h11.EndOfMessage())
+        data = b''.join([self._http.send(event) for event in self._sent])
+        if len(body) <= INLINE_BODY_BYTES:
+            self._write(data)
+        else:
+            self._writer = gevent.spawn(self._write_quietly, data)
+
+    def read_head(self, request_id: str) -> AnswerHead:
+        """Return the head of the answer, passing over answers to other requests.
+
+        :param request_id: what the answer must echo
+        :raises BrokenError: no answer came
+        """
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if not isinstance(event, h11.Response):
+                raise ForeignBytesError('the connection ended without an answer')
+            head = self._codec.decode_answer(
+                event.status_code, event.reason, list(event.headers.raw_items())
+            )
+            if head.request_id is None or head.request_id == request_id:
+                self._head = head
+                return head
+            self._pass_over()
+
+    def chunks(self) -> Iterator[bytes]:
+        """Yield the answer's body as it arrives.
+
+        :raises BrokenError: the answer ended early
+        """
+        while True:
+            event = self._next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise BrokenError('the answer ended early')
+
+    def release(self) -> bool:
+        """Prepare for the next request and return whether that is possible."""
+        if self._writer is not None and not self._writer.ready():
+            return False
+        if self._head is None or self._head.closes or self._http.trailing_data[0]:
+            return False
+        try:
+            self._http.start_next_cycle()
+        except h11.ProtocolError:
+            return False
+        self.idle_limit_s = self._head.idle_s
+        self.served += 1
+        self.last_used = self._clock.monotonic()
+        self._writer = None
+        return True
+
+    def close(self) -> None:
+        """Drop the connection."""
+        if self._writer is not None:
+            self._writer.kill(block=False)
+        self._sock.close()
+
+    def _pass_over(self) -> None:
+        """Read an answer to another request to its end and start over."""
+        for _ in self.chunks():
+            pass
+        rest, _ = self._http.trailing_data
+        self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
+        for event in self._sent:
+            self._http.send(event)
+        self._http.receive_data(rest)
+
+    def _next_event(self) -> Any:
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as exc:
+                raise ForeignBytesError(f'not an HTTP answer: {exc}') from exc
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = self._sock.recv(READ_BYTES)
+            except OSError as exc:
+                raise BrokenError(f'the connection failed: {exc}') from exc
+            self._http.receive_data(data)
+
+    def _write(self, data: bytes) -> None:
+        try:
+            self._sock.sendall(data)
+        except OSError as exc:
+            raise BrokenError(f'the connection failed: {exc}') from exc
+
+    def _write_quietly(self, data: bytes) -> None:
+        """Write; a failure shows when the answer is read."""
+        with contextlib.suppress(OSError):
+            self._sock.sendall(data)
+
+
+def connect(
+    address: Address, codec: HttpCodec, clock: Clock, timeout_s: float
+) -> UpstreamConnection:
+    """Open a connection to an upstream.
+
+    :param address: where it listens
+    :param codec: reads heads
+    :param clock: the process's clock
+    :param timeout_s: how long connecting may take
+    :raises NotSentError: no connection was made
+    """
+    try:
+        sock = socket.create_connection(tuple(address), timeout=timeout_s)
+    except OSError as exc:
+        raise NotSentError(f'cannot connect to {address}: {exc}') from exc
+    sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
+    sock.settimeout(None)
+    return UpstreamConnection(sock, codec, clock)
--- /dev/null
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -0,0 +1,459 @@
+"""The way of one request: route, key, upstream, answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import gevent
+
+from rosemaryseam.common.decisionlog import log_event
+from rosemaryseam.common.errors import ResultCode
+from rosemaryseam.policy.retrybudget import FleetRetryBudget
+from rosemaryseam.router.codec import BadRequestError
+from rosemaryseam.router.faults import (
+    BrokenError,
+    DeclinedError,
+    ForeignBytesError,
+    NotSentError,
+    SendError,
+)
+from rosemaryseam.router.placement import NoUpstreamError, Order
+from rosemaryseam.router.relay import StreamRelay, relay_whole
+from rosemaryseam.router.requests import UpstreamCall
+from rosemaryseam.router.routes import Repeat, pick_service
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from rosemaryseam.common.clock import Clock
+    from rosemaryseam.node.metrics import Metrics
+    from rosemaryseam.policy.retrybudget import BudgetTerms
+    from rosemaryseam.router.callers import Received
+    from rosemaryseam.router.codec import HttpCodec
+    from rosemaryseam.router.feed import StateFeed
+    from rosemaryseam.router.placement import Placer, Ticket
+    from rosemaryseam.router.pool import ConnectionPool
+    from rosemaryseam.router.reply import Reply
+    from rosemaryseam.router.requests import AnswerHead, CallerRequest
+    from rosemaryseam.router.routes import Route, RoutingTable, Service, Workspace
+    from rosemaryseam.router.upstreams import Registry
+
+DEFAULT_PATIENCE_S = 30.0  # of a caller that names no deadline
+RETRY_SOON_S = 0.25  # a refusal that another host need not repeat
+NO_UPSTREAM_RETRY_S = 0.5
+MIN_RUN_S = 0.02  # with less time left nothing is sent
+HTTP_ERROR = 500
+
+
+class Job(NamedTuple):
+    """A request that is allowed to run."""
+
+    request: CallerRequest
+    route: Route
+    service: Service
+    workspace: Workspace | None
+    version: int
+    expires: float
+
+    @property
+    def rank(self) -> int:
+        """The urgency of the request, 0 first."""
+        if self.workspace is not None and self.workspace.rank is not None:
+            return self.workspace.rank
+        return self.route.rank
+
+
+class Attempts:
+    """What happened to a request so far."""
+
+    def __init__(self) -> None:
+        self.arrivals = 0  # times that an upstream got the request
+        self.runs = 0  # times that it may have run
+        self.excluded: frozenset[str] = frozenset()
+        self.failure: SendError | None = None
+        self.kept: tuple[AnswerHead, bytes] | None = None
+
+
+class RefusalError(Exception):
+    """A request that ends with an answer of the router's own."""
+
+    def __init__(
+        self,
+        status: int,
+        code: ResultCode,
+        message: str,
+        retry_after_s: float | None = None,
+        *,
+        close: bool = False,
+    ) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+        self.retry_after_s = retry_after_s
+        self.close = close
+
+
+class Forwarder:
+    """Answers requests by passing them to upstreams.
+
+    :param feed: table and freshness
+    :param registry: the usable upstreams
+    :param pool: connections to them
+    :param placer: chooses among them
+    :param codec: writes and reads heads
+    :param clock: the process's clock
+    :param metrics: the process's counters
+    :param terms: the fleet's retry budget
+    :param hosts: returns how many hosts share it
+    :param key_age_s: how old the table may be to accept a key
+    :param rng: decides between weighted services
+    """
+
+    def __init__(
+        self,
+        feed: StateFeed,
+        registry: Registry,
+        pool: ConnectionPool,
+        placer: Placer,
+        codec: HttpCodec,
+        clock: Clock,
+        metrics: Metrics,
+        terms: BudgetTerms,
+        hosts: Callable[[], int],
+        key_age_s: float,
+        rng: random.Random,
+    ) -> None:
+        self._feed = feed
+        self._registry = registry
+        self._pool = pool
+        self._placer = placer
+        self._codec = codec
+        self._clock = clock
+        self._metrics = metrics
+        self._terms = terms
+        self._hosts = hosts
+        self._key_age_s = key_age_s
+        self._rng = rng
+        self._budgets: dict[str, FleetRetryBudget] = {}
+
+    def handle(self, received: Received, reply: Reply) -> None:
+        """Answer one request.
+
+        :param received: the request
+        :param reply: where the answer goes
+        :raises CallerGoneError: the caller left, or its answer was broken off
+        """
+        request: CallerRequest | None = None
+        try:
+            request = self._decode(received)
+            job = self._admit(request)
+            self._forward(job, reply)
+        except RefusalError as exc:
+            self._refuse(request, exc, reply)
+
+    # Admission.
+
+    def _decode(self, received: Received) -> CallerRequest:
+        try:
+            return self._codec.decode_request(
+                received.line, received.body, received.arrived
+            )
+        except BadRequestError as exc:
+            raise RefusalError(400, ResultCode.BAD_REQUEST, str(exc)) from exc
+
+    def _admit(self, request: CallerRequest) -> Job:
+        table = self._feed.table
+        if table is None:
+            raise RefusalError(
+                503,
+                ResultCode.NOT_READY,
+                'no configuration is known yet',
+                RETRY_SOON_S,
+                close=True,
+            )
+        route = table.find_route(request.host, request.path)
+        if route is None:
+            raise RefusalError(404, ResultCode.NOT_FOUND, 'no route matches')
+        workspace = self._authenticate(table, route, request)
+        name = pick_service(route, self._rng.random())
+        service = table.services.get(name) if name else None
+        if service is None:
+            raise RefusalError(
+                503, ResultCode.NO_UPSTREAM, 'the route has no service', 1.0
+            )
+        patience = min(request.patience_s or DEFAULT_PATIENCE_S, route.timeout_s)
+        expires = request.arrived + patience
+        return Job(request, route, service, workspace, table.version, expires)
+
+    def _authenticate(
+        self, table: RoutingTable, route: Route, request: CallerRequest
+    ) -> Workspace | None:
+        if route.public or not table.needs_keys:
+            return None
+        age = self._feed.age_s()
+        if age >= self._key_age_s:
+            raise RefusalError(
+                503,
+                ResultCode.KEY_VALUE_UNAVAILABLE,
+                f'keys cannot be checked: last contact {age:.1f} s ago',
+                RETRY_SOON_S,
+                close=True,
+            )
+        workspace = table.find_workspace(request.api_key or '')
+        if workspace is None:
+            raise RefusalError(401, ResultCode.UNAUTHENTICATED, 'unknown API key')
+        return workspace
+
+    # Sending.
+
+    def _forward(self, job: Job, reply: Reply) -> None:
+        attempts = Attempts()
+        relay = StreamRelay(reply)
+        left = job.expires - self._clock.monotonic()
+        try:
+            with gevent.Timeout(max(0.0, left)):
+                while not self._attempt(job, attempts, relay, reply):
+                    pass
+        except gevent.Timeout as exc:
+            self._expire(job, attempts, reply)
+            raise self._final_refusal(attempts, timed_out=True) from exc
+
+    def _expire(self, job: Job, attempts: Attempts, reply: Reply) -> None:
+        log_event(
+            'request_timed_out',
+            id=job.request.id,
+            route=job.route.name,
+            arrivals=attempts.arrivals,
+            started=reply.started,
+        )
+        if reply.started:
+            reply.abort()
+
+    def _attempt(
+        self, job: Job, attempts: Attempts, relay: StreamRelay, reply: Reply
+    ) -> bool:
+        """Send the request once and return whether the caller has its answer."""
+        ticket = self._place(job, attempts)
+        if ticket is None:
+            self._give_up(job, attempts, reply)
+            return True
+        outcome = 'cancelled'
+        try:
+            self._send(job, attempts, relay, reply, ticket)
+            outcome = 'done'
+        except NotSentError as exc:
+            outcome = 'unreachable'
+            self._note_failure(job, attempts, ticket, exc)
+        except DeclinedError as exc:
+            outcome = 'declined'
+            self._note_failure(job, attempts, ticket, exc)
+        except BrokenError as exc:
+            outcome = 'failed'
+            self._note_failure(job, attempts, ticket, exc)
+        finally:
+            ticket.end(outcome)
+        if outcome == 'done':
+            return True
+        if not self._may_repeat(job, attempts, relay):
+            self._give_up(job, attempts, reply)
+            return True
+        return False
+
+    def _place(self, job: Job, attempts: Attempts) -> Ticket | None:
+        """Return a ticket, or ``None`` when a failed request has nowhere to go."""
+        order = Order(
+            job.request,
+            job.route,
+            job.service,
+            job.rank,
+            attempts.excluded,
+            job.request.arrived + job.route.first_byte_target_s,
+            job.expires,
+            attempts.arrivals > 0,
+        )
+        try:
+            return self._placer.place(order, self._registry.usable(job.service.name))
+        except NoUpstreamError as exc:
+            if attempts.failure is not None:
+                return None
+            raise RefusalError(
+                503, ResultCode.NO_UPSTREAM, str(exc), exc.retry_after_s
+            ) from exc
+
+    def _send(
+        self,
+        job: Job,
+        attempts: Attempts,
+        relay: StreamRelay,
+        reply: Reply,
+        ticket: Ticket,
+    ) -> None:
+        upstream = ticket.upstream
+        left = job.expires - self._clock.monotonic()
+        call = UpstreamCall(
+            job.request,
+            upstream.id,
+            job.workspace.name if job.workspace else None,
+            left,
+            ticket.urgency,
+            relay.last_event_id,
+        )
+        headers = self._codec.encode_call(call)
+        proven = job.route.repeat is Repeat.NEVER
+        conn = self._pool.acquire(upstream, proven=proven)
+        self._record_arrival(job, attempts)
+        log_event(
+            'request_sent',
+            id=job.request.id,
+            route=job.route.name,
+            version=job.version,
+            upstream=upstream.id,
+            attempt=attempts.arrivals,
+            reused=conn.served,
+            left_ms=int(left * 1000),
+            urgency=ticket.urgency,
+            **ticket.inputs,
+        )
+        try:
+            conn.send(job.request.method, job.request.target, headers, job.request.body)
+            head = conn.read_head(job.request.id)
+            ticket.answered(head)
+            self._take_answer(job, attempts, relay, reply, ticket, conn, head)
+        except BaseException:
+            conn.close()
+            raise
+        self._pool.release(upstream, conn)
+        self._log_answer(job, ticket, head)
+
+    def _take_answer(
+        self,
+        job: Job,
+        attempts: Attempts,
+        relay: StreamRelay,
+        reply: Reply,
+        ticket: Ticket,
+        conn: object,
+        head: AnswerHead,
+    ) -> None:
+        if head.declined:
+            raise DeclinedError(f'{ticket.upstream.id} declined: {head.status}', head)
+        if head.encoded or (head.status < 300 and not head.signed):
+            raise ForeignBytesError(f'{ticket.upstream.id}: not its own answer')
+        if not head.signed and head.status in (408, 421, 429, 503):
+            raise ForeignBytesError(f'{ticket.upstream.id}: an unsigned promise')
+        if head.status >= HTTP_ERROR and job.route.repeat is not Repeat.NEVER:
+            body = b''.join(conn.chunks())
+            attempts.kept = (head, body)
+            raise BrokenError(f'{ticket.upstream.id} answered {head.status}')
+        if job.route.streamed and head.status < 300:
+            relay.run(head, conn.chunks(), ticket)
+        else:
+            bodyless = job.request.method == b'HEAD'
+            relay_whole(head, conn.chunks(), reply, bodyless=bodyless)
+
+    # Repeating.
+
+    def _record_arrival(self, job: Job, attempts: Attempts) -> None:
+        budget = self._budget(job.service.name)
+        now = self._clock.monotonic()
+        if attempts.arrivals:
+            budget.record_repeat(now)
+        else:
+            budget.record_first(now)
+        attempts.arrivals += 1
+
+    def _budget(self, service: str) -> FleetRetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = FleetRetryBudget(self._terms)
+        return budget
+
+    def _note_failure(
+        self, job: Job, attempts: Attempts, ticket: Ticket, exc: SendError
+    ) -> None:
+        attempts.failure = exc
+        attempts.excluded |= {ticket.upstream.id}
+        if isinstance(exc, BrokenError):
+            attempts.runs += 1
+        if isinstance(exc, DeclinedError) and exc.head.status == 421:
+            self._registry.mark_left(ticket.upstream, 'address reused')
+        self._metrics.count('upstream_failures', kind=type(exc).__name__)
+        log_event(
+            'attempt_failed',
+            id=job.request.id,
+            upstream=ticket.upstream.id,
+            attempt=attempts.arrivals,
+            kind=type(exc).__name__,
+            reason=exc.message,
+        )
+
+    def _may_repeat(self, job: Job, attempts: Attempts, relay: StreamRelay) -> bool:
+        now = self._clock.monotonic()
+        if job.expires - now < MIN_RUN_S:
+            return False
+        may_have_run = attempts.runs > 0
+        repeat = job.route.repeat
+        if may_have_run and repeat is Repeat.NEVER:
+            return False
+        if attempts.runs >= max(1, job.route.max_runs):
+            return False
+        if relay.started and repeat is not Repeat.RESUME:
+            return False
+        if not attempts.arrivals:
+            return True
+        return self._budget(job.service.name).allows(now, self._hosts())
+
+    def _give_up(self, job: Job, attempts: Attempts, reply: Reply) -> None:
+        if reply.started:
+            log_event('answer_broken_off', id=job.request.id, runs=attempts.runs)
+            reply.abort()
+        if attempts.kept is not None:
+            head, body = attempts.kept
+            relay_whole(head, iter((body,)), reply, bodyless=False)
+            log_event('failure_passed_on', id=job.request.id, status=head.status)
+            return
+        raise self._final_refusal(attempts, timed_out=False)
+
+    def _final_refusal(self, attempts: Attempts, *, timed_out: bool) -> RefusalError:
+        reason = attempts.failure.message if attempts.failure else 'no answer in time'
+        if timed_out and attempts.arrivals:
+            return RefusalError(504, ResultCode.DEADLINE_EXCEEDED, reason)
+        if attempts.runs:
+            return RefusalError(502, ResultCode.UPSTREAM_FAILED, reason)
+        return RefusalError(503, ResultCode.NO_UPSTREAM, reason, NO_UPSTREAM_RETRY_S)
+
+    # Ends.
+
+    def _refuse(
+        self, request: CallerRequest | None, exc: RefusalError, reply: Reply
+    ) -> None:
+        self._metrics.count('requests_refused', status=str(exc.status))
+        log_event(
+            'request_refused',
+            id=request.id if request else None,
+            status=exc.status,
+            code=exc.code.name,
+            reason=str(exc),
+            retry_after_s=exc.retry_after_s,
+            version=self._feed.table.version if self._feed.table else None,
+            table_age_s=round(self._feed.age_s(), 3),
+        )
+        reply.refuse(
+            exc.status,
+            exc.code,
+            str(exc),
+            retry_after_s=exc.retry_after_s,
+            close=exc.close,
+        )
+
+    def _log_answer(self, job: Job, ticket: Ticket, head: AnswerHead) -> None:
+        elapsed = self._clock.monotonic() - job.request.arrived
+        self._metrics.observe('request', elapsed, route=job.route.name)
+        log_event(
+            'request_answered',
+            id=job.request.id,
+            upstream=ticket.upstream.id,
+            status=head.status,
+            ms=int(elapsed * 1000),
+        )
--- /dev/null
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -0,0 +1,189 @@
+"""A router process: builds its parts, runs them and stops them gracefully."""
+
+from __future__ import annotations
+
+import errno
+import json
+import random
+from typing import TYPE_CHECKING, Any
+
+import gevent
+from gevent.event import Event
+
+from rosemaryseam.common.decisionlog import log_event
+from rosemaryseam.common.errors import ResultCode, SettingsError
+from rosemaryseam.common.wsgi import HttpServer, ServerBounds
+from rosemaryseam.node.metrics import Metrics
+from rosemaryseam.router.callers import BodyMemory, CallerServer
+from rosemaryseam.router.feed import StateFeed
+from rosemaryseam.router.forwarder import Forwarder
+from rosemaryseam.router.placement import LeastLoadedPlacer
+from rosemaryseam.router.pool import ConnectionPool
+from rosemaryseam.router.routes import CallerLimits
+from rosemaryseam.router.status import build_readiness, build_status
+from rosemaryseam.router.upstreams import Registry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from rosemaryseam.common.clock import Clock
+    from rosemaryseam.common.rangestore import RangeStore
+    from rosemaryseam.router.codec import HttpCodec, StateCodec
+    from rosemaryseam.router.settings import RouterSettings
+    from rosemaryseam.router.upstreams import Change
+
+BODY_MEMORY_SHARE = 0.2  # of the process's memory
+RESERVED_DESCRIPTORS = 400  # for files, upstreams and the store
+SWEEP_S = 0.5
+ROTATION_S = 3.2  # readiness is asked each second; two misses end new connections
+LAST_CHANCE_S = 0.6  # before the kill: what still runs is broken off in order
+POLL_S = 0.05
+
+
+class Router:
+    """All parts of one router process.
+
+    :param cfg: the settings
+    :param clock: the process's clock
+    :param store: the platform's store
+    :param http: reads and writes heads
+    :param state: reads the store's values
+    """
+
+    def __init__(
+        self,
+        cfg: RouterSettings,
+        clock: Clock,
+        store: RangeStore,
+        http: HttpCodec,
+        state: StateCodec,
+    ) -> None:
+        self._cfg = cfg
+        self._clock = clock
+        self._rng = random.Random()
+        self._stopping = Event()
+        self.metrics = Metrics()
+        self.registry = Registry()
+        self._pool = ConnectionPool(http, clock, self.metrics)
+        self.feed = StateFeed(
+            store,
+            state,
+            self.registry,
+            clock,
+            self.metrics,
+            self._rng,
+            self._on_changes,
+        )
+        self._forwarder = Forwarder(
+            self.feed,
+            self.registry,
+            self._pool,
+            LeastLoadedPlacer(),
+            http,
+            clock,
+            self.metrics,
+            cfg.retry_terms,
+            lambda: 8,
+            cfg.key_age_s,
+            self._rng,
+        )
+        self._callers = CallerServer(
+            cfg.callers,
+            self._forwarder.handle,
+            clock,
+            self.metrics,
+            self._caller_limits,
+            BodyMemory(int(cfg.memory_bytes * BODY_MEMORY_SHARE)),
+            cfg.descriptors - RESERVED_DESCRIPTORS,
+        )
+        self._readiness = HttpServer(
+            cfg.readiness, build_readiness(self.not_ready), ServerBounds()
+        )
+        self._status = HttpServer(
+            cfg.metrics, build_status(self.metrics, self.dump), ServerBounds()
+        )
+        self._background: list[gevent.Greenlet] = []
+
+    def start(self) -> None:
+        """Open the ports and start to follow the store.
+
+        :raises SettingsError: an address cannot be used
+        """
+        cfg = self._cfg
+        self._open('readiness', self._readiness.start)
+        self._open('metrics', self._status.start)
+        self._open('callers', self._callers.start)
+        self._background = [gevent.spawn(self.feed.run), gevent.spawn(self._sweep)]
+        log_event('started', zone=cfg.zone, callers=str(cfg.callers))
+
+    def request_stop(self) -> None:
+        """Begin the graceful stop; more calls change nothing."""
+        self._stopping.set()
+
+    def wait(self) -> None:
+        """Run until the graceful stop is complete."""
+        self._stopping.wait()
+        began = self._clock.monotonic()
+        log_event('stopping', busy=self._callers.busy_connections)
+        self._callers.begin_drain()
+        gevent.sleep(min(ROTATION_S, self._cfg.grace_s / 2))
+        self._callers.stop_accepting()
+        last = began + self._cfg.grace_s - LAST_CHANCE_S
+        while self._callers.busy_connections and self._clock.monotonic() < last:
+            gevent.sleep(POLL_S)
+        self._callers.close_idle()
+        log_event('stopped', cut_off=self._callers.busy_connections)
+        gevent.killall(self._background, block=False)
+
+    def reload(self) -> None:
+        """Note that the settings file changed; addresses need a restart."""
+        log_event('reloaded')
+
+    def not_ready(self) -> str | None:
+        """Return why callers should go elsewhere, or ``None``."""
+        if self._stopping.is_set():
+            return 'stopping'
+        if self.feed.table is None:
+            return 'no configuration'
+        if self.feed.age_s() >= self._cfg.key_age_s:
+            return 'configuration may be old'
+        return None
+
+    def dump(self) -> dict[str, Any]:
+        """Return the whole state in JSON's types."""
+        table = self.feed.table
+        return {
+            'host': self._cfg.host,
+            'not_ready': self.not_ready(),
+            'version': table.version if table else None,
+            'table_age_s': self.feed.age_s(),
+            'upstreams': [entry._asdict() for entry in self.registry.all()],
+            'caller_connections': self._callers.open_connections,
+            'idle_upstream_connections': self._pool.size(),
+            'counters': self.metrics.dump(),
+        }
+
+    def log_dump(self) -> None:
+        """Write the whole state to the log."""
+        log_event('dump', state=json.loads(json.dumps(self.dump(), default=str)))
+
+    def _caller_limits(self) -> CallerLimits:
+        table = self.feed.table
+        return table.limits if table is not None else CallerLimits()
+
+    def _on_changes(self, changes: Iterable[Change]) -> None:
+        self._pool.retain(entry.incarnation for entry in self.registry.all())
+
+    def _sweep(self) -> None:
+        while True:
+            gevent.sleep(SWEEP_S)
+            self._pool.sweep()
+
+    def _open(self, key: str, start: Callable[[], None]) -> None:
+        try:
+            start()
+        except OSError as exc:
+            code = ResultCode.ADDRESS_INVALID
+            if exc.errno == errno.EADDRINUSE:
+                code = ResultCode.ADDRESS_IN_USE
+            raise SettingsError(f'{key}: {exc.strerror or exc}', code) from exc
--- /dev/null
+++ b/packages/router/src/rosemaryseam/router/relay.py
@@ -0,0 +1,159 @@
+"""Passes an upstream's answer on, so that none looks complete that is not."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from rosemaryseam.router.events import EventSplitter, EventTooLongError
+from rosemaryseam.router.faults import BrokenError, ForeignBytesError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from rosemaryseam.router.placement import Ticket
+    from rosemaryseam.router.reply import Reply
+    from rosemaryseam.router.requests import AnswerHead
+
+WHOLE_ANSWER_BYTES = 262_144  # shorter answers are read whole before they are sent on
+_CONNECTION_HEADERS = frozenset(
+    (b'connection', b'keep-alive', b'transfer-encoding', b'te', b'upgrade', b'trailer')
+)
+
+
+def relay_whole(
+    head: AnswerHead, chunks: Iterator[bytes], reply: Reply, *, bodyless: bool
+) -> None:
+    """Pass on an answer that is no stream of events.
+
+    Nothing is written before a short answer is complete, so that a broken one can
+    still be replaced.
+
+    :param head: the answer's head
+    :param chunks: its body
+    :param reply: the caller's answer
+    :param bodyless: whether the request's method allows no body
+    :raises BrokenError: the upstream broke off
+    """
+    parts: list[bytes] = []
+    size = 0
+    for chunk in chunks:
+        parts.append(chunk)
+        size += len(chunk)
+        if size > WHOLE_ANSWER_BYTES:
+            break
+    else:
+        body = b''.join(parts)
+        reply.start(head.status, head.reason, _with_length(head, body, bodyless))
+        reply.write(body)
+        reply.finish()
+        return
+    _relay_long(head, parts, chunks, reply)
+
+
+def _relay_long(
+    head: AnswerHead, parts: list[bytes], chunks: Iterator[bytes], reply: Reply
+) -> None:
+    reply.start(head.status, head.reason, end_to_end(head))
+    reply.write(b''.join(parts))
+    try:
+        for chunk in chunks:
+            reply.write(chunk)
+    except BrokenError:
+        reply.abort()
+        raise
+    reply.finish()
+
+
+class StreamRelay:
+    """Passes on whole events of one answer, from one upstream after another.
+
+    :param reply: the caller's answer
+    """
+
+    def __init__(self, reply: Reply) -> None:
+        self._reply = reply
+        self._head: AnswerHead | None = None
+        self.last_event_id: bytes | None = None
+        self.events = 0
+
+    @property
+    def started(self) -> bool:
+        """Whether an event was passed on."""
+        return self._reply.started
+
+    def run(self, head: AnswerHead, chunks: Iterator[bytes], ticket: Ticket) -> None:
+        """Pass on a stream to its end.
+
+        The head of the first upstream is kept when a second one goes on.
+
+        :param head: the answer's head
+        :param chunks: its body
+        :param ticket: learns of events
+        :raises BrokenError: the upstream broke off
+        """
+        splitter = EventSplitter()
+        for chunk in chunks:
+            try:
+                events = splitter.feed(chunk)
+            except EventTooLongError as exc:
+                raise ForeignBytesError(str(exc)) from exc
+            data = b''.join([event.data for event in events if self._is_next(event.id)])
+            for _ in events:
+                ticket.event()
+            if data:
+                self._start(head)
+                self.events += len(events)
+                self._reply.write(data)
+        self._start(head)
+        if splitter.rest:
+            self._reply.write(splitter.rest)
+        self._reply.finish()
+
+    def _start(self, head: AnswerHead) -> None:
+        if not self._reply.started:
+            self._reply.start(head.status, head.reason, end_to_end(head))
+
+    def _is_next(self, event_id: bytes | None) -> bool:
+        """Return whether an event was not passed on yet, and remember its id."""
+        if event_id is None:
+            return True
+        last = self.last_event_id
+        if last is not None and _number(event_id) <= _number(last):
+            return False
+        self.last_event_id = event_id
+        return True
+
+
+def end_to_end(head: AnswerHead) -> list[tuple[bytes, bytes]]:
+    """Return an answer's headers without those of the connection.
+
+    :param head: the answer's head
+    """
+    named = {
+        token.strip().lower()
+        for name, value in head.headers
+        if name.lower() == b'connection'
+        for token in value.split(b',')
+    }
+    return [
+        (name, value)
+        for name, value in head.headers
+        if name.lower() not in _CONNECTION_HEADERS and name.lower() not in named
+    ]
+
+
+def _with_length(
+    head: AnswerHead, body: bytes, bodyless: bool
+) -> list[tuple[bytes, bytes]]:
+    headers = end_to_end(head)
+    if bodyless or head.status in (204, 304):
+        return headers
+    headers = [entry for entry in headers if entry[0].lower() != b'content-length']
+    return [*headers, (b'Content-Length', str(len(body)).encode())]
+
+
+def _number(event_id: bytes) -> int:
+    try:
+        return int(event_id)
+    except ValueError:
+        return -1
--- /dev/null
+++ b/packages/router/src/rosemaryseam/router/settings.py
@@ -0,0 +1,36 @@
+"""What a router process is told at its start."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from rosemaryseam.common.addresses import Address
+    from rosemaryseam.policy.retrybudget import BudgetTerms
+
+
+class RouterSettings(NamedTuple):
+    """Addresses and bounds of one host's router.
+
+    ``key_age_s`` is how old the proof may be that a key is still valid. ``grace_s``
+    is how long after SIGTERM the process is killed. ``peer_port`` is the same on all
+    hosts.
+    """
+
+    host: str
+    zone: str
+    ip: str
+    callers: Address
+    readiness: Address
+    metrics: Address
+    peer_port: int
+    store: Address
+    store_timeout_s: float
+    memory_bytes: int
+    descriptors: int
+    grace_s: float
+    key_age_s: float
+    retry_terms: BudgetTerms
+    pause_slack_s: float
+    zones: tuple[str, ...]
+    peers_hint: tuple[str, ...]
--- /dev/null
+++ b/packages/router/src/rosemaryseam/router/status.py
@@ -0,0 +1,76 @@
+"""Readiness, metrics and the dump, for the balancer and for operators."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import falcon
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from rosemaryseam.node.metrics import Metrics
+
+
+class ReadinessResource:
+    """Tells the balancer whether to send new connections here.
+
+    :param reason: returns why not, or ``None``
+    """
+
+    def __init__(self, reason: Callable[[], str | None]) -> None:
+        self._reason = reason
+
+    def __call__(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answer on any path: the port serves nothing else."""
+        reason = self._reason()
+        if reason is not None:
+            resp.status = falcon.HTTP_503
+        resp.media = {'ready': reason is None, 'reason': reason}
+
+
+class MetricsResource:
+    """``/metrics``, in the Prometheus text format."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Show all counters and histograms."""
+        resp.content_type = 'text/plain; version=0.0.4'
+        resp.data = self._metrics.render()
+
+
+class DumpResource:
+    """``/dump``: the whole state of the process."""
+
+    def __init__(self, dump: Callable[[], dict[str, Any]]) -> None:
+        self._dump = dump
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Show the state as JSON."""
+        resp.content_type = falcon.MEDIA_JSON
+        resp.data = json.dumps(self._dump(), default=str).encode()
+
+
+def build_readiness(reason: Callable[[], str | None]) -> falcon.App:
+    """Return the application of the readiness address.
+
+    :param reason: returns why callers should go elsewhere, or ``None``
+    """
+    application = falcon.App()
+    application.add_sink(ReadinessResource(reason), '/')
+    return application
+
+
+def build_status(metrics: Metrics, dump: Callable[[], dict[str, Any]]) -> falcon.App:
+    """Return the application of the metrics address.
+
+    :param metrics: the process's counters
+    :param dump: returns the process's state
+    """
+    application = falcon.App()
+    application.add_route('/metrics', MetricsResource(metrics))
+    application.add_route('/dump', DumpResource(dump))
+    return application
