Place prompts by expected loss over the whole fleet's load

Cause: least in flight by one host's own count puts long prefills beside streams with short pauses, and reads shared prompt parts on every engine. Ruled out: a fixed share of engines for the most urgent stream (the share must follow the demand); affinity to the holder of a part alone (one engine got 11 of the first 20 digests and a backlog of 0.9 s while others idled). Change: hosts tell each other by datagram what they sent, what answers and what ended; each keeps a view of every engine (prefill backlog, share of time on prefill, streams with pause limits, cached parts) and takes the engine with the least expected loss: lateness, pauses of streams there, tokens read again. Engines fetch cached parts from each other where that is cheaper.

--- /dev/null
+++ b/packages/policy/src/rosemaryseam/policy/engineplacement.py
@@ -0,0 +1,217 @@
+"""The choice of an engine: least expected loss over all requests that it touches."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, NamedTuple
+
+from rosemaryseam.policy.rendezvous import rank as order_by_hash
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from rosemaryseam.policy.engines import EngineView
+    from rosemaryseam.policy.prefixes import EngineCache, Part, PartUses
+
+RANK_VALUES = (5.0, 1.5, 1.5)  # worth of a request in target, by rank
+LATE_LOSS = 0.6  # share of its worth that a late answer loses
+READ_AGAIN_PER_TOKEN = 0.00024  # price of prefilling a part that an engine holds
+FETCH_PER_TOKEN = 0.00003  # price of copying a cached token between engines
+FETCH_SETUP_S = 0.01
+FETCH_S_PER_TOKEN = 0.000001
+FETCH_LEAST_TOKENS = 256  # fewer are read faster than they are fetched
+FIRST_EVENT_SAFETY = 0.75  # of the time left; expectations err by about a third
+PAUSE_SAFETY = 0.8  # of the pause limit
+SLOPE = 12.0  # how sharply the risk grows around the safe share of a limit
+OPENING_LOSS = 0.8  # streams with short pauses share engines, away from long prompts
+WAIT_PER_S = 0.4  # price of a second's wait, below all targets
+OTHER_ZONE_PER_BYTE = 0.000002  # bytes between zones cost
+MEMORY_SHARE = 0.8  # of an engine's memory that running requests may fill
+SLOTS_SHARE = 0.9  # of an engine's slots that requests may fill
+ORDER_LOSS = 0.002  # sends a new session where all hosts would
+FULL_LOSS = 5.0  # an engine without a slot or memory preempts somebody
+
+
+class PlacementRequest(NamedTuple):
+    """A request to place on an engine.
+
+    ``time_left_s`` is up to the target for the first event. ``prompt_tokens`` counts
+    the whole prompt, ``body_bytes`` what crosses the network.
+    """
+
+    rank: int
+    parts: tuple[Part, ...]
+    prompt_tokens: int
+    output_tokens: int
+    pause_s: float | None
+    time_left_s: float
+    body_bytes: int
+
+
+class Candidate(NamedTuple):
+    """An engine that may get a request; ``order`` is its affinity, 0 preferred.
+
+    ``lends_cache`` tells that engines copy cached parts from and to it.
+    """
+
+    name: str
+    view: EngineView
+    cache: EngineCache
+    same_zone: bool
+    order: int
+    penalty: float
+    lends_cache: bool
+
+
+class Choice(NamedTuple):
+    """An engine with what decided for it."""
+
+    name: str
+    loss: float
+    prefill_tokens: int
+    cached_tokens: int
+    fetch_from: str | None
+    fetch_tokens: int
+    first_event_s: float
+
+
+class Holder(NamedTuple):
+    """An engine that holds the start of a prompt."""
+
+    name: str
+    tokens: int
+
+
+def value_of(rank: int) -> float:
+    """Return the worth of a request in target.
+
+    :param rank: 0 is the most urgent
+    """
+    return RANK_VALUES[min(rank, len(RANK_VALUES) - 1)]
+
+
+def choose_engine(
+    request: PlacementRequest,
+    candidates: Iterable[Candidate],
+    uses: PartUses,
+    now: float,
+) -> Choice | None:
+    """Return the engine where a request does the least harm, or ``None``.
+
+    :param request: the request
+    :param candidates: engines that may get it
+    :param uses: last uses of prompt parts in the fleet
+    :param now: seconds on the monotonic clock
+    """
+    engines = list(candidates)
+    held = {entry.name: entry.cache.cached_tokens(request.parts) for entry in engines}
+    holder = _best_holder(request, engines, now)
+    best: Choice | None = None
+    for candidate in engines:
+        choice = _weigh(request, candidate, held[candidate.name], holder, uses, now)
+        if best is None or choice.loss < best.loss:
+            best = choice
+    return best
+
+
+def _best_holder(
+    request: PlacementRequest, engines: Sequence[Candidate], now: float
+) -> Holder | None:
+    """Return the engine that others may fetch the start of the prompt from."""
+    best: Holder | None = None
+    for entry in engines:
+        tokens = entry.cache.ready_tokens(request.parts, now)
+        if entry.lends_cache and tokens > (best.tokens if best else 0):
+            best = Holder(entry.name, tokens)
+    return best
+
+
+def _weigh(
+    request: PlacementRequest,
+    candidate: Candidate,
+    own: int,
+    holder: Holder | None,
+    uses: PartUses,
+    now: float,
+) -> Choice:
+    view = candidate.view
+    fetched = 0
+    if holder is not None and candidate.lends_cache:
+        fetched = max(0, holder.tokens - own)
+        if fetched < FETCH_LEAST_TOKENS:
+            fetched = 0
+    cached = own + fetched
+    prefill = max(1, request.prompt_tokens - cached)
+    first = view.first_event_s(prefill, now)
+    if fetched:
+        first += FETCH_SETUP_S + fetched * FETCH_S_PER_TOKEN
+    loss = (
+        candidate.penalty
+        + _lateness_loss(request, first)
+        + WAIT_PER_S * first
+        + uses.read_again_cost(request.parts[:-1], cached, now) * READ_AGAIN_PER_TOKEN
+        + fetched * FETCH_PER_TOKEN
+        + _pause_loss(request, view, prefill, now)
+        + _capacity_loss(request, view)
+        + candidate.order * ORDER_LOSS
+    )
+    if not candidate.same_zone:
+        loss += request.body_bytes * OTHER_ZONE_PER_BYTE
+    source = holder.name if holder is not None and fetched else None
+    return Choice(candidate.name, loss, prefill, cached, source, fetched, first)
+
+
+def _lateness_loss(request: PlacementRequest, first_s: float) -> float:
+    limit = request.time_left_s * FIRST_EVENT_SAFETY
+    return value_of(request.rank) * LATE_LOSS * risk(first_s, limit)
+
+
+def _pause_loss(
+    request: PlacementRequest, view: EngineView, prefill: int, now: float
+) -> float:
+    """Return what streams lose whose pauses the added prefill work lengthens."""
+    limits = view.pause_limits()
+    loss = 0.0
+    for (limit, rank), count in limits.items():
+        safe = limit * PAUSE_SAFETY
+        before = risk(view.pause_s(0, limit, now), safe)
+        after = risk(view.pause_s(prefill, limit, now), safe)
+        loss += count * value_of(rank) * LATE_LOSS * (after - before)
+    if request.pause_s is not None:
+        safe = request.pause_s * PAUSE_SAFETY
+        own = risk(view.pause_s(0, request.pause_s, now), safe)
+        loss += value_of(request.rank) * LATE_LOSS * own
+        if not any(limit <= request.pause_s for limit, _ in limits):
+            loss += OPENING_LOSS
+    return loss
+
+
+def _capacity_loss(request: PlacementRequest, view: EngineView) -> float:
+    size = view.size
+    memory = view.memory_tokens + request.prompt_tokens + request.output_tokens
+    slots = risk(view.requests + 1, size.batch_slots * SLOTS_SHARE)
+    full = risk(memory, size.cache_tokens * MEMORY_SHARE)
+    return FULL_LOSS * max(slots, full)
+
+
+def risk(value: float, limit: float) -> float:
+    """Return the risk, 0 to 1, that a limit is passed; a half at the limit.
+
+    :param value: what is expected
+    :param limit: the limit
+    """
+    if limit <= 0:
+        return 1.0
+    exponent = SLOPE * (value / limit - 1.0)
+    if exponent > 40:
+        return 1.0
+    return 1.0 / (1.0 + math.exp(-exponent))
+
+
+def rank_by_affinity(key: str, names: Sequence[str]) -> dict[str, int]:
+    """Return the order in which engines are preferred for a new session.
+
+    :param key: of the session
+    :param names: of the engines
+    """
+    return {name: order for order, name in enumerate(order_by_hash(key, names))}
--- /dev/null
+++ b/packages/policy/src/rosemaryseam/policy/outliers.py
@@ -0,0 +1,74 @@
+"""Upstreams that fail more than the others of their service."""
+
+from __future__ import annotations
+
+import statistics
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+FAILURE_WEIGHT = 0.12  # of one outcome in the failure share
+FIRST_PAUSE_S = 0.5  # that an unreachable upstream gets no requests
+LONGEST_PAUSE_S = 4.0
+
+
+class Outliers:
+    """Learns from outcomes which upstreams to avoid, and for how long."""
+
+    def __init__(self) -> None:
+        self._shares: dict[str, float] = {}
+        self._pauses: dict[str, tuple[float, float]] = {}
+
+    def record(self, name: str, *, failed: bool) -> None:
+        """Note the outcome of a request that an upstream got.
+
+        :param name: the upstream
+        :param failed: whether the upstream failed it
+        """
+        self._count(name, failed=failed)
+        if not failed:
+            self._pauses.pop(name, None)
+
+    def record_silence(self, name: str, now: float) -> None:
+        """Note that an upstream did not take a connection, or never answered.
+
+        :param name: the upstream
+        :param now: seconds on the monotonic clock
+        """
+        _, length = self._pauses.get(name, (0.0, FIRST_PAUSE_S / 2))
+        length = min(LONGEST_PAUSE_S, length * 2)
+        self._pauses[name] = (now + length, length)
+        self._count(name, failed=True)
+
+    def is_paused(self, name: str, now: float) -> bool:
+        """Return whether an upstream should get no requests now.
+
+        :param name: the upstream
+        :param now: seconds on the monotonic clock
+        """
+        until, _ = self._pauses.get(name, (0.0, 0.0))
+        return now < until
+
+    def excess(self, name: str, peers: Iterable[str]) -> float:
+        """Return by how much an upstream fails more often than its service.
+
+        :param name: the upstream
+        :param peers: all upstreams of the service
+        """
+        usual = statistics.median([self._shares.get(peer, 0.0) for peer in peers])
+        return max(0.0, self._shares.get(name, 0.0) - usual)
+
+    def forget(self, kept: Iterable[str]) -> None:
+        """Drop what is known of all other upstreams.
+
+        :param kept: the upstreams that are still registered
+        """
+        names = set(kept)
+        for known in (self._shares, self._pauses):
+            for name in [key for key in known if key not in names]:
+                del known[name]
+
+    def _count(self, name: str, *, failed: bool) -> None:
+        share = self._shares.get(name, 0.0)
+        self._shares[name] = share + FAILURE_WEIGHT * (float(failed) - share)
--- a/packages/router/src/rosemaryseam/router/callers.py
+++ b/packages/router/src/rosemaryseam/router/callers.py
@@ -5,6 +5,7 @@
 import contextlib
 import os
 import socket as std_socket
+import traceback
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import gevent
@@ -31,6 +32,7 @@
 READ_AHEAD_BYTES = 65_536  # of a caller that sends its next request early
 SEND_S = 10.0  # how long a caller may keep a part of its answer from leaving
 BACKLOG = 1024
+TRACE_FRAMES = 3  # of an internal error, in the log
 _READABLE = 1  # libev's event bit
 
 
@@ -235,10 +237,13 @@
                 self._server.handle(received, reply)
         except CallerGoneError:
             raise
-        except Exception:
+        except Exception as exc:
             self._server.metrics.count('internal_errors')
-            log_warning('request_failed_internally', target=str(received.line.target))
-            raise
+            trace = traceback.format_exc(limit=-TRACE_FRAMES)
+            log_warning('internal_error', error=repr(exc), trace=trace)
+            if reply.started:
+                raise CallerGoneError('internal error') from exc
+            reply.refuse(500, ResultCode.INTERNAL, 'internal error', close=True)
 
     def _refuse(self, reply: ConnectionReply, exc: RefusedRequestError) -> None:
         self._server.metrics.count('requests_refused', status=str(exc.status))
--- a/packages/router/src/rosemaryseam/router/feed.py
+++ b/packages/router/src/rosemaryseam/router/feed.py
@@ -48,6 +48,7 @@
     :param metrics: the process's counters
     :param rng: spreads retries
     :param on_changes: called with the upstreams that changed
+    :param on_other: called with items that are neither configuration nor upstream
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         metrics: Metrics,
         rng: random.Random,
         on_changes: Callable[[Iterable[Change]], None],
+        on_other: Callable[[Item], None],
     ) -> None:
         self._store = store
         self._codec = codec
@@ -67,6 +69,7 @@
         self._metrics = metrics
         self._rng = rng
         self._on_changes = on_changes
+        self._on_other = on_other
         self._revision: int | None = None
         self._unreadable: dict[str, bytes] = {}
         self.table: RoutingTable | None = None
@@ -104,6 +107,8 @@
             entry = self._read_registration(item)
             if entry is not None:
                 entries[entry.upstream.id] = entry
+            elif not self._is_known_kind(item.key):
+                self._on_other(item)
         changes = self._registry.replace(
             entries, self._clock.monotonic(), after_outage=self._is_after_outage()
         )
@@ -125,6 +130,8 @@
         self._take_configuration(item)
         upstream_id = self._codec.upstream_id(item.key)
         if upstream_id is None:
+            if not self._is_known_kind(item.key):
+                self._on_other(item)
             return
         if item.value is None:
             after_outage = self._is_after_outage()
@@ -134,6 +141,11 @@
             changes = [] if entry is None else self._registry.put(entry)
         self._publish(changes)
 
+    def _is_known_kind(self, key: str) -> bool:
+        if self._codec.is_configuration(key):
+            return True
+        return self._codec.upstream_id(key) is not None
+
     def _take_configuration(self, item: Item) -> None:
         if item.value is None or not self._codec.is_configuration(item.key):
             return
--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -57,11 +57,9 @@
     expires: float
 
     @property
-    def rank(self) -> int:
-        """The urgency of the request, 0 first."""
-        if self.workspace is not None and self.workspace.rank is not None:
-            return self.workspace.rank
-        return self.route.rank
+    def workspace_rank(self) -> int | None:
+        """The rank of the workspace, 0 first, when it has one."""
+        return None if self.workspace is None else self.workspace.rank
 
 
 class Attempts:
@@ -266,7 +264,8 @@
             job.request,
             job.route,
             job.service,
-            job.rank,
+            job.route.rank,
+            job.workspace_rank,
             attempts.excluded,
             job.request.arrived + job.route.first_byte_target_s,
             job.expires,
@@ -298,6 +297,7 @@
             left,
             ticket.urgency,
             relay.last_event_id,
+            ticket.fetch_from,
         )
         headers = self._codec.encode_call(call)
         proven = job.route.repeat is Repeat.NEVER
@@ -456,4 +456,6 @@
             upstream=ticket.upstream.id,
             status=head.status,
             ms=int(elapsed * 1000),
+            first_ms=None if ticket.first_s is None else int(ticket.first_s * 1000),
+            pause_ms=int(ticket.pause_s * 1000),
         )
--- a/packages/router/src/rosemaryseam/router/placement.py
+++ b/packages/router/src/rosemaryseam/router/placement.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from rosemaryseam.common.addresses import Address
     from rosemaryseam.router.requests import AnswerHead, CallerRequest
     from rosemaryseam.router.routes import Route, Service
     from rosemaryseam.router.upstreams import Upstream
@@ -16,15 +17,16 @@
 class Order(NamedTuple):
     """A request that needs an upstream.
 
-    ``rank`` is the request's urgency, 0 first. ``excluded`` upstreams failed it
-    before. ``due`` and ``expires`` are times on the monotonic clock: the latency target
-    and the end of the caller's patience.
+    ``rank`` is the route's urgency, 0 first; a workspace's rank goes before it.
+    ``excluded`` upstreams failed the request before. ``due`` and ``expires`` are times
+    on the monotonic clock: the latency target and the end of the caller's patience.
     """
 
     request: CallerRequest
     route: Route
     service: Service
     rank: int
+    workspace_rank: int | None
     excluded: frozenset[str]
     due: float
     expires: float
@@ -46,11 +48,16 @@
 class Ticket(abc.ABC):
     """A request that was placed; told what becomes of it.
 
-    ``inputs`` is what decided the choice, for the log.
+    ``inputs`` is what decided the choice, for the log. ``fetch_from`` is an engine
+    that holds more of the prompt. ``first_s`` is how long the first event took,
+    ``pause_s`` the longest pause between events so far.
     """
 
     upstream: Upstream
     urgency: int | None
+    fetch_from: Address | None
+    first_s: float | None
+    pause_s: float
     inputs: dict[str, object]
 
     @abc.abstractmethod
@@ -94,6 +101,9 @@
         self._ended = False
         self.upstream = upstream
         self.urgency = None
+        self.fetch_from = None
+        self.first_s = None
+        self.pause_s = 0.0
         self.inputs = {'in_flight': placer.in_flight(upstream)}
         placer.add(upstream, 1)
 
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -10,14 +10,16 @@
 import gevent
 from gevent.event import Event
 
+from rosemaryseam.common.addresses import Address
 from rosemaryseam.common.decisionlog import log_event
 from rosemaryseam.common.errors import ResultCode, SettingsError
 from rosemaryseam.common.wsgi import HttpServer, ServerBounds
 from rosemaryseam.node.metrics import Metrics
 from rosemaryseam.router.callers import BodyMemory, CallerServer
 from rosemaryseam.router.feed import StateFeed
+from rosemaryseam.router.fleetplacer import FleetPlacer
 from rosemaryseam.router.forwarder import Forwarder
-from rosemaryseam.router.placement import LeastLoadedPlacer
+from rosemaryseam.router.peers import HOSTS_PREFIX, PeerLink
 from rosemaryseam.router.pool import ConnectionPool
 from rosemaryseam.router.routes import CallerLimits
 from rosemaryseam.router.status import build_readiness, build_status
@@ -27,8 +29,9 @@
     from collections.abc import Callable, Iterable
 
     from rosemaryseam.common.clock import Clock
-    from rosemaryseam.common.rangestore import RangeStore
+    from rosemaryseam.common.rangestore import Item, RangeStore
     from rosemaryseam.router.codec import HttpCodec, StateCodec
+    from rosemaryseam.router.routes import Service
     from rosemaryseam.router.settings import RouterSettings
     from rosemaryseam.router.upstreams import Change
 
@@ -65,6 +68,20 @@
         self.metrics = Metrics()
         self.registry = Registry()
         self._pool = ConnectionPool(http, clock, self.metrics)
+        self._placer = FleetPlacer(clock, cfg.zone, self._find_service)
+        self._peers = PeerLink(
+            Address(cfg.ip, cfg.peer_port),
+            store,
+            clock,
+            self.metrics,
+            self._rng,
+            self._placer.own_numbers,
+            self._placer.apply_update,
+            self._placer.forget_host,
+        )
+        self._placer.tell_placed = self._peers.tell_placed
+        self._placer.tell_started = self._peers.tell_started
+        self._placer.tell_ended = self._peers.tell_ended
         self.feed = StateFeed(
             store,
             state,
@@ -73,17 +90,18 @@
             self.metrics,
             self._rng,
             self._on_changes,
+            self._on_other_item,
         )
         self._forwarder = Forwarder(
             self.feed,
             self.registry,
             self._pool,
-            LeastLoadedPlacer(),
+            self._placer,
             http,
             clock,
             self.metrics,
             cfg.retry_terms,
-            lambda: 8,
+            self._peers.hosts,
             cfg.key_age_s,
             self._rng,
         )
@@ -114,6 +132,7 @@
         self._open('metrics', self._status.start)
         self._open('callers', self._callers.start)
         self._background = [gevent.spawn(self.feed.run), gevent.spawn(self._sweep)]
+        self._open('peer_port', self._start_peers)
         log_event('started', zone=cfg.zone, callers=str(cfg.callers))
 
     def request_stop(self) -> None:
@@ -132,6 +151,7 @@
         while self._callers.busy_connections and self._clock.monotonic() < last:
             gevent.sleep(POLL_S)
         self._callers.close_idle()
+        self._peers.leave()
         log_event('stopped', cut_off=self._callers.busy_connections)
         gevent.killall(self._background, block=False)
 
@@ -159,6 +179,8 @@
             'table_age_s': self.feed.age_s(),
             'upstreams': [entry._asdict() for entry in self.registry.all()],
             'caller_connections': self._callers.open_connections,
+            'hosts': self._peers.hosts(),
+            'engines': self._placer.dump(),
             'idle_upstream_connections': self._pool.size(),
             'counters': self.metrics.dump(),
         }
@@ -171,8 +193,21 @@
         table = self.feed.table
         return table.limits if table is not None else CallerLimits()
 
+    def _find_service(self, name: str) -> Service | None:
+        table = self.feed.table
+        return table.services.get(name) if table is not None else None
+
     def _on_changes(self, changes: Iterable[Change]) -> None:
-        self._pool.retain(entry.incarnation for entry in self.registry.all())
+        usable = self.registry.all()
+        self._pool.retain(entry.incarnation for entry in usable)
+        self._placer.retain(usable)
+
+    def _on_other_item(self, item: Item) -> None:
+        if item.key.startswith(HOSTS_PREFIX):
+            self._peers.note_host(item.key, item.value)
+
+    def _start_peers(self) -> None:
+        self._background += self._peers.start()
 
     def _sweep(self) -> None:
         while True:
--- a/packages/router/src/rosemaryseam/router/requests.py
+++ b/packages/router/src/rosemaryseam/router/requests.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from rosemaryseam.common.addresses import Address
 
 RawHeaders = list[tuple[bytes, bytes]]
 
@@ -23,6 +26,11 @@
     max_output_tokens: int
     expected_output_tokens: int
 
+    @property
+    def own_tokens(self) -> int:
+        """Tokens of the last part, which no other request shares."""
+        return self.parts[-1].tokens if self.parts else self.prompt_tokens
+
     @property
     def key(self) -> str:
         """The digest of the last part that requests share."""
@@ -55,7 +63,8 @@
     """What the router adds to a request for one upstream.
 
     ``urgency`` is 0 for the most urgent; ``resume_after`` is the id of the last
-    event that the caller has.
+    event that the caller has. ``fetch_from`` is an engine that holds more of the
+    prompt.
     """
 
     request: CallerRequest
@@ -64,6 +73,7 @@
     patience_s: float
     urgency: int | None
     resume_after: bytes | None
+    fetch_from: Address | None
 
 
 class AnswerHead(NamedTuple):
--- a/packages/router/src/rosemaryseam/router/routes.py
+++ b/packages/router/src/rosemaryseam/router/routes.py
@@ -46,11 +46,15 @@
 
 
 class EngineShape(NamedTuple):
-    """What is known of a service's model engines before any answer."""
+    """What is known of a service's model engines before any answer.
+
+    ``shares_cache`` tells that engines copy cached prompt parts from each other.
+    """
 
     batch_slots: int
     cache_tokens: int
     tokens_per_event: int
+    shares_cache: bool
 
 
 class Service(NamedTuple):
