Refuse at a graceful stop what cannot end; expire lapsed entries on time

Ruled out: closing the listener earlier (a zone whose hosts all stop still sends connections). Change: 2.6 s after SIGTERM a request is refused as not run, with a time to come back and Connection: close, when its own deadline lies beyond the end of the process; idle connections are closed once the balancer has turned away. Expiry runs on a timer.

--- a/packages/router/src/rosemaryseam/router/feed.py
+++ b/packages/router/src/rosemaryseam/router/feed.py
@@ -97,6 +97,9 @@
             self._revision = None
         except PlatformError as exc:
             self._note_failure(exc)
+
+    def expire(self) -> None:
+        """Drop the entries that lapsed in an outage and did not come back."""
         self._publish(self._registry.expire(self._clock.monotonic()))
 
     def _load(self, started: float) -> None:
--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -42,6 +42,8 @@
 DEFAULT_PATIENCE_S = 30.0  # of a caller that names no deadline
 RETRY_SOON_S = 0.25  # a refusal that another host need not repeat
 NO_UPSTREAM_RETRY_S = 0.5
+LATE_DRAIN_S = 2.6  # by then the balancer sends new connections elsewhere
+DRAIN_RETRY_S = 0.05  # another host takes the request at once
 MIN_RUN_S = 0.02  # with less time left nothing is sent
 HTTP_ERROR = 500
 
@@ -134,6 +136,16 @@
         self._key_age_s = key_age_s
         self._rng = rng
         self._budgets: dict[str, FleetRetryBudget] = {}
+        self._leaves_at: float | None = None
+        self._drain_began = 0.0
+
+    def begin_drain(self, leaves_at: float) -> None:
+        """Refuse from now on what may not end before the process does.
+
+        :param leaves_at: monotonic time at which the process breaks off what still runs
+        """
+        self._leaves_at = leaves_at
+        self._drain_began = self._clock.monotonic()
 
     def handle(self, received: Received, reply: Reply) -> None:
         """Answer one request.
@@ -182,8 +194,18 @@
             )
         patience = min(request.patience_s or DEFAULT_PATIENCE_S, route.timeout_s)
         expires = request.arrived + patience
+        self._check_drain(expires)
         return Job(request, route, service, workspace, table.version, expires)
 
+    def _check_drain(self, expires: float) -> None:
+        """Refuse a request that may outlive the process, once callers can know."""
+        if self._leaves_at is None or expires <= self._leaves_at:
+            return
+        if self._clock.monotonic() - self._drain_began > LATE_DRAIN_S:
+            raise RefusalError(
+                503, ResultCode.NOT_READY, 'the host stops', DRAIN_RETRY_S, close=True
+            )
+
     def _authenticate(
         self, table: RoutingTable, route: Route, request: CallerRequest
     ) -> Workspace | None:
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -37,8 +37,8 @@
 
 BODY_MEMORY_SHARE = 0.2  # of the process's memory
 RESERVED_DESCRIPTORS = 400  # for files, upstreams and the store
-SWEEP_S = 0.5
-ROTATION_S = 3.2  # readiness is asked each second; two misses end new connections
+SWEEP_S = 0.2
+ROTATION_S = 2.9  # readiness is asked each second; two misses end new connections
 LAST_CHANCE_S = 0.6  # before the kill: what still runs is broken off in order
 POLL_S = 0.05
 
@@ -143,14 +143,15 @@
         """Run until the graceful stop is complete."""
         self._stopping.wait()
         began = self._clock.monotonic()
+        last = began + self._cfg.grace_s - LAST_CHANCE_S
         log_event('stopping', busy=self._callers.busy_connections)
         self._callers.begin_drain()
+        self._forwarder.begin_drain(last)
         gevent.sleep(min(ROTATION_S, self._cfg.grace_s / 2))
-        self._callers.stop_accepting()
-        last = began + self._cfg.grace_s - LAST_CHANCE_S
+        self._callers.close_idle()
         while self._callers.busy_connections and self._clock.monotonic() < last:
             gevent.sleep(POLL_S)
-        self._callers.close_idle()
+        self._callers.stop_accepting()
         self._peers.leave()
         log_event('stopped', cut_off=self._callers.busy_connections)
         gevent.killall(self._background, block=False)
@@ -212,6 +213,7 @@
     def _sweep(self) -> None:
         while True:
             gevent.sleep(SWEEP_S)
+            self.feed.expire()
             self._pool.sweep()
 
     def _open(self, key: str, start: Callable[[], None]) -> None:
--- a/packages/router/src/rosemaryseam/router/upstreams.py
+++ b/packages/router/src/rosemaryseam/router/upstreams.py
@@ -9,7 +9,7 @@
 
     from rosemaryseam.common.addresses import Address
 
-LAPSE_GRACE_S = 1.6  # entries that lapsed in an outage are back within about 2 s
+LAPSE_GRACE_S = 1.5  # of about 2 s in which owners write lapsed entries again
 
 
 class Upstream(NamedTuple):
