Weigh answers that do not end in time; waits cost by the share of the target

Change: the expected time of the whole answer against the caller's patience counts; the price of waiting grows with the square of the used target.

--- a/packages/policy/src/rosemaryseam/policy/engineplacement.py
+++ b/packages/policy/src/rosemaryseam/policy/engineplacement.py
@@ -24,7 +24,8 @@
 PAUSE_SAFETY = 0.8  # of the pause limit
 SLOPE = 12.0  # how sharply the risk grows around the safe share of a limit
 OPENING_LOSS = 0.8  # streams with short pauses share engines, away from long prompts
-WAIT_PER_S = 0.4  # price of a second's wait, below all targets
+WAIT_LOSS = 0.2  # share of its worth that a request loses by waiting up to its target
+PATIENCE_SAFETY = 0.7  # of the caller's patience; output lengths are often far off
 OTHER_ZONE_PER_BYTE = 0.000002  # bytes between zones cost
 MEMORY_SHARE = 0.8  # of an engine's memory that running requests may fill
 SLOTS_SHARE = 0.9  # of an engine's slots that requests may fill
@@ -35,8 +36,9 @@
 class PlacementRequest(NamedTuple):
     """A request to place on an engine.
 
-    ``time_left_s`` is up to the target for the first event. ``prompt_tokens`` counts
-    the whole prompt, ``body_bytes`` what crosses the network.
+    ``time_left_s`` is up to the target for the first event, ``patience_s`` up to the
+    time at which the caller gives up. ``prompt_tokens`` counts the whole prompt,
+    ``body_bytes`` what crosses the network.
     """
 
     rank: int
@@ -45,6 +47,7 @@
     output_tokens: int
     pause_s: float | None
     time_left_s: float
+    patience_s: float
     body_bytes: int
 
 
@@ -148,7 +151,7 @@
     loss = (
         candidate.penalty
         + _lateness_loss(request, first)
-        + WAIT_PER_S * first
+        + _duration_loss(request, view, prefill, first, now)
         + uses.read_again_cost(request.parts[:-1], cached, now) * READ_AGAIN_PER_TOKEN
         + fetched * FETCH_PER_TOKEN
         + _pause_loss(request, view, prefill, now)
@@ -162,8 +165,24 @@
 
 
 def _lateness_loss(request: PlacementRequest, first_s: float) -> float:
+    """Return the loss by a late first event; waits below the target cost a little."""
     limit = request.time_left_s * FIRST_EVENT_SAFETY
-    return value_of(request.rank) * LATE_LOSS * risk(first_s, limit)
+    used = min(1.0, first_s / max(limit, first_s))
+    late = LATE_LOSS * risk(first_s, limit)
+    return value_of(request.rank) * (late + WAIT_LOSS * used * used)
+
+
+def _duration_loss(
+    request: PlacementRequest,
+    view: EngineView,
+    prefill: int,
+    first_s: float,
+    now: float,
+) -> float:
+    """Return the loss by an answer that does not end while the caller waits."""
+    whole_s = first_s + view.decode_s(request.output_tokens, prefill, now)
+    limit = request.patience_s * PATIENCE_SAFETY
+    return value_of(request.rank) * risk(whole_s, limit)
 
 
 def _pause_loss(
--- a/packages/policy/src/rosemaryseam/policy/engines.py
+++ b/packages/policy/src/rosemaryseam/policy/engines.py
@@ -200,6 +200,22 @@
             + self.size.tokens_per_event * (self.step_s() + chunk)
         )
 
+    def decode_s(self, tokens: int, added_tokens: int, now: float) -> float:
+        """Return how long a new request generates, if requests go on as lately.
+
+        :param tokens: what it generates
+        :param added_tokens: prefill tokens that it adds
+        :param now: seconds on the monotonic clock
+        """
+        chunk = self.prefill_s(self._terms.chunk_tokens)
+        share = self.prefill_share(now)
+        share = min(1.0, share + self.prefill_s(added_tokens) / LOAD_MEMORY_S)
+        step = self.step_s()
+        # Steps with prefill are longer, so fewer of them fill the same time.
+        busy = share / (step + chunk)
+        idle = (1.0 - share) / step
+        return tokens / (busy + idle)
+
     def pause_s(self, added_tokens: int, within_s: float, now: float) -> float:
         """Return the longest pause between events that streams may see soon.
 
--- a/packages/router/src/rosemaryseam/router/fleetplacer.py
+++ b/packages/router/src/rosemaryseam/router/fleetplacer.py
@@ -153,6 +153,7 @@
             output_tokens=prompt.expected_output_tokens,
             pause_s=order.route.pause_target_s,
             time_left_s=max(0.0, order.due - now),
+            patience_s=max(0.0, order.expires - now),
             body_bytes=len(order.request.body),
         )
         choice = choose_engine(
