Refuse what does more harm than good; pauses grow with busy periods

(2) Streams with short pauses spread over all engines after a crash and stayed there; each such engine got 25 % of its prefill. Ruled out: lost connections or slow reports (first events came as expected).

--- a/packages/policy/src/rosemaryseam/policy/engineplacement.py
+++ b/packages/policy/src/rosemaryseam/policy/engineplacement.py
@@ -14,6 +14,9 @@
     from rosemaryseam.policy.prefixes import EngineCache, Part, PartUses
 
 RANK_VALUES = (5.0, 1.5, 1.5)  # worth of a request in target, by rank
+SIZE_FLOOR = 0.3  # of the worth that does not depend on the size
+SIZE_MOST = 4.0
+REFUSAL_LOSSES = (math.inf, 2.0, 1.0)  # in worths of a request, by rank
 LATE_LOSS = 0.6  # share of its worth that a late answer loses
 READ_AGAIN_PER_TOKEN = 0.00024  # price of prefilling a part that an engine holds
 FETCH_PER_TOKEN = 0.00003  # price of copying a cached token between engines
@@ -21,7 +24,8 @@
 FETCH_S_PER_TOKEN = 0.000001
 FETCH_LEAST_TOKENS = 256  # fewer are read faster than they are fetched
 FIRST_EVENT_SAFETY = 0.75  # of the time left; expectations err by about a third
-PAUSE_SAFETY = 0.8  # of the pause limit
+PAUSE_SAFETY = 0.65  # of the pause limit
+NO_RISK = 0.6  # of a limit, below which the risk is taken for none
 SLOPE = 12.0  # how sharply the risk grows around the safe share of a limit
 OPENING_LOSS = 0.8  # streams with short pauses share engines, away from long prompts
 WAIT_LOSS = 0.2  # share of its worth that a request loses by waiting up to its target
@@ -36,12 +40,14 @@
 class PlacementRequest(NamedTuple):
     """A request to place on an engine.
 
+    ``size`` is its work relative to the mean of its route, 1 for an ordinary one.
     ``time_left_s`` is up to the target for the first event, ``patience_s`` up to the
     time at which the caller gives up. ``prompt_tokens`` counts the whole prompt,
     ``body_bytes`` what crosses the network.
     """
 
     rank: int
+    size: float
     parts: tuple[Part, ...]
     prompt_tokens: int
     output_tokens: int
@@ -85,12 +91,24 @@
     tokens: int
 
 
-def value_of(rank: int) -> float:
+def value_of(rank: int, size: float = 1.0) -> float:
     """Return the worth of a request in target.
 
     :param rank: 0 is the most urgent
+    :param size: its work relative to the mean of its route
     """
-    return RANK_VALUES[min(rank, len(RANK_VALUES) - 1)]
+    base = RANK_VALUES[min(rank, len(RANK_VALUES) - 1)]
+    return base * (SIZE_FLOOR + (1.0 - SIZE_FLOOR) * min(size, SIZE_MOST))
+
+
+def is_worth_it(request: PlacementRequest, choice: Choice) -> bool:
+    """Return whether placing a request does more good than harm.
+
+    :param request: the request
+    :param choice: the best engine for it
+    """
+    rank = min(request.rank, len(REFUSAL_LOSSES) - 1)
+    return choice.loss <= REFUSAL_LOSSES[rank] * value_of(request.rank, request.size)
 
 
 def choose_engine(
@@ -155,6 +173,7 @@
         + uses.read_again_cost(request.parts[:-1], cached, now) * READ_AGAIN_PER_TOKEN
         + fetched * FETCH_PER_TOKEN
         + _pause_loss(request, view, prefill, now)
+        + _ending_loss(view, prefill, now)
         + _capacity_loss(request, view)
         + candidate.order * ORDER_LOSS
     )
@@ -169,7 +188,7 @@
     limit = request.time_left_s * FIRST_EVENT_SAFETY
     used = min(1.0, first_s / max(limit, first_s))
     late = LATE_LOSS * risk(first_s, limit)
-    return value_of(request.rank) * (late + WAIT_LOSS * used * used)
+    return value_of(request.rank, request.size) * (late + WAIT_LOSS * used * used)
 
 
 def _duration_loss(
@@ -180,9 +199,9 @@
     now: float,
 ) -> float:
     """Return the loss by an answer that does not end while the caller waits."""
-    whole_s = first_s + view.decode_s(request.output_tokens, prefill, now)
+    whole_s = first_s + request.output_tokens * view.token_s(prefill, now)
     limit = request.patience_s * PATIENCE_SAFETY
-    return value_of(request.rank) * risk(whole_s, limit)
+    return value_of(request.rank, request.size) * risk(whole_s, limit)
 
 
 def _pause_loss(
@@ -193,15 +212,33 @@
     loss = 0.0
     for (limit, rank), count in limits.items():
         safe = limit * PAUSE_SAFETY
-        before = risk(view.pause_s(0, limit, now), safe)
-        after = risk(view.pause_s(prefill, limit, now), safe)
+        before = risk(view.pause_s(0, now), safe)
+        after = risk(view.pause_s(prefill, now), safe)
         loss += count * value_of(rank) * LATE_LOSS * (after - before)
     if request.pause_s is not None:
         safe = request.pause_s * PAUSE_SAFETY
-        own = risk(view.pause_s(0, request.pause_s, now), safe)
-        loss += value_of(request.rank) * LATE_LOSS * own
-        if not any(limit <= request.pause_s for limit, _ in limits):
-            loss += OPENING_LOSS
+        own = risk(view.pause_s(0, now), safe)
+        loss += value_of(request.rank, request.size) * LATE_LOSS * own
+        alike = sum(
+            count for (limit, _), count in limits.items() if limit <= request.pause_s
+        )
+        loss += OPENING_LOSS / (1 + alike)
+    return loss
+
+
+def _ending_loss(view: EngineView, prefill: int, now: float) -> float:
+    """Return what requests there lose that then do not end in time."""
+    slow = view.token_s(prefill, now)
+    before = view.token_s(0, now)
+    added = view.prefill_s(prefill)
+    loss = 0.0
+    for ending in view.endings(now):
+        limit = max(0.0, ending.left_s) * PATIENCE_SAFETY
+        after = ending.tokens * slow + added
+        if after < limit * NO_RISK:
+            continue
+        change = risk(after, limit) - risk(ending.tokens * before, limit)
+        loss += value_of(ending.rank) * change
     return loss
 
 
--- a/packages/policy/src/rosemaryseam/policy/engines.py
+++ b/packages/policy/src/rosemaryseam/policy/engines.py
@@ -10,6 +10,7 @@
 SPEED_MAX = 8.0
 SPEED_MIN_S = 0.03  # shorter waits say little of an engine's speed
 SMALLEST_EXPECTATION_S = 0.01
+LEAST_LEFT = 0.2  # of an expected length; lengths are often underestimated
 LOAD_MEMORY_S = 1.0  # over which the share of time spent on prefill is averaged
 
 
@@ -21,7 +22,7 @@
     ``chunk_tokens`` of prefill.
     """
 
-    prefill_tokens_per_s: float = 52_000.0
+    prefill_tokens_per_s: float = 56_000.0
     step_s: float = 0.0038
     step_per_slot_s: float = 0.00009
     chunk_tokens: int = 4096
@@ -48,8 +49,8 @@
 
     ``prefill_tokens`` are those not expected in the engine's cache, ``memory_tokens``
     what it will occupy beside the parts that it shares. ``pause_s`` is the longest
-    pause between events that keeps its target. Times are in seconds on the monotonic
-    clock.
+    pause between events that keeps its target, ``expires_at`` the end of the caller's
+    patience. Times are in seconds on the monotonic clock.
     """
 
     key: FlightKey
@@ -60,6 +61,15 @@
     pause_s: float | None
     placed_at: float
     expected_first_s: float
+    expires_at: float
+
+
+class Ending(NamedTuple):
+    """A request in flight: what it still has to generate, and how long it may take."""
+
+    rank: int
+    tokens: float
+    left_s: float
 
 
 class EngineView:
@@ -75,6 +85,8 @@
         self._pending: dict[FlightKey, Flight] = {}
         self._limits: Counter[tuple[float, int]] = Counter()
         self._decoding: dict[FlightKey, Flight] = {}
+        self._first_at: dict[FlightKey, float] = {}
+        self._busy_since = 0.0  # when the engine last began to prefill without a gap
         self._prefilled_at = 0.0  # when the known prefill work is done
         self._observed_speed = 1.0
         self.memory_tokens = 0  # of requests in flight, without shared parts
@@ -110,6 +122,8 @@
             self._limits[flight.pause_s, flight.rank] += 1
         self.memory_tokens += flight.memory_tokens
         self.output_tokens += flight.output_tokens
+        if now >= self._prefilled_at:
+            self._busy_since = now
         start = max(now, self._prefilled_at)
         work = self.prefill_s(flight.prefill_tokens)
         self._prefilled_at = start + work
@@ -126,6 +140,7 @@
         if flight is None:
             return
         self._decoding[key] = flight
+        self._first_at[key] = now
         self._learn_speed(flight, now)
         self._bound_backlog(now)
 
@@ -140,6 +155,7 @@
             self._bound_backlog(now)
         else:
             flight = self._decoding.pop(key, None)
+            self._first_at.pop(key, None)
         if flight is not None:
             self.memory_tokens -= flight.memory_tokens
             self.output_tokens -= flight.output_tokens
@@ -150,11 +166,12 @@
         return [*self._pending, *self._decoding]
 
     def prefill_s(self, tokens: int) -> float:
-        """Return how long the engine takes to read prompt tokens.
+        """Return how long the engine takes to read a prompt, its last step included.
 
-        :param tokens: how many
+        :param tokens: how many it does not hold
         """
-        return tokens / self._terms.prefill_tokens_per_s * self.speed
+        read = tokens / self._terms.prefill_tokens_per_s
+        return (read + self._terms.step_s) * self.speed
 
     def step_s(self) -> float:
         """Return how long a step of the batch takes without prefill."""
@@ -191,7 +208,7 @@
         :param prefill_tokens: what it adds to the prefill work
         :param now: seconds on the monotonic clock
         """
-        chunk = self.prefill_s(self._terms.chunk_tokens) * self.prefill_share(now)
+        chunk = self._chunk_s() * self.prefill_share(now)
         return (
             self.backlog_s(now)
             + self.overdue_s(now)
@@ -200,38 +217,57 @@
             + self.size.tokens_per_event * (self.step_s() + chunk)
         )
 
-    def decode_s(self, tokens: int, added_tokens: int, now: float) -> float:
-        """Return how long a new request generates, if requests go on as lately.
+    def token_s(self, added_tokens: int, now: float) -> float:
+        """Return how long a stream takes for a token, if requests go on as lately.
 
-        :param tokens: what it generates
-        :param added_tokens: prefill tokens that it adds
+        :param added_tokens: prefill tokens that a new request adds
         :param now: seconds on the monotonic clock
         """
-        chunk = self.prefill_s(self._terms.chunk_tokens)
-        share = self.prefill_share(now)
-        share = min(1.0, share + self.prefill_s(added_tokens) / LOAD_MEMORY_S)
+        chunk = self._chunk_s()
+        added = self._added_s(added_tokens) / LOAD_MEMORY_S
+        share = min(1.0, self.prefill_share(now) + added)
         step = self.step_s()
         # Steps with prefill are longer, so fewer of them fill the same time.
-        busy = share / (step + chunk)
-        idle = (1.0 - share) / step
-        return tokens / (busy + idle)
+        return 1.0 / (share / (step + chunk) + (1.0 - share) / step)
 
-    def pause_s(self, added_tokens: int, within_s: float, now: float) -> float:
-        """Return the longest pause between events that streams may see soon.
+    def endings(self, now: float) -> list[Ending]:
+        """Return what the requests in flight still have to generate.
 
-        It takes in the known prefill work and what arrives meanwhile if requests go on
-        as lately.
+        :param now: seconds on the monotonic clock
+        """
+        waiting = [
+            Ending(flight.rank, flight.output_tokens, flight.expires_at - now)
+            for flight in self._pending.values()
+        ]
+        token_s = self.token_s(0, now)
+        running = [
+            Ending(
+                flight.rank,
+                max(
+                    flight.output_tokens * LEAST_LEFT,
+                    flight.output_tokens - (now - self._first_at[key]) / token_s,
+                ),
+                flight.expires_at - now,
+            )
+            for key, flight in self._decoding.items()
+        ]
+        return waiting + running
+
+    def pause_s(self, added_tokens: int, now: float) -> float:
+        """Return the longest pause between events that streams see soon.
+
+        Streams fall behind only while prefill goes on without a gap, as steps without
+        prefill are short; so the length of that busy period counts, its past included.
 
         :param added_tokens: prefill tokens that a new request adds
-        :param within_s: the pause that matters, as long as the meanwhile
         :param now: seconds on the monotonic clock
         """
         steps = self.size.tokens_per_event
-        added = self.prefill_s(added_tokens)
-        most = self.prefill_s(self._terms.chunk_tokens) * steps
-        share = min(1.0, self.prefill_share(now) + added / LOAD_MEMORY_S)
-        work = self.backlog_s(now) + added + share * within_s
-        return min(work, most) + steps * self.step_s()
+        most = self._chunk_s() * steps
+        busy = self._added_s(added_tokens)
+        if now < self._prefilled_at:
+            busy += self._prefilled_at - self._busy_since
+        return min(busy, most) + steps * self.step_s()
 
     def pause_limits(self) -> Counter[tuple[float, int]]:
         """Return how many requests there are of each pause limit and rank."""
@@ -249,10 +285,19 @@
         decay = math.exp(-max(0.0, now - self._recent_at) / LOAD_MEMORY_S)
         return self._recent_prefill_s * decay
 
+    def _chunk_s(self) -> float:
+        """Return how long a full chunk of prefill takes."""
+        return self._terms.chunk_tokens / self._terms.prefill_tokens_per_s * self.speed
+
+    def _added_s(self, tokens: int) -> float:
+        return self.prefill_s(tokens) if tokens else 0.0
+
     def _bound_backlog(self, now: float) -> None:
         """Drop prefill work that is known to be done."""
-        left = sum(flight.prefill_tokens for flight in self._pending.values())
-        self._prefilled_at = min(self._prefilled_at, now + self.prefill_s(left))
+        left = sum(
+            self.prefill_s(flight.prefill_tokens) for flight in self._pending.values()
+        )
+        self._prefilled_at = min(self._prefilled_at, now + left)
 
     def _learn_speed(self, flight: Flight, now: float) -> None:
         if flight.expected_first_s < SPEED_MIN_S:
--- a/packages/router/src/rosemaryseam/router/fleetplacer.py
+++ b/packages/router/src/rosemaryseam/router/fleetplacer.py
@@ -7,10 +7,13 @@
 
 import xxhash
 
+from rosemaryseam.common.decisionlog import log_event
 from rosemaryseam.policy.engineplacement import (
     Candidate,
+    Choice,
     PlacementRequest,
     choose_engine,
+    is_worth_it,
     rank_by_affinity,
 )
 from rosemaryseam.policy.engines import (
@@ -26,6 +29,7 @@
 from rosemaryseam.router.placement import NoUpstreamError, Order, Placer, Ticket
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Callable, Iterable, Sequence
 
     from rosemaryseam.common.clock import Clock
@@ -37,6 +41,9 @@
 
 OWN = ''  # the host of this host's own requests
 NO_UPSTREAM_RETRY_S = 0.5
+LEAST_RETRY_S = 0.4  # engines' backlogs last for about that long
+OUTPUT_WORK = 10  # a generated token counts like so many prompt tokens
+SIZE_WEIGHT = 0.02  # of one request in the mean size of its route
 PAUSED_LOSS = 50.0  # an upstream that does not answer, while others do
 FAILURE_LOSS = 4.0  # for an upstream that always fails
 OTHER_ZONE_LOSS = 0.3  # of a request's slot, for app runners
@@ -55,6 +62,24 @@
         self.cache = EngineCache(size.cache_tokens)
 
 
+class RouteSizes:
+    """The mean work of each route's requests, in tokens."""
+
+    def __init__(self) -> None:
+        self._means: dict[str, float] = {}
+
+    def relative(self, route: str, prompt: Prompt) -> float:
+        """Return a request's work relative to its route's mean, and learn from it.
+
+        :param route: its route
+        :param prompt: the request's prompt
+        """
+        work = prompt.prompt_tokens + OUTPUT_WORK * prompt.max_output_tokens
+        mean = self._means.get(route, float(work))
+        self._means[route] = mean + SIZE_WEIGHT * (work - mean)
+        return work / mean if mean else 1.0
+
+
 class FleetTicket(Ticket):
     """A request of this host at an upstream."""
 
@@ -108,6 +133,7 @@
     :param clock: the process's clock
     :param zone: this host's availability zone
     :param find_service: returns a service by name, ``None`` when it is unknown
+    :param rng: spreads the return of refused callers
     """
 
     def __init__(
@@ -115,14 +141,17 @@
         clock: Clock,
         zone: str,
         find_service: Callable[[str], Service | None],
+        rng: random.Random,
     ) -> None:
         self._clock = clock
+        self._rng = rng
         self._zone = zone
         self._find_service = find_service
         self._upstreams: dict[str, Upstream] = {}
         self._records: dict[str, EngineRecord] = {}
         self._uses = PartUses()
         self._outliers = Outliers()
+        self._sizes = RouteSizes()
         self._numbers = 0
         self._own: dict[int, str] = {}
         self._remote: dict[str, dict[int, tuple[str, float]]] = {}
@@ -148,6 +177,7 @@
         parts = hashed_parts(prompt)
         request = PlacementRequest(
             rank=order.rank,
+            size=self._sizes.relative(order.route.name, prompt),
             parts=parts,
             prompt_tokens=prompt.prompt_tokens,
             output_tokens=prompt.expected_output_tokens,
@@ -160,6 +190,8 @@
             request, self._candidates(order, upstreams, prompt, now), self._uses, now
         )
         assert choice is not None
+        if not is_worth_it(request, choice):
+            raise self._refusal(order, choice, upstreams, now)
         record = self._records[choice.name]
         backlog = record.view.backlog_s(now)
         number = self._next_number()
@@ -173,6 +205,7 @@
             order.route.pause_target_s or 0.0,
             0.0,
             choice.first_event_s,
+            request.patience_s,
             parts,
         )
         self._apply_placed(OWN, entry, now)
@@ -194,6 +227,26 @@
             ticket.fetch_from = self._records[choice.fetch_from].upstream.address
         return ticket
 
+    def _refusal(
+        self, order: Order, choice: Choice, upstreams: Sequence[Upstream], now: float
+    ) -> NoUpstreamError:
+        """Return the refusal of a request that would do more harm than good."""
+        backlogs = sorted(
+            self._records[upstream.id].view.backlog_s(now) for upstream in upstreams
+        )
+        median = backlogs[len(backlogs) // 2]
+        log_event(
+            'request_not_worth_it',
+            id=order.request.id,
+            upstream=choice.name,
+            loss=round(choice.loss, 2),
+            expected_first_ms=int(choice.first_event_s * 1000),
+            least_backlog_ms=int(backlogs[0] * 1000),
+            median_backlog_ms=int(median * 1000),
+        )
+        wait = max(LEAST_RETRY_S, median) * self._rng.uniform(0.75, 1.5)
+        return NoUpstreamError('all engines are busy', wait)
+
     def _candidates(
         self, order: Order, upstreams: Sequence[Upstream], prompt: Prompt, now: float
     ) -> Iterable[Candidate]:
@@ -227,7 +280,17 @@
         chosen = min(upstreams, key=loss)
         number = self._next_number()
         entry = Placed(
-            number, chosen.id, order.rank, 0, 0, 0, 0.0, 0.0, FIRST_EVENT_APP_S, ()
+            number=number,
+            upstream=chosen.id,
+            rank=order.rank,
+            prefill_tokens=0,
+            memory_tokens=0,
+            output_tokens=0,
+            pause_s=0.0,
+            age_s=0.0,
+            expected_first_s=FIRST_EVENT_APP_S,
+            patience_s=max(0.0, order.expires - now),
+            parts=(),
         )
         inputs = {'upstream_requests': self._records[chosen.id].view.requests}
         self._apply_placed(OWN, entry, now)
@@ -346,6 +409,7 @@
             entry.pause_s or None,
             now - entry.age_s,
             entry.expected_first_s,
+            now - entry.age_s + entry.patience_s,
         )
         record.view.add(flight, now)
         if entry.parts:
--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -273,6 +273,8 @@
             self._note_failure(job, attempts, ticket, exc)
         finally:
             ticket.end(outcome)
+            if outcome == 'cancelled':
+                self._log_cancelled(job, ticket, relay)
         if outcome == 'done':
             return True
         if not self._may_repeat(job, attempts, relay):
@@ -469,6 +471,20 @@
             close=exc.close,
         )
 
+    def _log_cancelled(self, job: Job, ticket: Ticket, relay: StreamRelay) -> None:
+        """Log an attempt that ended because the caller left or the time was up."""
+        now = self._clock.monotonic()
+        log_event(
+            'attempt_cancelled',
+            id=job.request.id,
+            upstream=ticket.upstream.id,
+            ms=int((now - job.request.arrived) * 1000),
+            left_ms=int((job.expires - now) * 1000),
+            events=relay.events,
+            first_ms=None if ticket.first_s is None else int(ticket.first_s * 1000),
+            pause_ms=int(ticket.pause_s * 1000),
+        )
+
     def _log_answer(self, job: Job, ticket: Ticket, head: AnswerHead) -> None:
         elapsed = self._clock.monotonic() - job.request.arrived
         self._metrics.observe('request', elapsed, route=job.route.name)
--- a/packages/router/src/rosemaryseam/router/ledger.py
+++ b/packages/router/src/rosemaryseam/router/ledger.py
@@ -20,7 +20,7 @@
     """A request that a host has sent to an upstream.
 
     ``parts`` are digests and tokens of its prompt. ``age_s`` is how long ago it was
-    sent, ``pause_s`` is 0 without a limit.
+    sent, ``patience_s`` how long its caller waits, ``pause_s`` is 0 without a limit.
     """
 
     number: int
@@ -32,6 +32,7 @@
     pause_s: float
     age_s: float
     expected_first_s: float
+    patience_s: float
     parts: tuple[tuple[int, int], ...]
 
 
@@ -104,6 +105,7 @@
         'pauseMs': int(entry.pause_s * 1000),
         'ageMs': int(entry.age_s * 1000),
         'expectedFirstMs': int(entry.expected_first_s * 1000),
+        'patienceMs': int(entry.patience_s * 1000),
         'parts': [{'digest': digest, 'tokens': size} for digest, size in entry.parts],
     }
 
@@ -119,5 +121,6 @@
         entry.pauseMs / 1000,
         entry.ageMs / 1000,
         entry.expectedFirstMs / 1000,
+        entry.patienceMs / 1000,
         tuple((part.digest, part.tokens) for part in entry.parts),
     )
--- a/packages/router/src/rosemaryseam/router/peerwire.capnp
+++ b/packages/router/src/rosemaryseam/router/peerwire.capnp
@@ -15,7 +15,8 @@
   pauseMs @6 :UInt32;
   ageMs @7 :UInt32;
   expectedFirstMs @8 :UInt32;
-  parts @9 :List(Part);
+  patienceMs @9 :UInt32;
+  parts @10 :List(Part);
 }
 
 struct Update {
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -68,7 +68,7 @@
         self.metrics = Metrics()
         self.registry = Registry()
         self._pool = ConnectionPool(http, clock, self.metrics)
-        self._placer = FleetPlacer(clock, cfg.zone, self._find_service)
+        self._placer = FleetPlacer(clock, cfg.zone, self._find_service, self._rng)
         self._peers = PeerLink(
             Address(cfg.ip, cfg.peer_port),
             store,
