--- a/packages/policy/src/rosemaryseam/policy/engines.py
+++ b/packages/policy/src/rosemaryseam/policy/engines.py
@@ -11,6 +11,7 @@
 SPEED_MIN_S = 0.03  # shorter waits say little of an engine's speed
 SMALLEST_EXPECTATION_S = 0.01
 LEAST_LEFT = 0.2  # of an expected length; lengths are often underestimated
+GAP_MARGIN_S = 0.02  # the end of prefill is known no better
 LOAD_MEMORY_S = 1.0  # over which the share of time spent on prefill is averaged
 
 
@@ -19,14 +20,14 @@
 
     ``prefill_tokens_per_s`` is the rate at which prompts are read; a step of the batch
     takes ``step_s`` and ``step_per_slot_s`` for each stream in it, besides at most
-    ``chunk_tokens`` of prefill.
+    ``chunk_tokens`` of prefill. ``network_s`` is the way to an engine and back.
     """
 
-    prefill_tokens_per_s: float = 56_000.0
+    prefill_tokens_per_s: float = 54_000.0
     step_s: float = 0.0038
     step_per_slot_s: float = 0.00009
     chunk_tokens: int = 4096
-    first_step_s: float = 0.016
+    network_s: float = 0.003
 
 
 class EngineSize(NamedTuple):
@@ -122,7 +123,7 @@
             self._limits[flight.pause_s, flight.rank] += 1
         self.memory_tokens += flight.memory_tokens
         self.output_tokens += flight.output_tokens
-        if now >= self._prefilled_at:
+        if now >= self._prefilled_at + self._gap_s():
             self._busy_since = now
         start = max(now, self._prefilled_at)
         work = self.prefill_s(flight.prefill_tokens)
@@ -213,7 +214,7 @@
             self.backlog_s(now)
             + self.overdue_s(now)
             + self.prefill_s(prefill_tokens)
-            + self._terms.first_step_s
+            + self._terms.network_s
             + self.size.tokens_per_event * (self.step_s() + chunk)
         )
 
@@ -265,8 +266,8 @@
         steps = self.size.tokens_per_event
         most = self._chunk_s() * steps
         busy = self._added_s(added_tokens)
-        if now < self._prefilled_at:
-            busy += self._prefilled_at - self._busy_since
+        if now < self._prefilled_at + self._gap_s():
+            busy += max(now, self._prefilled_at) - self._busy_since
         return min(busy, most) + steps * self.step_s()
 
     def pause_limits(self) -> Counter[tuple[float, int]]:
@@ -285,6 +286,10 @@
         decay = math.exp(-max(0.0, now - self._recent_at) / LOAD_MEMORY_S)
         return self._recent_prefill_s * decay
 
+    def _gap_s(self) -> float:
+        """Return the gap in prefill in which streams get on by an event."""
+        return self.size.tokens_per_event * self.step_s() + GAP_MARGIN_S
+
     def _chunk_s(self) -> float:
         """Return how long a full chunk of prefill takes."""
         return self._terms.chunk_tokens / self._terms.prefill_tokens_per_s * self.speed
