Learn engines' speed from throughput; keep urgent streams together under load

Cause: found on a model of engines and hosts (packages/experiments, new). (1) An engine's learnt speed rose to 5 with each overload and starved engines that were idle. (2) Streams with short pauses stayed on six engines with four each and kept all six from long prompts, while 64 digests a second were refused.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := common policy node operator standins router
+PACKAGES := common policy node operator standins router experiments
 INSTALLED := $(VENV)/.installed
 
 .PHONY: demo test format clean
--- /dev/null
+++ b/packages/experiments/src/rosemaryseam/experiments/scenarios.py
@@ -0,0 +1,82 @@
+"""The days on which policies are compared."""
+
+from __future__ import annotations
+
+from rosemaryseam.experiments.load import Burst, Crash, Kind, Scenario, TokenSize
+
+_DIGEST_PARTS = ((TokenSize(2520, 0.4, 6290), 4), (TokenSize(3780, 0.7, 11300), 320))
+_ASK_PARTS = ((TokenSize(341, 0.4, 851), 40), (TokenSize(227, 0.7, 681), 338))
+_COPY_PARTS = ((TokenSize(103, 0.4, 257), 8), (TokenSize(69, 0.7, 206), 252))
+
+
+def _leasing_kinds() -> tuple[Kind, ...]:
+    return (
+        Kind(
+            'digest', 22.6, 2, 1.6, 0.46, 1.5, 1.2, 5.0, _DIGEST_PARTS,
+            TokenSize(2890, 1.0, 39600), TokenSize(52, 1.4, 208), True,
+        ),
+        Kind(
+            'ask', 23.9, 1, 1.2, 0.38, 1.0, 0.5, 3.0, _ASK_PARTS,
+            TokenSize(1800, 1.3, 6870), TokenSize(22.5, 1.4, 90), False,
+        ),
+        Kind(
+            'copy', 11.9, 0, 5.2, 0.45, 1.2, 0.3, 15.0, _COPY_PARTS,
+            TokenSize(543, 0.89, 2310), TokenSize(280, 0.7, 950), True,
+        ),
+    )  # fmt: skip
+
+
+def _mediation_kinds() -> tuple[Kind, ...]:
+    return (
+        Kind(
+            'digest', 16.6, 2, 1.6, 0.77, 1.5, 1.2, 5.0, _DIGEST_PARTS,
+            TokenSize(2890, 1.0, 39600), TokenSize(52, 1.4, 208), True,
+        ),
+        Kind(
+            'draft', 17.5, 1, 1.2, 0.63, 1.0, 0.5, 3.0, _ASK_PARTS,
+            TokenSize(1800, 1.3, 6870), TokenSize(22.5, 1.4, 90), False,
+        ),
+        Kind(
+            'coach', 8.68, 0, 5.2, 0.78, 1.0, 0.3, 15.0, _COPY_PARTS,
+            TokenSize(543, 0.89, 2310), TokenSize(280, 0.7, 916), True,
+        ),
+    )  # fmt: skip
+
+
+def _bursts(long: str, urgent: str) -> tuple[Burst, ...]:
+    return (
+        Burst(long, 0.5, 9.0, 2.2),
+        Burst(urgent, 11.0, 5.0, 2.1),
+        Burst(long, 17.5, 4.5, 2.1),
+    )
+
+
+LEASING = Scenario(
+    name='leasing',
+    engines=9,
+    engine_slowness=(1.0,),
+    memory_tokens=310_074,
+    tokens_per_event=5,
+    hosts=6,
+    length_s=34.0,
+    load=1.1,
+    kinds=_leasing_kinds(),
+    bursts=_bursts('digest', 'copy'),
+    crashes=(Crash(2, 17.5, 2.0),),
+)
+
+MEDIATION = Scenario(
+    name='mediation',
+    engines=6,
+    engine_slowness=(1.0, 1.0, 1.3),
+    memory_tokens=503_657,
+    tokens_per_event=4,
+    hosts=8,
+    length_s=34.0,
+    load=1.05,
+    kinds=_mediation_kinds(),
+    bursts=_bursts('digest', 'coach'),
+    crashes=(Crash(1, 7.0, 4.0),),
+)
+
+SCENARIOS = {scenario.name: scenario for scenario in (LEASING, MEDIATION)}
--- a/packages/policy/src/rosemaryseam/policy/engineplacement.py
+++ b/packages/policy/src/rosemaryseam/policy/engineplacement.py
@@ -17,17 +17,21 @@
 SIZE_FLOOR = 0.3  # of the worth that does not depend on the size
 SIZE_MOST = 4.0
 REFUSAL_LOSSES = (math.inf, 2.0, 1.0)  # in worths of a request, by rank
-LATE_LOSS = 0.6  # share of its worth that a late answer loses
+LATE_LOSS = 0.9  # share of its worth that a late answer loses
 READ_AGAIN_PER_TOKEN = 0.00024  # price of prefilling a part that an engine holds
 FETCH_PER_TOKEN = 0.00003  # price of copying a cached token between engines
 FETCH_SETUP_S = 0.01
 FETCH_S_PER_TOKEN = 0.000001
 FETCH_LEAST_TOKENS = 256  # fewer are read faster than they are fetched
 FIRST_EVENT_SAFETY = 0.75  # of the time left; expectations err by about a third
-PAUSE_SAFETY = 0.65  # of the pause limit
+BUSY_MARGIN = 1.5  # on the expected length of a busy period of prefill
+PAUSE_SLOPE = 20.0
+STREAM_S = 1.0  # in which an engine's streams are replaced by new ones
 NO_RISK = 0.6  # of a limit, below which the risk is taken for none
 SLOPE = 12.0  # how sharply the risk grows around the safe share of a limit
-OPENING_LOSS = 0.8  # streams with short pauses share engines, away from long prompts
+OPENING_LOSS = 8.0  # of a stream with short pauses on an engine that has none
+STREAMS_TOGETHER = 8.0  # streams with short pauses that halve that
+STALL_LOSS = 0.3  # share of its worth that a stream loses where prefill never ends
 WAIT_LOSS = 0.2  # share of its worth that a request loses by waiting up to its target
 PATIENCE_SAFETY = 0.7  # of the caller's patience; output lengths are often far off
 OTHER_ZONE_PER_BYTE = 0.000002  # bytes between zones cost
@@ -72,11 +76,30 @@
     lends_cache: bool
 
 
+class Losses(NamedTuple):
+    """What a placement is expected to cost, in worths of requests.
+
+    ``late``: the request's own late first event; ``unfinished``: its answer does not
+    end in time; ``cache``: tokens read again or fetched; ``pauses`` and ``endings``:
+    what other requests lose; ``capacity``: slots and memory; ``other``: zones, failures
+    and affinity.
+    """
+
+    late: float
+    unfinished: float
+    cache: float
+    pauses: float
+    endings: float
+    capacity: float
+    other: float
+
+
 class Choice(NamedTuple):
-    """An engine with what decided for it."""
+    """An engine with what decided for it; ``loss`` is the sum of ``losses``."""
 
     name: str
     loss: float
+    losses: Losses
     prefill_tokens: int
     cached_tokens: int
     fetch_from: str | None
@@ -127,9 +150,12 @@
     engines = list(candidates)
     held = {entry.name: entry.cache.cached_tokens(request.parts) for entry in engines}
     holder = _best_holder(request, engines, now)
+    shares = [entry.view.prefill_share(now) for entry in engines]
+    load = sum(shares) / len(shares) if shares else 0.0
     best: Choice | None = None
     for candidate in engines:
-        choice = _weigh(request, candidate, held[candidate.name], holder, uses, now)
+        own = held[candidate.name]
+        choice = _weigh(request, candidate, own, holder, uses, load, now)
         if best is None or choice.loss < best.loss:
             best = choice
     return best
@@ -153,6 +179,7 @@
     own: int,
     holder: Holder | None,
     uses: PartUses,
+    load: float,
     now: float,
 ) -> Choice:
     view = candidate.view
@@ -166,21 +193,23 @@
     first = view.first_event_s(prefill, now)
     if fetched:
         first += FETCH_SETUP_S + fetched * FETCH_S_PER_TOKEN
-    loss = (
-        candidate.penalty
-        + _lateness_loss(request, first)
-        + _duration_loss(request, view, prefill, first, now)
-        + uses.read_again_cost(request.parts[:-1], cached, now) * READ_AGAIN_PER_TOKEN
-        + fetched * FETCH_PER_TOKEN
-        + _pause_loss(request, view, prefill, now)
-        + _ending_loss(view, prefill, now)
-        + _capacity_loss(request, view)
-        + candidate.order * ORDER_LOSS
-    )
+    other = candidate.penalty + candidate.order * ORDER_LOSS
     if not candidate.same_zone:
-        loss += request.body_bytes * OTHER_ZONE_PER_BYTE
+        other += request.body_bytes * OTHER_ZONE_PER_BYTE
+    again = uses.read_again_cost(request.parts[:-1], cached, now)
+    losses = Losses(
+        late=_lateness_loss(request, first),
+        unfinished=_duration_loss(request, view, first, now),
+        cache=again * READ_AGAIN_PER_TOKEN + fetched * FETCH_PER_TOKEN,
+        pauses=_pause_loss(request, view, prefill, load, now),
+        endings=_ending_loss(view, prefill, now),
+        capacity=_capacity_loss(request, view),
+        other=other,
+    )
     source = holder.name if holder is not None and fetched else None
-    return Choice(candidate.name, loss, prefill, cached, source, fetched, first)
+    return Choice(
+        candidate.name, sum(losses), losses, prefill, cached, source, fetched, first
+    )
 
 
 def _lateness_loss(request: PlacementRequest, first_s: float) -> float:
@@ -192,52 +221,71 @@
 
 
 def _duration_loss(
-    request: PlacementRequest,
-    view: EngineView,
-    prefill: int,
-    first_s: float,
-    now: float,
+    request: PlacementRequest, view: EngineView, first_s: float, now: float
 ) -> float:
     """Return the loss by an answer that does not end while the caller waits."""
-    whole_s = first_s + request.output_tokens * view.token_s(prefill, now)
+    whole_s = first_s + request.output_tokens * view.token_s(now)
     limit = request.patience_s * PATIENCE_SAFETY
     return value_of(request.rank, request.size) * risk(whole_s, limit)
 
 
 def _pause_loss(
-    request: PlacementRequest, view: EngineView, prefill: int, now: float
+    request: PlacementRequest,
+    view: EngineView,
+    prefill: int,
+    load: float,
+    now: float,
 ) -> float:
-    """Return what streams lose whose pauses the added prefill work lengthens."""
+    """Return what streams lose whose pauses the added prefill work lengthens.
+
+    Beside the streams that are there, those lose that start while an engine stalls:
+    the longer it does, the more.
+    """
     limits = view.pause_limits()
+    prolonged = view.prefill_s(prefill) / STREAM_S
+    pause_before = view.pause_s(0, BUSY_MARGIN, now)
+    pause_after = view.pause_s(prefill, BUSY_MARGIN, now)
     loss = 0.0
     for (limit, rank), count in limits.items():
-        safe = limit * PAUSE_SAFETY
-        before = risk(view.pause_s(0, now), safe)
-        after = risk(view.pause_s(prefill, now), safe)
-        loss += count * value_of(rank) * LATE_LOSS * (after - before)
+        before = risk(pause_before, limit, PAUSE_SLOPE)
+        after = risk(pause_after, limit, PAUSE_SLOPE)
+        share = after - before + after * prolonged
+        loss += count * value_of(rank) * LATE_LOSS * share
     if request.pause_s is not None:
-        safe = request.pause_s * PAUSE_SAFETY
-        own = risk(view.pause_s(0, now), safe)
-        loss += value_of(request.rank, request.size) * LATE_LOSS * own
-        alike = sum(
-            count for (limit, _), count in limits.items() if limit <= request.pause_s
-        )
-        loss += OPENING_LOSS / (1 + alike)
+        loss += _spreading_loss(request, view, load, now)
     return loss
 
 
+def _spreading_loss(
+    request: PlacementRequest, view: EngineView, load: float, now: float
+) -> float:
+    """Return what a stream with short pauses costs on an engine with few of its kind.
+
+    It keeps long prompts away from there, which is dear when all engines are busy.
+    """
+    if request.pause_s >= view.longest_pause_s():
+        return 0.0
+    stalls = STALL_LOSS * view.prefill_share(now) ** 2
+    alike = sum(
+        count
+        for (limit, _), count in view.pause_limits().items()
+        if limit <= request.pause_s
+    )
+    opening = OPENING_LOSS * load * load / (1.0 + alike / STREAMS_TOGETHER)
+    return value_of(request.rank, request.size) * stalls + opening
+
+
 def _ending_loss(view: EngineView, prefill: int, now: float) -> float:
     """Return what requests there lose that then do not end in time."""
-    slow = view.token_s(prefill, now)
-    before = view.token_s(0, now)
+    token_s = view.token_s(now)
     added = view.prefill_s(prefill)
     loss = 0.0
     for ending in view.endings(now):
         limit = max(0.0, ending.left_s) * PATIENCE_SAFETY
-        after = ending.tokens * slow + added
-        if after < limit * NO_RISK:
+        before = ending.tokens * token_s
+        if before + added < limit * NO_RISK:
             continue
-        change = risk(after, limit) - risk(ending.tokens * before, limit)
+        change = risk(before + added, limit) - risk(before, limit)
         loss += value_of(ending.rank) * change
     return loss
 
@@ -250,15 +298,16 @@
     return FULL_LOSS * max(slots, full)
 
 
-def risk(value: float, limit: float) -> float:
+def risk(value: float, limit: float, slope: float = SLOPE) -> float:
     """Return the risk, 0 to 1, that a limit is passed; a half at the limit.
 
     :param value: what is expected
     :param limit: the limit
+    :param slope: how sharply the risk grows around the limit
     """
     if limit <= 0:
         return 1.0
-    exponent = SLOPE * (value / limit - 1.0)
+    exponent = slope * (value / limit - 1.0)
     if exponent > 40:
         return 1.0
     return 1.0 / (1.0 + math.exp(-exponent))
--- a/packages/policy/src/rosemaryseam/policy/engines.py
+++ b/packages/policy/src/rosemaryseam/policy/engines.py
@@ -6,10 +6,9 @@
 from collections import Counter
 from typing import NamedTuple
 
-SPEED_WEIGHT = 0.15  # of one observation in the learnt speed
+SPEED_MEMORY = 0.98  # of what is known, kept at each observation
+SPEED_PRIOR_S = 0.5  # of work at the sheet's speed that is assumed to begin with
 SPEED_MAX = 8.0
-SPEED_MIN_S = 0.03  # shorter waits say little of an engine's speed
-SMALLEST_EXPECTATION_S = 0.01
 LEAST_LEFT = 0.2  # of an expected length; lengths are often underestimated
 GAP_MARGIN_S = 0.02  # the end of prefill is known no better
 LOAD_MEMORY_S = 1.0  # over which the share of time spent on prefill is averaged
@@ -89,7 +88,10 @@
         self._first_at: dict[FlightKey, float] = {}
         self._busy_since = 0.0  # when the engine last began to prefill without a gap
         self._prefilled_at = 0.0  # when the known prefill work is done
-        self._observed_speed = 1.0
+        self._took_s = SPEED_PRIOR_S
+        self._nominal_s = SPEED_PRIOR_S
+        self._last_first_at = 0.0
+        self._alone: set[FlightKey] = set()  # that found an engine without prefill work
         self.memory_tokens = 0  # of requests in flight, without shared parts
         self.output_tokens = 0  # expected of requests in flight
         self._recent_prefill_s = 0.0  # decays with LOAD_MEMORY_S
@@ -98,7 +100,7 @@
     @property
     def speed(self) -> float:
         """How many times slower the engine is than its sheet says, 1 at least."""
-        return max(1.0, self._observed_speed)
+        return min(SPEED_MAX, max(1.0, self._took_s / self._nominal_s))
 
     @property
     def requests(self) -> int:
@@ -118,6 +120,8 @@
         """
         if flight.key in self._pending or flight.key in self._decoding:
             return
+        if not self._pending:
+            self._alone.add(flight.key)
         self._pending[flight.key] = flight
         if flight.pause_s is not None:
             self._limits[flight.pause_s, flight.rank] += 1
@@ -151,6 +155,7 @@
         :param key: the request
         :param now: seconds on the monotonic clock
         """
+        self._alone.discard(key)
         flight = self._pending.pop(key, None)
         if flight is not None:
             self._bound_backlog(now)
@@ -218,18 +223,15 @@
             + self.size.tokens_per_event * (self.step_s() + chunk)
         )
 
-    def token_s(self, added_tokens: int, now: float) -> float:
+    def token_s(self, now: float) -> float:
         """Return how long a stream takes for a token, if requests go on as lately.
 
-        :param added_tokens: prefill tokens that a new request adds
         :param now: seconds on the monotonic clock
         """
-        chunk = self._chunk_s()
-        added = self._added_s(added_tokens) / LOAD_MEMORY_S
-        share = min(1.0, self.prefill_share(now) + added)
+        share = self.prefill_share(now)
         step = self.step_s()
         # Steps with prefill are longer, so fewer of them fill the same time.
-        return 1.0 / (share / (step + chunk) + (1.0 - share) / step)
+        return 1.0 / (share / (step + self._chunk_s()) + (1.0 - share) / step)
 
     def endings(self, now: float) -> list[Ending]:
         """Return what the requests in flight still have to generate.
@@ -240,7 +242,7 @@
             Ending(flight.rank, flight.output_tokens, flight.expires_at - now)
             for flight in self._pending.values()
         ]
-        token_s = self.token_s(0, now)
+        token_s = self.token_s(now)
         running = [
             Ending(
                 flight.rank,
@@ -254,21 +256,25 @@
         ]
         return waiting + running
 
-    def pause_s(self, added_tokens: int, now: float) -> float:
+    def pause_s(self, added_tokens: int, margin: float, now: float) -> float:
         """Return the longest pause between events that streams see soon.
 
         Streams fall behind only while prefill goes on without a gap, as steps without
         prefill are short; so the length of that busy period counts, its past included.
 
         :param added_tokens: prefill tokens that a new request adds
+        :param margin: factor on the length of the busy period
         :param now: seconds on the monotonic clock
         """
-        steps = self.size.tokens_per_event
-        most = self._chunk_s() * steps
         busy = self._added_s(added_tokens)
         if now < self._prefilled_at + self._gap_s():
             busy += max(now, self._prefilled_at) - self._busy_since
-        return min(busy, most) + steps * self.step_s()
+        event = self.size.tokens_per_event * self.step_s()
+        return min(busy * margin + event, self.longest_pause_s())
+
+    def longest_pause_s(self) -> float:
+        """Return the pause between events while prefill goes on without a gap."""
+        return self.size.tokens_per_event * (self.step_s() + self._chunk_s())
 
     def pause_limits(self) -> Counter[tuple[float, int]]:
         """Return how many requests there are of each pause limit and rank."""
@@ -305,8 +311,16 @@
         self._prefilled_at = min(self._prefilled_at, now + left)
 
     def _learn_speed(self, flight: Flight, now: float) -> None:
-        if flight.expected_first_s < SPEED_MIN_S:
-            return
-        took = max(SMALLEST_EXPECTATION_S, now - flight.placed_at)
-        observed = min(SPEED_MAX, self.speed * took / flight.expected_first_s)
-        self._observed_speed += SPEED_WEIGHT * (observed - self._observed_speed)
+        """Learn from prompts read one after another, or alone."""
+        nominal = flight.prefill_tokens / self._terms.prefill_tokens_per_s
+        if flight.key in self._alone:
+            self._alone.discard(flight.key)
+            event = self.size.tokens_per_event * self._terms.step_s
+            self._observe(now - flight.placed_at, nominal + event)
+        elif flight.placed_at <= self._last_first_at:
+            self._observe(now - self._last_first_at, nominal)
+        self._last_first_at = now
+
+    def _observe(self, took_s: float, nominal_s: float) -> None:
+        self._took_s = self._took_s * SPEED_MEMORY + took_s
+        self._nominal_s = self._nominal_s * SPEED_MEMORY + nominal_s
--- a/packages/router/src/rosemaryseam/router/fleetplacer.py
+++ b/packages/router/src/rosemaryseam/router/fleetplacer.py
@@ -49,6 +49,7 @@
 OTHER_ZONE_LOSS = 0.3  # of a request's slot, for app runners
 GHOST_S = 20.0  # a peer's request that never ended counts no longer
 FIRST_EVENT_APP_S = 0.05
+LOGGED_LOSS = 0.01
 ROUTE_RANKS = 3  # route ranks that are told apart below a workspace's rank
 MAX_URGENCY = 9
 
@@ -217,6 +218,7 @@
             'backlog_ms': int(backlog * 1000),
             'expected_first_ms': int(choice.first_event_s * 1000),
             'loss': round(choice.loss, 3),
+            'losses': _rounded(choice),
             'engine_requests': record.view.requests,
             'engine_speed': round(record.view.speed, 2),
         }
@@ -240,6 +242,7 @@
             id=order.request.id,
             upstream=choice.name,
             loss=round(choice.loss, 2),
+            losses=_rounded(choice),
             expected_first_ms=int(choice.first_event_s * 1000),
             least_backlog_ms=int(backlogs[0] * 1000),
             median_backlog_ms=int(median * 1000),
@@ -471,6 +474,12 @@
     return EngineSize(engine.batch_slots, engine.cache_tokens, engine.tokens_per_event)
 
 
+def _rounded(choice: Choice) -> dict[str, float]:
+    """Return the parts of a choice's loss that count, for the log."""
+    parts = choice.losses._asdict().items()
+    return {name: round(part, 3) for name, part in parts if part >= LOGGED_LOSS}
+
+
 def _urgency(order: Order) -> int:
     """Return the engine's order of admission: workspace first, then route."""
     route = min(order.rank, ROUTE_RANKS - 1)
