--- a/packages/router/src/rosemaryseam/router/exchange.py
+++ b/packages/router/src/rosemaryseam/router/exchange.py
@@ -11,10 +11,15 @@
 import h11
 from gevent import socket
 
-from rosemaryseam.router.faults import BrokenError, ForeignBytesError, NotSentError
+from rosemaryseam.router.faults import (
+    BrokenError,
+    ForeignBytesError,
+    NotSentError,
+    SilentError,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from rosemaryseam.common.addresses import Address
     from rosemaryseam.common.clock import Clock
@@ -24,6 +29,7 @@
 READ_BYTES = 65_536
 INLINE_BODY_BYTES = 4096  # longer bodies are written while the answer is read
 MAX_HEAD_BYTES = 65_536
+WAIT_CHECK_S = 0.1  # between two looks at whether waiting is in vain
 KEEP_ALIVE_MARGIN_S = 1.0  # before the upstream's own idle timeout
 
 
@@ -37,6 +43,7 @@
 
     def __init__(self, sock: Any, codec: HttpCodec, clock: Clock) -> None:
         self._sock = sock
+        self._is_hopeless: Callable[[], bool] = _never
         self._codec = codec
         self._clock = clock
         self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
@@ -86,6 +93,13 @@
         else:
             self._writer = gevent.spawn(self._write_quietly, data)
 
+    def give_up_when(self, is_hopeless: Callable[[], bool]) -> None:
+        """Ask now and then whether to go on waiting for bytes.
+
+        :param is_hopeless: returns whether waiting is in vain
+        """
+        self._is_hopeless = is_hopeless
+
     def read_head(self, request_id: str) -> AnswerHead:
         """Return the head of the answer, passing over answers to other requests.
 
@@ -134,6 +148,7 @@
         self.served += 1
         self.last_used = self._clock.monotonic()
         self._writer = None
+        self._is_hopeless = _never
         return True
 
     def close(self) -> None:
@@ -161,11 +176,17 @@
                 raise ForeignBytesError(f'not an HTTP answer: {exc}') from exc
             if event is not h11.NEED_DATA:
                 return event
+            self._http.receive_data(self._receive())
+
+    def _receive(self) -> bytes:
+        while True:
             try:
-                data = self._sock.recv(READ_BYTES)
+                with gevent.Timeout(WAIT_CHECK_S, False):
+                    return self._sock.recv(READ_BYTES)
             except OSError as exc:
                 raise BrokenError(f'the connection failed: {exc}') from exc
-            self._http.receive_data(data)
+            if self._is_hopeless():
+                raise SilentError('the upstream fell silent')
 
     def _write(self, data: bytes) -> None:
         try:
@@ -179,6 +200,10 @@
             self._sock.sendall(data)
 
 
+def _never() -> bool:
+    return False
+
+
 def connect(
     address: Address, codec: HttpCodec, clock: Clock, timeout_s: float
 ) -> UpstreamConnection:
--- a/packages/router/src/rosemaryseam/router/faults.py
+++ b/packages/router/src/rosemaryseam/router/faults.py
@@ -37,3 +37,7 @@
 
 class ForeignBytesError(BrokenError):
     """The upstream sent bytes that are no answer to the request."""
+
+
+class SilentError(BrokenError):
+    """The upstream sends nothing any more, to this request and to all others."""
--- a/packages/router/src/rosemaryseam/router/fleetplacer.py
+++ b/packages/router/src/rosemaryseam/router/fleetplacer.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import functools
+import math
 from typing import TYPE_CHECKING
 
 import xxhash
 
 from rosemaryseam.common.decisionlog import log_event
+from rosemaryseam.policy.durations import Durations
 from rosemaryseam.policy.engineplacement import (
     Candidate,
     Choice,
@@ -47,6 +49,8 @@
 PAUSED_LOSS = 50.0  # an upstream that does not answer, while others do
 FAILURE_LOSS = 4.0  # for an upstream that always fails
 OTHER_ZONE_LOSS = 0.3  # of a request's slot, for app runners
+SILENT_S = 1.0  # streams of a sound engine never pause for so long
+SILENT_PREFILL_S = 2.0  # an engine may read prompts for so long without an event
 GHOST_S = 20.0  # a peer's request that never ended counts no longer
 FIRST_EVENT_APP_S = 0.05
 LOGGED_LOSS = 0.01
@@ -61,6 +65,8 @@
         self.upstream = upstream
         self.view = EngineView(size, EngineTerms())
         self.cache = EngineCache(size.cache_tokens)
+        self.heard_at = -math.inf  # when anything arrived from it
+        self.busy_at = -math.inf  # when it last got work while it had none
 
 
 class RouteSizes:
@@ -108,7 +114,14 @@
         self.inputs = inputs
 
     def answered(self, head: AnswerHead) -> None:
-        """Learn nothing; engines answer with their first event."""
+        """Note that the upstream is there."""
+        self._last_event_at = self._clock.monotonic()
+        self._placer.note_heard(self.upstream)
+
+    def is_hopeless(self) -> bool:
+        """Return whether the upstream has fallen silent."""
+        waited = self._clock.monotonic() - self._last_event_at
+        return self._placer.is_silent(self.upstream, waited)
 
     def event(self) -> None:
         """Note an event and the pause before it."""
@@ -120,12 +133,14 @@
             self.first_s = now - self._placed_at
             self._placer.note_started(self.upstream, self._number)
         self._last_event_at = now
+        self._placer.note_heard(self.upstream)
 
     def end(self, outcome: str) -> None:
         """Note the end."""
         if not self._ended:
             self._ended = True
-            self._placer.note_ended(self.upstream, self._number, outcome)
+            took_s = self._clock.monotonic() - self._placed_at
+            self._placer.note_ended(self.upstream, self._number, outcome, took_s)
 
 
 class FleetPlacer(Placer):
@@ -153,12 +168,14 @@
         self._uses = PartUses()
         self._outliers = Outliers()
         self._sizes = RouteSizes()
+        self._durations = Durations()
         self._numbers = 0
         self._own: dict[int, str] = {}
         self._remote: dict[str, dict[int, tuple[str, float]]] = {}
         self.tell_placed: Callable[[Placed], None] = _ignore
         self.tell_started: Callable[[int], None] = _ignore
         self.tell_ended: Callable[[int], None] = _ignore
+        self.tell_closed: Callable[[str], None] = _ignore
 
     # Placement.
 
@@ -259,6 +276,7 @@
         lends = engine is not None and engine.shares_cache
         for upstream in upstreams:
             record = self._record(upstream)
+            paused = self._outliers.is_paused(upstream.id, now)
             yield Candidate(
                 upstream.id,
                 record.view,
@@ -266,7 +284,7 @@
                 upstream.zone == self._zone,
                 affinity[upstream.id],
                 self._penalty(upstream.id, names, now),
-                lends,
+                lends and not paused,
             )
 
     def _place_plain(self, order: Order, upstreams: Sequence[Upstream]) -> Ticket:
@@ -317,22 +335,55 @@
         self._start(OWN, upstream.id, number)
         self.tell_started(number)
 
-    def note_ended(self, upstream: Upstream, number: int, outcome: str) -> None:
+    def note_ended(
+        self, upstream: Upstream, number: int, outcome: str, took_s: float
+    ) -> None:
         """Note that one of this host's requests ended.
 
         :param upstream: that had it
         :param number: of the request
         :param outcome: as :meth:`Ticket.end` gets it
+        :param took_s: from its placement on
         """
+        if outcome == 'done':
+            self._durations.record(upstream.service, took_s)
         self._own.pop(number, None)
         self._end(OWN, upstream.id, number)
         self.tell_ended(number)
-        now = self._clock.monotonic()
-        if outcome in ('unreachable', 'silent'):
-            self._outliers.record_silence(upstream.id, now)
+        closes = outcome == 'unreachable' or (
+            outcome == 'silent' and self._is_engine(upstream)
+        )
+        if closes:
+            self._close(upstream.id)
+            self.tell_closed(upstream.id)
         elif outcome != 'cancelled':
             self._outliers.record(upstream.id, failed=outcome != 'done')
 
+    def is_silent(self, upstream: Upstream, waited_s: float) -> bool:
+        """Return whether an upstream owes answers and sent nothing for too long.
+
+        :param upstream: the upstream
+        :param waited_s: how long the asking request has waited
+        """
+        record = self._records.get(upstream.id)
+        if record is None:
+            return False
+        if not record.view.size.cache_tokens:
+            return waited_s > self._durations.limit_s(upstream.service)
+        if waited_s < SILENT_S:
+            return False
+        quiet = self._clock.monotonic() - max(record.heard_at, record.busy_at)
+        return quiet >= (SILENT_S if record.view.streams else SILENT_PREFILL_S)
+
+    def note_heard(self, upstream: Upstream) -> None:
+        """Note that something arrived from an upstream.
+
+        :param upstream: the upstream
+        """
+        record = self._records.get(upstream.id)
+        if record is not None:
+            record.heard_at = self._clock.monotonic()
+
     def own_numbers(self) -> list[int]:
         """Return the numbers of this host's requests in flight."""
         return list(self._own)
@@ -354,6 +405,8 @@
                 self._start(update.host, flights[number][0], number)
         for number in update.ended:
             self._end_remote(update.host, number)
+        for name in update.closed:
+            self._close(name)
         if update.sync:
             self._drop_missing(update.host, set(update.active), now)
 
@@ -401,6 +454,17 @@
             self._records[upstream.id] = record
         return record
 
+    def _is_engine(self, upstream: Upstream) -> bool:
+        record = self._records.get(upstream.id)
+        return record is not None and record.view.size.cache_tokens > 0
+
+    def _close(self, name: str) -> None:
+        """Send nothing to an upstream for a while, and forget what it held."""
+        now = self._clock.monotonic()
+        if not self._outliers.is_paused(name, now):
+            self._outliers.record_silence(name, now)
+        self._records.pop(name, None)
+
     def _apply_placed(self, host: str, entry: Placed, now: float) -> None:
         record = self._records[entry.upstream]
         flight = Flight(
@@ -414,6 +478,8 @@
             entry.expected_first_s,
             now - entry.age_s + entry.patience_s,
         )
+        if not record.view.requests:
+            record.busy_at = now
         record.view.add(flight, now)
         if entry.parts:
             record.cache.touch(
@@ -429,6 +495,7 @@
     def _start(self, host: str, name: str, number: int) -> None:
         record = self._records.get(name)
         if record is not None:
+            record.heard_at = self._clock.monotonic()
             record.view.first_event(FlightKey(host, number), self._clock.monotonic())
 
     def _end(self, host: str, name: str, number: int) -> None:
--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -16,6 +16,7 @@
     ForeignBytesError,
     NotSentError,
     SendError,
+    SilentError,
 )
 from rosemaryseam.router.placement import NoUpstreamError, Order
 from rosemaryseam.router.relay import StreamRelay, relay_whole
@@ -268,6 +269,9 @@
         except DeclinedError as exc:
             outcome = 'declined'
             self._note_failure(job, attempts, ticket, exc)
+        except SilentError as exc:
+            outcome = 'silent'
+            self._note_failure(job, attempts, ticket, exc)
         except BrokenError as exc:
             outcome = 'failed'
             self._note_failure(job, attempts, ticket, exc)
@@ -340,6 +344,8 @@
             **ticket.inputs,
         )
         try:
+            if job.route.repeat is not Repeat.NEVER:
+                conn.give_up_when(ticket.is_hopeless)
             conn.send(job.request.method, job.request.target, headers, job.request.body)
             head = conn.read_head(job.request.id)
             ticket.answered(head)
--- a/packages/router/src/rosemaryseam/router/ledger.py
+++ b/packages/router/src/rosemaryseam/router/ledger.py
@@ -39,7 +39,8 @@
 class Update(NamedTuple):
     """News of one host: requests sent, answering and ended since the last update.
 
-    In a ``sync`` update ``active`` names all of the host's requests.
+    In a ``sync`` update ``active`` names all of the host's requests. ``closed`` are
+    upstreams that took no connection or fell silent.
     """
 
     host: str
@@ -50,6 +51,7 @@
     started: tuple[int, ...] = ()
     ended: tuple[int, ...] = ()
     active: tuple[int, ...] = ()
+    closed: tuple[str, ...] = ()
 
 
 def encode_update(update: Update) -> bytes:
@@ -66,6 +68,7 @@
         started=list(update.started),
         ended=list(update.ended),
         active=list(update.active),
+        closed=list(update.closed),
     )
     return message.to_bytes_packed()
 
@@ -89,6 +92,7 @@
             tuple(message.started),
             tuple(message.ended),
             tuple(message.active),
+            tuple(message.closed),
         )
     except (capnp.KjException, ValueError) as exc:
         raise PeerError(f'unreadable update: {exc}') from exc
--- a/packages/router/src/rosemaryseam/router/peers.py
+++ b/packages/router/src/rosemaryseam/router/peers.py
@@ -79,6 +79,7 @@
         self._placed: list[Placed] = []
         self._started: list[int] = []
         self._ended: list[int] = []
+        self._closed: list[str] = []
         self._pending = Event()
         self._lease = 0
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -124,6 +125,14 @@
         self._ended.append(number)
         self._pending.set()
 
+    def tell_closed(self, name: str) -> None:
+        """Tell peers of an upstream that does not answer.
+
+        :param name: its id
+        """
+        self._closed.append(name)
+        self._pending.set()
+
     def leave(self) -> None:
         """Tell peers and the store that this host stops."""
         self._send(Update(self._address.ip, self._incarnation, leaving=True))
@@ -154,11 +163,12 @@
             self._pending.wait()
             gevent.sleep(FLUSH_S * max(1.0, len(self._known) / FLUSH_PEERS))
             self._pending.clear()
-            while self._placed or self._started or self._ended:
+            while self._placed or self._started or self._ended or self._closed:
                 placed = tuple(self._placed[:MAX_ENTRIES])
                 del self._placed[:MAX_ENTRIES]
                 started, self._started = tuple(self._started), []
                 ended, self._ended = tuple(self._ended), []
+                closed, self._closed = tuple(self._closed), []
                 self._send(
                     Update(
                         self._address.ip,
@@ -166,6 +176,7 @@
                         placed=placed,
                         started=started,
                         ended=ended,
+                        closed=closed,
                     )
                 )
 
--- a/packages/router/src/rosemaryseam/router/peerwire.capnp
+++ b/packages/router/src/rosemaryseam/router/peerwire.capnp
@@ -28,4 +28,5 @@
   started @5 :List(UInt32);
   ended @6 :List(UInt32);
   active @7 :List(UInt32);
+  closed @8 :List(Text);
 }
--- a/packages/router/src/rosemaryseam/router/placement.py
+++ b/packages/router/src/rosemaryseam/router/placement.py
@@ -71,6 +71,10 @@
     def event(self) -> None:
         """Note that an event of a stream arrived."""
 
+    def is_hopeless(self) -> bool:
+        """Return whether waiting for the upstream any longer is in vain."""
+        return False
+
     @abc.abstractmethod
     def end(self, outcome: str) -> None:
         """Note the end; the first call counts.
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -82,6 +82,7 @@
         self._placer.tell_placed = self._peers.tell_placed
         self._placer.tell_started = self._peers.tell_started
         self._placer.tell_ended = self._peers.tell_ended
+        self._placer.tell_closed = self._peers.tell_closed
         self.feed = StateFeed(
             store,
             state,
