Place through dispatchers: one host decides for each slot of upstreams

Ruled out: groups of hosts with engines of their own (each would cache all sessions); summaries by the keeper of an engine (as many datagrams). Change: upstreams form slots of 12; rendezvous hashing names the host that dispatches a slot; hosts ask it by datagram, tell it of first events and ends, and hand their requests over when it changes; a dispatcher that does not answer in 30 ms is passed over, and a host decides by itself when two do not. The second slot may take what the first refuses.

--- a/packages/experiments/src/rosemaryseam/experiments/fleet.py
+++ b/packages/experiments/src/rosemaryseam/experiments/fleet.py
@@ -1,4 +1,4 @@
-"""Hosts that place a day's requests on model engines, each with its own view."""
+"""Hosts that place a day's requests on model engines."""
 
 from __future__ import annotations
 
@@ -8,8 +8,7 @@
 from rosemaryseam.common.addresses import Address
 from rosemaryseam.experiments.engine import EngineRates, Job, ModelEngine
 from rosemaryseam.experiments.events import Timeline
-from rosemaryseam.router.ledger import Placed, Update
-from rosemaryseam.router.placement import NoUpstreamError, Order, Placer
+from rosemaryseam.router.placement import NoUpstreamError, Order
 from rosemaryseam.router.requests import CallerRequest, Prompt, PromptPart
 from rosemaryseam.router.routes import (
     EngineShape,
@@ -18,14 +17,19 @@
     Service,
     ServiceShare,
 )
-from rosemaryseam.router.upstreams import Upstream
+from rosemaryseam.router.upstreams import Registration, Registry, Upstream
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from rosemaryseam.experiments.load import Arrival, Kind, Scenario
+    from rosemaryseam.router.placement import Placer
 
-NEWS_S = 0.002  # until a peer knows of a request
+    PlacerFactory = Callable[
+        [Timeline, Registry, Service, random.Random, int], list[Placer]
+    ]
+
+ASK_S = 0.002  # to a dispatcher and back
 NETWORK_S = 0.001  # one way
 ZONE = 'a'
 FIRST_PORT = 1000
@@ -42,46 +46,16 @@
     refusals: int
 
 
-class Host:
-    """A host: its placer and what it tells the others.
-
-    :param fleet: the fleet
-    :param name: of the host
-    :param placer: decides
-    """
-
-    def __init__(self, fleet: Fleet, name: str, placer: Placer) -> None:
-        self._fleet = fleet
-        self.name = name
-        self.placer = placer
-        if hasattr(placer, 'tell_placed'):
-            placer.tell_placed = lambda entry: self._tell(placed=(entry,))
-            placer.tell_started = lambda number: self._tell(started=(number,))
-            placer.tell_ended = lambda number: self._tell(ended=(number,))
-
-    def _tell(
-        self,
-        placed: tuple[Placed, ...] = (),
-        started: tuple[int, ...] = (),
-        ended: tuple[int, ...] = (),
-    ) -> None:
-        update = Update(self.name, 1, placed=placed, started=started, ended=ended)
-        self._fleet.spread(self, update)
-
-
 class Fleet:
     """A day of a scenario.
 
     :param scenario: the day
-    :param make_placer: makes the placer of a host
+    :param make_placers: makes the placer that each host uses
     :param seed: of the hosts' choices
     """
 
     def __init__(
-        self,
-        scenario: Scenario,
-        make_placer: Callable[[Timeline, str, Service, random.Random], Placer],
-        seed: int,
+        self, scenario: Scenario, make_placers: PlacerFactory, seed: int
     ) -> None:
         self.timeline = Timeline()
         self._rng = random.Random(seed)
@@ -102,13 +76,15 @@
         self._by_address = {
             upstream.address: name for name, upstream in self._upstreams.items()
         }
-        self.hosts = [
-            Host(self, f'host-{number}', make_placer(
-                self.timeline, ZONE, self._service, random.Random(seed * 97 + number)
-            ))
-            for number in range(scenario.hosts)
-        ]  # fmt: skip
-        self._retain()
+        self.registry = Registry()
+        self._register()
+        self._placers = make_placers(
+            self.timeline,
+            self.registry,
+            self._service,
+            random.Random(seed),
+            scenario.hosts,
+        )
         for crash in scenario.crashes:
             self._schedule_crash(crash.engines, crash.at_s, crash.for_s)
 
@@ -123,18 +99,6 @@
             self.timeline.at(arrival.at, call.start)
         self.timeline.run(until)
 
-    def spread(self, sender: Host, update: Update) -> None:
-        """Give a host's news to the others after a while.
-
-        :param sender: the host
-        :param update: its news
-        """
-        for host in self.hosts:
-            if host is not sender and hasattr(host.placer, 'apply_update'):
-                self.timeline.after(
-                    NEWS_S, lambda host=host: host.placer.apply_update(update)
-                )
-
     def usable(self) -> list[Upstream]:
         """Return the engines that are registered."""
         return [
@@ -143,9 +107,9 @@
             if name not in self._down
         ]
 
-    def pick_host(self) -> Host:
-        """Return the host that a caller reaches."""
-        return self._rng.choice(self.hosts)
+    def pick_placer(self) -> Placer:
+        """Return the placer of the host that a caller reaches."""
+        return self._rng.choice(self._placers)
 
     def route(self, kind: Kind) -> Route:
         """Return the route of a kind of request."""
@@ -181,21 +145,24 @@
                 for job in self.engines[name].crash():
                     job.on_event(None)
                 self._down.add(name)
-            self._retain()
+            self._register()
 
         def restart() -> None:
             for name in names:
                 self.engines[name].restart()
                 self._down.discard(name)
-            self._retain()
+            self._register()
 
         self.timeline.at(at_s, crash)
         self.timeline.at(at_s + for_s, restart)
 
-    def _retain(self) -> None:
-        for host in self.hosts:
-            if hasattr(host.placer, 'retain'):
-                host.placer.retain(self.usable())
+    def _register(self) -> None:
+        entries = {
+            upstream.id: Registration(upstream, leaving=False)
+            for upstream in self.usable()
+        }
+        now = self.timeline.monotonic()
+        self.registry.replace(entries, now, after_outage=False)
 
 
 class _Call:
@@ -222,9 +189,15 @@
             return
         timeline = self._fleet.timeline
         self._attempts += 1
-        host = self._fleet.pick_host()
+        timeline.after(ASK_S, self._place)
+
+    def _place(self) -> None:
+        if self._done:
+            return
+        timeline = self._fleet.timeline
         try:
-            ticket = host.placer.place(self._order(), self._fleet.usable())
+            placer = self._fleet.pick_placer()
+            ticket = placer.place(self._order(), self._fleet.usable())
         except NoUpstreamError as exc:
             self._refused(exc.retry_after_s)
             return
--- /dev/null
+++ b/packages/router/src/rosemaryseam/router/books.py
@@ -0,0 +1,498 @@
+"""What a dispatcher knows of its upstreams, and the placements it makes from that."""
+
+from __future__ import annotations
+
+import functools
+from typing import TYPE_CHECKING, NamedTuple
+
+import xxhash
+
+from rosemaryseam.common.decisionlog import log_event
+from rosemaryseam.policy.durations import Durations
+from rosemaryseam.policy.engineplacement import (
+    Candidate,
+    Choice,
+    PlacementRequest,
+    choose_engine,
+    is_worth_it,
+    rank_by_affinity,
+)
+from rosemaryseam.policy.engines import (
+    EngineSize,
+    EngineTerms,
+    EngineView,
+    Flight,
+    FlightKey,
+)
+from rosemaryseam.policy.outliers import Outliers
+from rosemaryseam.policy.prefixes import EngineCache, PartUses
+from rosemaryseam.router.placement import NoUpstreamError
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Iterable, Iterator, Sequence
+
+    from rosemaryseam.common.clock import Clock
+    from rosemaryseam.policy.prefixes import Part
+    from rosemaryseam.router.requests import Prompt
+    from rosemaryseam.router.routes import Service
+    from rosemaryseam.router.upstreams import Upstream
+
+NO_UPSTREAM_RETRY_S = 0.5
+LEAST_RETRY_S = 0.4  # engines' backlogs last for about that long
+OUTPUT_WORK = 10  # a generated token counts like so many prompt tokens
+SIZE_WEIGHT = 0.02  # of one request in the mean size of its route
+PAUSED_LOSS = 50.0  # an upstream that does not answer, while others do
+FAILURE_LOSS = 4.0  # for an upstream that always fails
+OTHER_ZONE_LOSS = 0.3  # of a request's slot, for app runners
+FIRST_EVENT_APP_S = 0.05
+LOGGED_LOSS = 0.01
+ROUTE_RANKS = 3  # route ranks that are told apart below a workspace's rank
+MAX_URGENCY = 9
+
+
+class Query(NamedTuple):
+    """A request that a host wants placed.
+
+    ``number`` is the host's own. Without a prompt ``parts`` is empty. ``excluded``
+    upstreams failed the request before.
+    """
+
+    number: int
+    service: str
+    route: str
+    rank: int
+    workspace_rank: int | None
+    parts: tuple[Part, ...]
+    prompt_tokens: int
+    output_tokens: int
+    most_output_tokens: int
+    pause_s: float | None
+    time_left_s: float
+    patience_s: float
+    body_bytes: int
+    zone: str
+    excluded: tuple[str, ...]
+
+
+class Placement(NamedTuple):
+    """Where a request goes.
+
+    ``urgency`` is the engine's order of admission. ``answer_limit_s`` is how long an
+    answer is awaited where no stream tells that the upstream lives. ``inputs`` is what
+    decided, for the log.
+    """
+
+    number: int
+    upstream: str
+    urgency: int | None
+    fetch_from: str | None
+    expected_first_s: float
+    answer_limit_s: float | None
+    inputs: dict[str, object]
+
+
+class Held(NamedTuple):
+    """A request in flight that another dispatcher, or none, has placed."""
+
+    number: int
+    upstream: str
+    rank: int
+    prefill_tokens: int
+    memory_tokens: int
+    output_tokens: int
+    pause_s: float | None
+    age_s: float
+    patience_s: float
+    started: bool
+
+
+class _Record:
+    """All that is believed of one incarnation of an upstream."""
+
+    def __init__(self, upstream: Upstream, size: EngineSize) -> None:
+        self.upstream = upstream
+        self.view = EngineView(size, EngineTerms())
+        self.cache = EngineCache(size.cache_tokens)
+
+
+class _RouteSizes:
+    """The mean work of each route's requests, in tokens."""
+
+    def __init__(self) -> None:
+        self._means: dict[str, float] = {}
+
+    def relative(self, query: Query) -> float:
+        """Return a request's work relative to its route's mean, and learn from it."""
+        work = query.prompt_tokens + OUTPUT_WORK * query.most_output_tokens
+        mean = self._means.get(query.route, float(work))
+        self._means[query.route] = mean + SIZE_WEIGHT * (work - mean)
+        return work / mean if mean else 1.0
+
+
+class PlacementBooks:
+    """Requests in flight by upstream, and what their outcomes taught.
+
+    :param clock: the process's clock
+    :param find_service: returns a service by name, ``None`` when it is unknown
+    :param rng: spreads the return of refused callers
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        find_service: Callable[[str], Service | None],
+        rng: random.Random,
+    ) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._find_service = find_service
+        self._upstreams: dict[str, Upstream] = {}
+        self._records: dict[str, _Record] = {}
+        self._flights: dict[str, dict[int, str]] = {}
+        self._uses = PartUses()
+        self._outliers = Outliers()
+        self._sizes = _RouteSizes()
+        self._durations = Durations()
+
+    # Placement.
+
+    def place(self, host: str, query: Query, names: Sequence[str]) -> Placement:
+        """Choose an upstream and note the request there.
+
+        :param host: that asks
+        :param query: the request
+        :param names: ids of the upstreams that may get it
+        :raises NoUpstreamError: none should get it now
+        """
+        upstreams = [
+            self._upstreams[name]
+            for name in names
+            if name in self._upstreams and name not in query.excluded
+        ]
+        if not upstreams:
+            raise NoUpstreamError('no upstream is registered', NO_UPSTREAM_RETRY_S)
+        if query.parts:
+            return self._place_prompt(host, query, upstreams)
+        return self._place_plain(host, query, upstreams)
+
+    def pressure(self, names: Iterable[str]) -> float:
+        """Return the mean share of time that engines spend on prefill.
+
+        :param names: ids of the engines
+        """
+        now = self._clock.monotonic()
+        shares = [
+            self._records[name].view.prefill_share(now)
+            for name in names
+            if name in self._records
+        ]
+        return sum(shares) / len(shares) if shares else 0.0
+
+    def _place_prompt(
+        self, host: str, query: Query, upstreams: Sequence[Upstream]
+    ) -> Placement:
+        now = self._clock.monotonic()
+        request = PlacementRequest(
+            rank=query.rank,
+            size=self._sizes.relative(query),
+            parts=query.parts,
+            prompt_tokens=query.prompt_tokens,
+            output_tokens=query.output_tokens,
+            pause_s=query.pause_s,
+            time_left_s=query.time_left_s,
+            patience_s=query.patience_s,
+            body_bytes=query.body_bytes,
+        )
+        candidates = list(self._candidates(query, upstreams, now))
+        choice = choose_engine(request, candidates, self._uses, now)
+        assert choice is not None
+        if not is_worth_it(request, choice):
+            raise self._refusal(query, choice, candidates, now)
+        view = self._records[choice.name].view
+        backlog_ms = int(view.backlog_s(now) * 1000)
+        self._note(host, query, choice.name, choice, now)
+        inputs = {
+            'prefill_tokens': choice.prefill_tokens,
+            'cached_tokens': choice.cached_tokens,
+            'fetch_tokens': choice.fetch_tokens,
+            'backlog_ms': backlog_ms,
+            'expected_first_ms': int(choice.first_event_s * 1000),
+            'loss': round(choice.loss, 3),
+            'losses': _rounded(choice),
+            'engine_requests': view.requests,
+            'engine_speed': round(view.speed, 2),
+        }
+        return Placement(
+            query.number,
+            choice.name,
+            _urgency(query),
+            choice.fetch_from,
+            choice.first_event_s,
+            None,
+            inputs,
+        )
+
+    def _refusal(
+        self,
+        query: Query,
+        choice: Choice,
+        candidates: Iterable[Candidate],
+        now: float,
+    ) -> NoUpstreamError:
+        """Return the refusal of a request that would do more harm than good."""
+        backlogs = sorted(entry.view.backlog_s(now) for entry in candidates)
+        median = backlogs[len(backlogs) // 2]
+        log_event(
+            'request_not_worth_it',
+            number=query.number,
+            route=query.route,
+            upstream=choice.name,
+            loss=round(choice.loss, 2),
+            losses=_rounded(choice),
+            expected_first_ms=int(choice.first_event_s * 1000),
+            least_backlog_ms=int(backlogs[0] * 1000),
+            median_backlog_ms=int(median * 1000),
+        )
+        wait = max(LEAST_RETRY_S, median) * self._rng.uniform(0.75, 1.5)
+        return NoUpstreamError('all engines are busy', wait)
+
+    def _candidates(
+        self, query: Query, upstreams: Sequence[Upstream], now: float
+    ) -> Iterator[Candidate]:
+        names = [upstream.id for upstream in upstreams]
+        session = query.parts[-2] if len(query.parts) > 1 else query.parts[0]
+        affinity = rank_by_affinity(str(session[0]), names)
+        service = self._find_service(query.service)
+        engine = service.engine if service is not None else None
+        lends = engine is not None and engine.shares_cache
+        for upstream in upstreams:
+            record = self._record(upstream)
+            paused = self._outliers.is_paused(upstream.id, now)
+            yield Candidate(
+                upstream.id,
+                record.view,
+                record.cache,
+                upstream.zone == query.zone,
+                affinity[upstream.id],
+                self._penalty(upstream.id, names, now),
+                lends and not paused,
+            )
+
+    def _place_plain(
+        self, host: str, query: Query, upstreams: Sequence[Upstream]
+    ) -> Placement:
+        now = self._clock.monotonic()
+        names = [upstream.id for upstream in upstreams]
+
+        def loss(upstream: Upstream) -> float:
+            view = self._record(upstream).view
+            far = 0.0 if upstream.zone == query.zone else OTHER_ZONE_LOSS
+            slots = max(1, upstream.slots)
+            load = (view.requests + far) / slots + view.overdue_s(now)
+            return load + self._penalty(upstream.id, names, now)
+
+        chosen = min(upstreams, key=loss)
+        inputs: dict[str, object] = {
+            'upstream_requests': self._records[chosen.id].view.requests
+        }
+        self._note(host, query, chosen.id, None, now)
+        limit = self._durations.limit_s(query.service)
+        return Placement(
+            query.number, chosen.id, None, None, FIRST_EVENT_APP_S, limit, inputs
+        )
+
+    def _penalty(self, name: str, names: Sequence[str], now: float) -> float:
+        loss = FAILURE_LOSS * self._outliers.excess(name, names)
+        if self._outliers.is_paused(name, now):
+            loss += PAUSED_LOSS
+        return loss
+
+    def _note(
+        self, host: str, query: Query, name: str, choice: Choice | None, now: float
+    ) -> None:
+        own_tokens = query.parts[-1][1] if query.parts else 0
+        held = Held(
+            number=query.number,
+            upstream=name,
+            rank=query.rank,
+            prefill_tokens=choice.prefill_tokens if choice else 0,
+            memory_tokens=own_tokens + query.output_tokens,
+            output_tokens=query.output_tokens,
+            pause_s=query.pause_s if choice else None,
+            age_s=0.0,
+            patience_s=query.patience_s,
+            started=False,
+        )
+        expected = choice.first_event_s if choice else FIRST_EVENT_APP_S
+        self._add(host, held, expected, now)
+        if query.parts:
+            record = self._records[name]
+            record.cache.touch(query.parts, record.view.output_tokens, now + expected)
+            self._uses.touch(query.parts[:-1], now)
+
+    # What becomes of requests.
+
+    def adopt(self, host: str, held: Held) -> None:
+        """Note a request that was placed by somebody else.
+
+        :param host: that has it
+        :param held: the request
+        """
+        upstream = self._upstreams.get(held.upstream)
+        if upstream is None or held.number in self._flights.get(host, {}):
+            return
+        self._record(upstream)
+        now = self._clock.monotonic()
+        self._add(host, held, FIRST_EVENT_APP_S, now)
+        if held.started:
+            self.started(host, held.number)
+
+    def started(self, host: str, number: int) -> None:
+        """Note that a request got its first event.
+
+        :param host: that has it
+        :param number: of the request
+        """
+        record = self._record_of(host, number)
+        if record is not None:
+            record.view.first_event(FlightKey(host, number), self._clock.monotonic())
+
+    def ended(self, host: str, number: int, outcome: str, took_s: float) -> None:
+        """Note that a request is no longer in flight.
+
+        :param host: that had it
+        :param number: of the request
+        :param outcome: as :meth:`Ticket.end` gets it
+        :param took_s: from its placement on
+        """
+        record = self._record_of(host, number)
+        self._flights.get(host, {}).pop(number, None)
+        if record is None:
+            return
+        now = self._clock.monotonic()
+        upstream = record.upstream
+        record.view.end(FlightKey(host, number), now)
+        if outcome == 'done':
+            self._durations.record(upstream.service, took_s)
+        is_engine = record.view.size.cache_tokens > 0
+        if outcome == 'unreachable' or (outcome == 'silent' and is_engine):
+            self._close(upstream.id, now)
+        elif outcome != 'cancelled':
+            self._outliers.record(upstream.id, failed=outcome != 'done')
+
+    def keep_only(self, host: str, numbers: set[int]) -> None:
+        """Drop a host's requests whose end was lost on the way.
+
+        :param host: that has them
+        :param numbers: those that it still has
+        """
+        now = self._clock.monotonic()
+        flights = self._flights.get(host, {})
+        for number in [one for one in flights if one not in numbers]:
+            record = self._record_of(host, number)
+            del flights[number]
+            if record is not None:
+                record.view.end(FlightKey(host, number), now)
+
+    def forget_host(self, host: str) -> None:
+        """Drop the requests of a host that is gone.
+
+        :param host: the host
+        """
+        self.keep_only(host, set())
+        self._flights.pop(host, None)
+
+    def retain(self, upstreams: Iterable[Upstream]) -> None:
+        """Drop what is known of all other incarnations.
+
+        :param upstreams: those in use
+        """
+        kept = {upstream.id: upstream for upstream in upstreams}
+        self._upstreams = kept
+        for name, record in list(self._records.items()):
+            if name not in kept or kept[name] != record.upstream:
+                del self._records[name]
+        self._outliers.forget(kept)
+
+    def dump(self) -> dict[str, object]:
+        """Return what is believed of each upstream, in JSON's types."""
+        now = self._clock.monotonic()
+        return {
+            name: {
+                'requests': record.view.requests,
+                'streams': record.view.streams,
+                'backlog_s': round(record.view.backlog_s(now), 3),
+                'memory_tokens': record.view.memory_tokens,
+                'speed': round(record.view.speed, 2),
+                'paused': self._outliers.is_paused(name, now),
+            }
+            for name, record in self._records.items()
+        }
+
+    def _add(self, host: str, held: Held, expected_s: float, now: float) -> None:
+        flight = Flight(
+            FlightKey(host, held.number),
+            held.rank,
+            held.prefill_tokens,
+            held.memory_tokens,
+            held.output_tokens,
+            held.pause_s,
+            now - held.age_s,
+            expected_s,
+            now + held.patience_s,
+        )
+        self._records[held.upstream].view.add(flight, now)
+        self._flights.setdefault(host, {})[held.number] = held.upstream
+
+    def _close(self, name: str, now: float) -> None:
+        """Send nothing to an upstream for a while, and forget what it held."""
+        if not self._outliers.is_paused(name, now):
+            self._outliers.record_silence(name, now)
+        self._records.pop(name, None)
+
+    def _record_of(self, host: str, number: int) -> _Record | None:
+        name = self._flights.get(host, {}).get(number)
+        return None if name is None else self._records.get(name)
+
+    def _record(self, upstream: Upstream) -> _Record:
+        record = self._records.get(upstream.id)
+        if record is None or record.upstream != upstream:
+            service = self._find_service(upstream.service)
+            record = _Record(upstream, _size(upstream, service))
+            self._records[upstream.id] = record
+        return record
+
+
+def hashed_parts(prompt: Prompt) -> tuple[Part, ...]:
+    """Return a prompt's parts with digests that tell models apart.
+
+    :param prompt: the prompt
+    """
+    return tuple(
+        (_digest(prompt.model, part.digest), part.tokens) for part in prompt.parts
+    )
+
+
+@functools.lru_cache(maxsize=4096)
+def _digest(model: str, digest: str) -> int:
+    return xxhash.xxh3_64_intdigest(f'{model}\x00{digest}'.encode())
+
+
+def _size(upstream: Upstream, service: Service | None) -> EngineSize:
+    engine = None if service is None else service.engine
+    if engine is None:
+        return EngineSize(max(1, upstream.slots), 0, 1)
+    return EngineSize(engine.batch_slots, engine.cache_tokens, engine.tokens_per_event)
+
+
+def _rounded(choice: Choice) -> dict[str, float]:
+    """Return the parts of a choice's loss that count, for the log."""
+    parts = choice.losses._asdict().items()
+    return {name: round(part, 3) for name, part in parts if part >= LOGGED_LOSS}
+
+
+def _urgency(query: Query) -> int:
+    """Return the engine's order of admission: workspace first, then route."""
+    route = min(query.rank, ROUTE_RANKS - 1)
+    return min(MAX_URGENCY, (query.workspace_rank or 0) * ROUTE_RANKS + route)
--- /dev/null
+++ b/packages/router/src/rosemaryseam/router/datagrams.py
@@ -0,0 +1,246 @@
+"""What hosts send each other: requests to place, and what becomes of them."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+from typing import NamedTuple
+
+import capnp
+
+from rosemaryseam.common.errors import PeerError
+from rosemaryseam.router.books import Held, Placement, Query
+
+MAX_DATAGRAM_BYTES = 60_000
+MAX_TRAVERSAL_WORDS = 65_536
+NONE = -1  # on the wire, for a number that is not set
+
+capnp.remove_import_hook()
+_SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name('peerwire.capnp')))
+
+
+class Ask(NamedTuple):
+    """A request to place, and the slot whose dispatcher is asked."""
+
+    slot: int
+    query: Query
+
+
+class Reply(NamedTuple):
+    """The dispatcher's answer: a placement, or why there is none.
+
+    ``pressure`` tells how busy its engines are, 0 to 1.
+    """
+
+    number: int
+    placement: Placement | None
+    refusal: str
+    retry_after_s: float
+    pressure: float
+
+
+class Ended(NamedTuple):
+    """A request that is no longer in flight."""
+
+    number: int
+    outcome: str
+    took_s: float
+
+
+class Datagram(NamedTuple):
+    """News of one host for another.
+
+    In a ``sync`` datagram ``active`` names all requests that the receiver placed or
+    adopted for the sender.
+    """
+
+    host: str
+    incarnation: int
+    leaving: bool = False
+    sync: bool = False
+    asks: tuple[Ask, ...] = ()
+    replies: tuple[Reply, ...] = ()
+    started: tuple[int, ...] = ()
+    ended: tuple[Ended, ...] = ()
+    held: tuple[Held, ...] = ()
+    active: tuple[int, ...] = ()
+
+
+def encode(datagram: Datagram) -> bytes:
+    """Return the bytes of a datagram.
+
+    :param datagram: the datagram
+    """
+    message = _SCHEMA.Datagram.new_message(
+        host=datagram.host,
+        incarnation=datagram.incarnation,
+        leaving=datagram.leaving,
+        sync=datagram.sync,
+        queries=[_plain_query(ask) for ask in datagram.asks],
+        replies=[_plain_reply(reply) for reply in datagram.replies],
+        started=list(datagram.started),
+        ended=[_plain_ended(entry) for entry in datagram.ended],
+        held=[_plain_held(entry) for entry in datagram.held],
+        active=list(datagram.active),
+    )
+    return message.to_bytes_packed()
+
+
+def decode(data: bytes) -> Datagram:
+    """Read a datagram.
+
+    :param data: as a peer sent it
+    :raises PeerError: the bytes are no datagram
+    """
+    try:
+        message = _SCHEMA.Datagram.from_bytes_packed(
+            data, traversal_limit_in_words=MAX_TRAVERSAL_WORDS
+        )
+        return Datagram(
+            host=message.host,
+            incarnation=message.incarnation,
+            leaving=message.leaving,
+            sync=message.sync,
+            asks=tuple(_read_query(entry) for entry in message.queries),
+            replies=tuple(_read_reply(entry) for entry in message.replies),
+            started=tuple(message.started),
+            ended=tuple(_read_ended(entry) for entry in message.ended),
+            held=tuple(_read_held(entry) for entry in message.held),
+            active=tuple(message.active),
+        )
+    except (capnp.KjException, ValueError) as exc:
+        raise PeerError(f'unreadable datagram: {exc}') from exc
+
+
+def _ms(seconds: float | None) -> int:
+    return 0 if seconds is None else max(0, int(seconds * 1000))
+
+
+def _plain_query(ask: Ask) -> dict[str, object]:
+    query = ask.query
+    rank = query.workspace_rank
+    return {
+        'number': query.number,
+        'service': query.service,
+        'slot': ask.slot,
+        'route': query.route,
+        'rank': query.rank,
+        'workspaceRank': NONE if rank is None else rank,
+        'parts': [{'digest': digest, 'tokens': size} for digest, size in query.parts],
+        'promptTokens': query.prompt_tokens,
+        'outputTokens': query.output_tokens,
+        'mostOutputTokens': query.most_output_tokens,
+        'pauseMs': _ms(query.pause_s),
+        'timeLeftMs': _ms(query.time_left_s),
+        'patienceMs': _ms(query.patience_s),
+        'bodyBytes': query.body_bytes,
+        'zone': query.zone,
+        'excluded': list(query.excluded),
+    }
+
+
+def _read_query(entry: object) -> Ask:
+    rank = entry.workspaceRank
+    query = Query(
+        number=entry.number,
+        service=entry.service,
+        route=entry.route,
+        rank=entry.rank,
+        workspace_rank=None if rank == NONE else rank,
+        parts=tuple((part.digest, part.tokens) for part in entry.parts),
+        prompt_tokens=entry.promptTokens,
+        output_tokens=entry.outputTokens,
+        most_output_tokens=entry.mostOutputTokens,
+        pause_s=entry.pauseMs / 1000 if entry.pauseMs else None,
+        time_left_s=entry.timeLeftMs / 1000,
+        patience_s=entry.patienceMs / 1000,
+        body_bytes=entry.bodyBytes,
+        zone=entry.zone,
+        excluded=tuple(entry.excluded),
+    )
+    return Ask(entry.slot, query)
+
+
+def _plain_reply(reply: Reply) -> dict[str, object]:
+    placement = reply.placement
+    if placement is None:
+        return {
+            'number': reply.number,
+            'refusal': reply.refusal,
+            'retryAfterMs': _ms(reply.retry_after_s),
+            'pressure': reply.pressure,
+        }
+    urgency = placement.urgency
+    return {
+        'number': reply.number,
+        'upstream': placement.upstream,
+        'urgency': NONE if urgency is None else urgency,
+        'fetchFrom': placement.fetch_from or '',
+        'expectedFirstMs': _ms(placement.expected_first_s),
+        'answerLimitMs': _ms(placement.answer_limit_s),
+        'inputs': json.dumps(placement.inputs),
+        'pressure': reply.pressure,
+    }
+
+
+def _read_reply(entry: object) -> Reply:
+    placement = None
+    if entry.upstream:
+        placement = Placement(
+            number=entry.number,
+            upstream=entry.upstream,
+            urgency=None if entry.urgency == NONE else entry.urgency,
+            fetch_from=entry.fetchFrom or None,
+            expected_first_s=entry.expectedFirstMs / 1000,
+            answer_limit_s=entry.answerLimitMs / 1000 or None,
+            inputs=json.loads(entry.inputs or '{}'),
+        )
+    return Reply(
+        entry.number,
+        placement,
+        entry.refusal,
+        entry.retryAfterMs / 1000,
+        entry.pressure,
+    )
+
+
+def _plain_ended(entry: Ended) -> dict[str, object]:
+    return {
+        'number': entry.number,
+        'outcome': entry.outcome,
+        'tookMs': _ms(entry.took_s),
+    }
+
+
+def _read_ended(entry: object) -> Ended:
+    return Ended(entry.number, entry.outcome, entry.tookMs / 1000)
+
+
+def _plain_held(entry: Held) -> dict[str, object]:
+    return {
+        'number': entry.number,
+        'upstream': entry.upstream,
+        'rank': entry.rank,
+        'prefillTokens': entry.prefill_tokens,
+        'memoryTokens': entry.memory_tokens,
+        'outputTokens': entry.output_tokens,
+        'pauseMs': _ms(entry.pause_s),
+        'ageMs': _ms(entry.age_s),
+        'patienceMs': _ms(entry.patience_s),
+        'started': entry.started,
+    }
+
+
+def _read_held(entry: object) -> Held:
+    return Held(
+        number=entry.number,
+        upstream=entry.upstream,
+        rank=entry.rank,
+        prefill_tokens=entry.prefillTokens,
+        memory_tokens=entry.memoryTokens,
+        output_tokens=entry.outputTokens,
+        pause_s=entry.pauseMs / 1000 if entry.pauseMs else None,
+        age_s=entry.ageMs / 1000,
+        patience_s=entry.patienceMs / 1000,
+        started=entry.started,
+    )
--- a/packages/router/src/rosemaryseam/router/peers.py
+++ b/packages/router/src/rosemaryseam/router/peers.py
@@ -1,4 +1,4 @@
-"""Exchanges updates with the other hosts by datagrams."""
+"""Datagrams to and from the other hosts."""
 
 from __future__ import annotations
 
@@ -7,50 +7,60 @@
 
 import gevent
 from gevent import socket
-from gevent.event import Event
+from gevent.hub import get_hub
 
 from rosemaryseam.common.decisionlog import log_event, log_warning
 from rosemaryseam.common.errors import PeerError, PlatformError
 from rosemaryseam.common.rangestore import Write
-from rosemaryseam.router.ledger import (
-    MAX_UPDATE_BYTES,
-    Placed,
-    Update,
-    decode_update,
-    encode_update,
+from rosemaryseam.router.datagrams import (
+    MAX_DATAGRAM_BYTES,
+    Datagram,
+    decode,
+    encode,
 )
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
 
     from rosemaryseam.common.addresses import Address
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.common.rangestore import RangeStore
     from rosemaryseam.node.metrics import Metrics
+    from rosemaryseam.router.books import Held, PlacementBooks
+    from rosemaryseam.router.datagrams import Ask, Ended, Reply
+    from rosemaryseam.router.dispatch import Dispatcher, DispatchPlacer
 
 HOSTS_PREFIX = 'rosemaryseam/hosts/'
 LEASE_S = 600.0  # the store's longest: one renewal in minutes
 RENEW_S = 240.0
 JOIN_RETRY_S = 1.0
-FLUSH_S = 0.001  # joins the news of a moment; grows with the number of peers
-FLUSH_PEERS = 8
 SYNC_S = 1.0
-SILENCE_S = 2.5  # a peer that is silent for longer counts no more
-MAX_ENTRIES = 40  # of placed requests in a datagram, to stay below its size
+SILENCE_S = 3.0  # a host that is silent for longer has no requests here
+MAX_HELD = 100  # requests handed over in one datagram
+
+
+class _Outbox:
+    """What waits to be sent to one host in this turn of the loop."""
+
+    def __init__(self) -> None:
+        self.asks: list[Ask] = []
+        self.replies: list[Reply] = []
+        self.started: list[int] = []
+        self.ended: list[Ended] = []
+        self.held: list[Held] = []
 
 
 class PeerLink:
-    """Sends this host's news to its peers and hands out theirs.
+    """Sends this host's asks, answers and news, and hands out those of others.
 
     :param address: where this host listens
     :param store: names the other hosts
     :param clock: the process's clock
     :param metrics: the process's counters
     :param rng: spreads what hosts do at once
-    :param active: returns the numbers of this host's requests in flight
-    :param on_update: gets each peer's news
-    :param on_lost: gets the address of a peer that fell silent or left
+    :param placer: of this host
+    :param dispatcher: of this host
+    :param books: of this host
     """
 
     def __init__(
@@ -60,29 +70,30 @@
         clock: Clock,
         metrics: Metrics,
         rng: random.Random,
-        active: Callable[[], list[int]],
-        on_update: Callable[[Update], None],
-        on_lost: Callable[[str], None],
+        placer: DispatchPlacer,
+        dispatcher: Dispatcher,
+        books: PlacementBooks,
     ) -> None:
         self._address = address
         self._store = store
         self._clock = clock
         self._metrics = metrics
         self._rng = rng
-        self._active = active
-        self._on_update = on_update
-        self._on_lost = on_lost
+        self._placer = placer
+        self._dispatcher = dispatcher
+        self._books = books
         self._incarnation = int(clock.now().timestamp() * 1000)
         self._heard: dict[str, float] = {}
         self._known: set[str] = set()
+        self._leaving: dict[str, int] = {}
         self._incarnations: dict[str, int] = {}
-        self._placed: list[Placed] = []
-        self._started: list[int] = []
-        self._ended: list[int] = []
-        self._closed: list[str] = []
-        self._pending = Event()
+        self._outboxes: dict[str, _Outbox] = {}
+        self._flushing = False
         self._lease = 0
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        # Datagrams leave from the loop's own callbacks, which must not wait.
+        self._out = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._out.setblocking(False)
 
     def start(self) -> list[gevent.Greenlet]:
         """Open the port and start to talk.
@@ -92,50 +103,23 @@
         self._sock.bind(tuple(self._address))
         return [
             gevent.spawn(self._receive),
-            gevent.spawn(self._flush),
-            gevent.spawn(self._beat),
+            gevent.spawn(self._sync),
             gevent.spawn(self._keep_registered),
         ]
 
     def hosts(self) -> int:
         """Return how many hosts are known to run, this one included."""
-        return 1 + max(len(self._heard), len(self._known))
-
-    def tell_placed(self, entry: Placed) -> None:
-        """Tell peers of a request that was sent.
-
-        :param entry: the request
-        """
-        self._placed.append(entry)
-        self._pending.set()
+        return 1 + len(self._known)
 
-    def tell_started(self, number: int) -> None:
-        """Tell peers that an answer began.
-
-        :param number: of the request
-        """
-        self._started.append(number)
-        self._pending.set()
-
-    def tell_ended(self, number: int) -> None:
-        """Tell peers that a request is no longer in flight.
-
-        :param number: of the request
-        """
-        self._ended.append(number)
-        self._pending.set()
-
-    def tell_closed(self, name: str) -> None:
-        """Tell peers of an upstream that does not answer.
-
-        :param name: its id
-        """
-        self._closed.append(name)
-        self._pending.set()
+    def known_hosts(self) -> list[str]:
+        """Return the other hosts that may dispatch."""
+        return [host for host in self._known if host not in self._leaving]
 
     def leave(self) -> None:
-        """Tell peers and the store that this host stops."""
-        self._send(Update(self._address.ip, self._incarnation, leaving=True))
+        """Tell the hosts and the store that this host stops."""
+        data = encode(Datagram(self._address.ip, self._incarnation, leaving=True))
+        for host in self._known | set(self._heard):
+            self._transmit(host, data)
         try:
             self._store.write((), (HOSTS_PREFIX + self._address.ip,))
         except PlatformError as exc:
@@ -147,91 +131,147 @@
         :param key: of the entry
         :param value: ``None`` when it was removed
         """
-        ip = key.removeprefix(HOSTS_PREFIX)
-        if ip == self._address.ip:
+        host = key.removeprefix(HOSTS_PREFIX)
+        if host == self._address.ip:
             return
         if value is None:
-            self._known.discard(ip)
-        elif ip not in self._known:
-            self._known.add(ip)
-            log_event('peer_registered', peer=ip)
+            self._known.discard(host)
+            log_event('peer_unregistered', peer=host)
+        elif host not in self._known:
+            self._known.add(host)
+            log_event('peer_registered', peer=host)
+        self._leaving.pop(host, None)
 
     # Sending.
 
+    def ask(self, host: str, ask: Ask) -> None:
+        """Ask a dispatcher to place a request.
+
+        :param host: the dispatcher
+        :param ask: the request
+        """
+        self._outbox(host).asks.append(ask)
+
+    def tell_started(self, host: str, number: int) -> None:
+        """Tell a dispatcher that an answer began.
+
+        :param host: the dispatcher
+        :param number: of the request
+        """
+        self._outbox(host).started.append(number)
+
+    def tell_ended(self, host: str, entry: Ended) -> None:
+        """Tell a dispatcher how a request ended.
+
+        :param host: the dispatcher
+        :param entry: the request's end
+        """
+        self._outbox(host).ended.append(entry)
+
+    def tell_held(self, host: str, held: Held) -> None:
+        """Tell a new dispatcher of a request in flight.
+
+        :param host: the dispatcher
+        :param held: the request
+        """
+        self._outbox(host).held.append(held)
+
+    def _outbox(self, host: str) -> _Outbox:
+        outbox = self._outboxes.get(host)
+        if outbox is None:
+            outbox = self._outboxes[host] = _Outbox()
+        if not self._flushing:
+            self._flushing = True
+            get_hub().loop.run_callback(self._flush)
+        return outbox
+
     def _flush(self) -> None:
-        while True:
-            self._pending.wait()
-            gevent.sleep(FLUSH_S * max(1.0, len(self._known) / FLUSH_PEERS))
-            self._pending.clear()
-            while self._placed or self._started or self._ended or self._closed:
-                placed = tuple(self._placed[:MAX_ENTRIES])
-                del self._placed[:MAX_ENTRIES]
-                started, self._started = tuple(self._started), []
-                ended, self._ended = tuple(self._ended), []
-                closed, self._closed = tuple(self._closed), []
+        """Send all that was put in outboxes in this turn of the loop."""
+        self._flushing = False
+        outboxes, self._outboxes = self._outboxes, {}
+        for host, outbox in outboxes.items():
+            while len(outbox.held) > MAX_HELD:
+                held = tuple(outbox.held[:MAX_HELD])
+                del outbox.held[:MAX_HELD]
                 self._send(
-                    Update(
-                        self._address.ip,
-                        self._incarnation,
-                        placed=placed,
-                        started=started,
-                        ended=ended,
-                        closed=closed,
-                    )
+                    host, Datagram(self._address.ip, self._incarnation, held=held)
                 )
+            self._send(
+                host,
+                Datagram(
+                    self._address.ip,
+                    self._incarnation,
+                    asks=tuple(outbox.asks),
+                    replies=tuple(outbox.replies),
+                    started=tuple(outbox.started),
+                    ended=tuple(outbox.ended),
+                    held=tuple(outbox.held),
+                ),
+            )
 
-    def _beat(self) -> None:
+    def _sync(self) -> None:
         while True:
             gevent.sleep(SYNC_S * self._rng.uniform(0.9, 1.1))
-            active = tuple(self._active())
-            self._send(
-                Update(self._address.ip, self._incarnation, sync=True, active=active)
-            )
+            for host in self._placer.keepers():
+                active = tuple(self._placer.active_at(host))
+                self._send(
+                    host,
+                    Datagram(
+                        self._address.ip, self._incarnation, sync=True, active=active
+                    ),
+                )
             horizon = self._clock.monotonic() - SILENCE_S
-            for ip in [ip for ip, at in self._heard.items() if at < horizon]:
-                self._lose(ip, 'silent')
+            for host in [host for host, at in self._heard.items() if at < horizon]:
+                self._forget(host, 'silent')
 
-    def _send(self, update: Update) -> None:
-        data = encode_update(update)
-        for ip in self._known | set(self._heard):
-            try:
-                self._sock.sendto(data, (ip, self._address.port))
-            except OSError as exc:
-                self._metrics.count('peer_send_failures', reason=str(exc.errno))
+    def _send(self, host: str, datagram: Datagram) -> None:
+        self._transmit(host, encode(datagram))
+
+    def _transmit(self, host: str, data: bytes) -> None:
+        try:
+            self._out.sendto(data, (host, self._address.port))
+        except OSError as exc:
+            self._metrics.count('peer_send_failures', reason=str(exc.errno))
 
     # Receiving.
 
     def _receive(self) -> None:
         while True:
             try:
-                data, (ip, _) = self._sock.recvfrom(MAX_UPDATE_BYTES)
+                data, (host, _) = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
             except OSError as exc:
                 self._metrics.count('peer_receive_failures', reason=str(exc.errno))
                 continue
             try:
-                self._take(ip, decode_update(data))
+                self._take(host, decode(data))
             except PeerError as exc:
                 self._metrics.count('peer_unreadable')
-                log_warning('peer_unreadable', peer=ip, reason=exc.message)
+                log_warning('peer_unreadable', peer=host, reason=exc.message)
 
-    def _take(self, ip: str, update: Update) -> None:
-        known = self._incarnations.get(ip, 0)
-        if update.host != ip or update.incarnation < known:
+    def _take(self, host: str, datagram: Datagram) -> None:
+        known = self._incarnations.get(host, 0)
+        if datagram.host != host or datagram.incarnation < known:
             return
-        if update.incarnation > known:
-            self._incarnations[ip] = update.incarnation
-            self._on_lost(ip)
-            log_event('peer_joined', peer=ip, incarnation=update.incarnation)
-        if update.leaving:
-            self._lose(ip, 'leaving')
+        if datagram.incarnation > known:
+            self._incarnations[host] = datagram.incarnation
+            self._leaving.pop(host, None)
+            self._books.forget_host(host)
+            self._placer.take_restart(host)
+            log_event('peer_heard', peer=host, incarnation=datagram.incarnation)
+        if datagram.leaving:
+            self._leaving[host] = datagram.incarnation
+            log_event('peer_leaving', peer=host)
             return
-        self._heard[ip] = self._clock.monotonic()
-        self._on_update(update)
-
-    def _lose(self, ip: str, reason: str) -> None:
-        self._heard.pop(ip, None)
-        self._on_lost(ip)
-        log_event('peer_lost', peer=ip, reason=reason)
+        self._heard[host] = self._clock.monotonic()
+        for reply in datagram.replies:
+            self._placer.take_reply(reply)
+        for reply in self._dispatcher.take(datagram):
+            self._outbox(host).replies.append(reply)
+
+    def _forget(self, host: str, reason: str) -> None:
+        self._heard.pop(host, None)
+        self._books.forget_host(host)
+        log_event('peer_forgotten', peer=host, reason=reason)
 
     # Registration.
 
--- a/packages/router/src/rosemaryseam/router/peerwire.capnp
+++ b/packages/router/src/rosemaryseam/router/peerwire.capnp
@@ -5,7 +5,45 @@
   tokens @1 :UInt32;
 }
 
-struct Placed {
+struct Query {
+  number @0 :UInt32;
+  service @1 :Text;
+  slot @2 :UInt16;
+  route @3 :Text;
+  rank @4 :UInt8;
+  workspaceRank @5 :Int16;
+  parts @6 :List(Part);
+  promptTokens @7 :UInt32;
+  outputTokens @8 :UInt32;
+  mostOutputTokens @9 :UInt32;
+  pauseMs @10 :UInt32;
+  timeLeftMs @11 :UInt32;
+  patienceMs @12 :UInt32;
+  bodyBytes @13 :UInt32;
+  zone @14 :Text;
+  excluded @15 :List(Text);
+}
+
+struct Reply {
+  number @0 :UInt32;
+  upstream @1 :Text;
+  urgency @2 :Int16;
+  fetchFrom @3 :Text;
+  expectedFirstMs @4 :UInt32;
+  answerLimitMs @5 :UInt32;
+  inputs @6 :Text;
+  refusal @7 :Text;
+  retryAfterMs @8 :UInt32;
+  pressure @9 :Float32;
+}
+
+struct Ended {
+  number @0 :UInt32;
+  outcome @1 :Text;
+  tookMs @2 :UInt32;
+}
+
+struct Held {
   number @0 :UInt32;
   upstream @1 :Text;
   rank @2 :UInt8;
@@ -14,19 +52,19 @@
   outputTokens @5 :UInt32;
   pauseMs @6 :UInt32;
   ageMs @7 :UInt32;
-  expectedFirstMs @8 :UInt32;
-  patienceMs @9 :UInt32;
-  parts @10 :List(Part);
+  patienceMs @8 :UInt32;
+  started @9 :Bool;
 }
 
-struct Update {
+struct Datagram {
   host @0 :Text;
   incarnation @1 :UInt64;
-  sync @2 :Bool;
-  leaving @3 :Bool;
-  placed @4 :List(Placed);
-  started @5 :List(UInt32);
-  ended @6 :List(UInt32);
-  active @7 :List(UInt32);
-  closed @8 :List(Text);
+  leaving @2 :Bool;
+  sync @3 :Bool;
+  queries @4 :List(Query);
+  replies @5 :List(Reply);
+  started @6 :List(UInt32);
+  ended @7 :List(Ended);
+  held @8 :List(Held);
+  active @9 :List(UInt32);
 }
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -15,9 +15,10 @@
 from rosemaryseam.common.errors import ResultCode, SettingsError
 from rosemaryseam.common.wsgi import HttpServer, ServerBounds
 from rosemaryseam.node.metrics import Metrics
+from rosemaryseam.router.books import PlacementBooks
 from rosemaryseam.router.callers import BodyMemory, CallerServer
+from rosemaryseam.router.dispatch import Dispatcher, DispatchPlacer
 from rosemaryseam.router.feed import StateFeed
-from rosemaryseam.router.fleetplacer import FleetPlacer
 from rosemaryseam.router.forwarder import Forwarder
 from rosemaryseam.router.peers import HOSTS_PREFIX, PeerLink
 from rosemaryseam.router.pool import ConnectionPool
@@ -68,21 +69,28 @@
         self.metrics = Metrics()
         self.registry = Registry()
         self._pool = ConnectionPool(http, clock, self.metrics)
-        self._placer = FleetPlacer(clock, cfg.zone, self._find_service, self._rng)
+        self._books = PlacementBooks(clock, self._find_service, self._rng)
+        self._dispatcher = Dispatcher(self._books, self.registry, self.metrics)
+        self._placer = DispatchPlacer(
+            cfg.ip,
+            cfg.zone,
+            clock,
+            self.metrics,
+            self._books,
+            self._dispatcher,
+            self.registry,
+        )
         self._peers = PeerLink(
             Address(cfg.ip, cfg.peer_port),
             store,
             clock,
             self.metrics,
             self._rng,
-            self._placer.own_numbers,
-            self._placer.apply_update,
-            self._placer.forget_host,
+            self._placer,
+            self._dispatcher,
+            self._books,
         )
-        self._placer.tell_placed = self._peers.tell_placed
-        self._placer.tell_started = self._peers.tell_started
-        self._placer.tell_ended = self._peers.tell_ended
-        self._placer.tell_closed = self._peers.tell_closed
+        self._placer.connect(self._peers)
         self.feed = StateFeed(
             store,
             state,
@@ -147,13 +155,13 @@
         last = began + self._cfg.grace_s - LAST_CHANCE_S
         log_event('stopping', busy=self._callers.busy_connections)
         self._callers.begin_drain()
+        self._peers.leave()
         self._forwarder.begin_drain(last)
         gevent.sleep(min(ROTATION_S, self._cfg.grace_s / 2))
         self._callers.close_idle()
         while self._callers.busy_connections and self._clock.monotonic() < last:
             gevent.sleep(POLL_S)
         self._callers.stop_accepting()
-        self._peers.leave()
         log_event('stopped', cut_off=self._callers.busy_connections)
         gevent.killall(self._background, block=False)
 
@@ -189,7 +197,7 @@
             'upstreams': [entry._asdict() for entry in self.registry.all()],
             'caller_connections': self._callers.open_connections,
             'hosts': self._peers.hosts(),
-            'engines': self._placer.dump(),
+            'upstream_books': self._books.dump(),
             'idle_upstream_connections': self._pool.size(),
             'counters': self.metrics.dump(),
         }
@@ -209,7 +217,7 @@
     def _on_changes(self, changes: Iterable[Change]) -> None:
         usable = self.registry.all()
         self._pool.retain(entry.incarnation for entry in usable)
-        self._placer.retain(usable)
+        self._books.retain(usable)
 
     def _on_other_item(self, item: Item) -> None:
         if item.key.startswith(HOSTS_PREFIX):
--- a/tests/test_experiments/test_loads.py
+++ b/tests/test_experiments/test_loads.py
@@ -16,7 +16,7 @@
 from rosemaryseam.experiments.run import POLICIES
 from rosemaryseam.experiments.scenarios import LEASING, MEDIATION
 from rosemaryseam.policy import engineplacement, engines
-from rosemaryseam.router import fleetplacer
+from rosemaryseam.router import books
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,7 +25,7 @@
 SEED = 7
 
 
-def play(scenario: Scenario, policy: str = 'fleet') -> DayResult:
+def play(scenario: Scenario, policy: str = 'dispatched') -> DayResult:
     """Play a day and return its result."""
     fleet = Fleet(scenario, POLICIES[policy], SEED)
     fleet.run(draw_arrivals(scenario, SEED), scenario.length_s + TAIL_S)
@@ -101,14 +101,6 @@
         'copy',
         lambda patch: patch.setattr(engineplacement, '_pause_loss', no_pause_loss),
     ),
-    (
-        'hosts that know only their own requests',
-        LONG_PROMPTS,
-        'copy',
-        lambda patch: patch.setattr(
-            fleetplacer.FleetPlacer, 'apply_update', no_pause_loss
-        ),
-    ),
     (
         'engines of unlike speed',
         BUSY,
@@ -137,11 +129,17 @@
     assert without.in_target < entry.in_target
 
 
+def test_hosts_that_share_books_keep_short_pauses() -> None:
+    shared = row(play(LONG_PROMPTS), 'copy')
+    separate = row(play(LONG_PROMPTS, 'separate'), 'copy')
+    assert shared.in_target > separate.in_target
+
+
 def test_an_overload_is_refused_early_rather_than_served_late(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     result = play(OVERLOAD)
-    monkeypatch.setattr(fleetplacer, 'is_worth_it', lambda *_: True)
+    monkeypatch.setattr(books, 'is_worth_it', lambda *_: True)
     without = play(OVERLOAD)
     assert result.worth > without.worth
     assert row(result, 'digest').failed < row(without, 'digest').failed
