Mend the pause of silent dispatchers; limits on answers are learnt

Cause: (1) after the loss of all hosts 167 requests ended with an internal error: the pause of a dispatcher was kept in two shapes. (2) A service whose answers take longer than six deviations was given up for ever, as an answer that was not awaited taught nothing (found by a test of the handover). Change: one shape; pauses double up to 8 s; no limit before 20 answers, none below the target, and what was not awaited counts as that long. Datagrams leave from the host's own address. Tests with three hosts on loopback: lost datagrams, killed and leaving dispatchers, handover, silent hosts.

--- a/packages/router/src/rosemaryseam/router/books.py
+++ b/packages/router/src/rosemaryseam/router/books.py
@@ -297,7 +297,7 @@
             'upstream_requests': self._records[chosen.id].view.requests
         }
         self._note(host, query, chosen.id, None, now)
-        limit = self._durations.limit_s(query.service)
+        limit = self._durations.limit_s(query.service, query.time_left_s)
         return Placement(
             query.number, chosen.id, None, None, FIRST_EVENT_APP_S, limit, inputs
         )
@@ -373,7 +373,7 @@
         now = self._clock.monotonic()
         upstream = record.upstream
         record.view.end(FlightKey(host, number), now)
-        if outcome == 'done':
+        if outcome in ('done', 'silent'):
             self._durations.record(upstream.service, took_s)
         is_engine = record.view.size.cache_tokens > 0
         if outcome == 'unreachable' or (outcome == 'silent' and is_engine):
--- a/packages/router/src/rosemaryseam/router/dispatch.py
+++ b/packages/router/src/rosemaryseam/router/dispatch.py
@@ -170,9 +170,9 @@
     def is_hopeless(self) -> bool:
         """Return whether the upstream has fallen silent."""
         waited = self._clock.monotonic() - self._last_event_at
-        limit = self._placement.answer_limit_s
-        if limit is not None:
-            return waited > limit
+        if not self._query.parts:
+            limit = self._placement.answer_limit_s
+            return limit is not None and waited > limit
         if self._started:
             return waited > SILENT_S
         return waited > SILENT_PREFILL_S + 3 * self._placement.expected_first_s
@@ -336,12 +336,17 @@
         return reply
 
     def _suspect(self, host: str, ask: Ask) -> None:
+        """Pass a dispatcher over for a while, twice as long as the last time."""
         self._metrics.count('dispatchers_silent')
-        if host not in self._suspects:
-            log_event(
-                'dispatcher_suspected', dispatcher=host, service=ask.query.service
-            )
-        self._suspects[host] = self._clock.monotonic() + SUSPECT_S
+        _, length = self._suspects.get(host, (0.0, SUSPECT_S / 2))
+        length = min(MOST_SUSPECT_S, length * 2)
+        self._suspects[host] = (self._clock.monotonic() + length, length)
+        log_event(
+            'dispatcher_suspected',
+            dispatcher=host,
+            service=ask.query.service,
+            seconds=length,
+        )
         self._tell_ended(host, Ended(ask.query.number, 'cancelled', 0.0))
 
     def _hosts(self) -> list[str]:
--- a/packages/router/src/rosemaryseam/router/peers.py
+++ b/packages/router/src/rosemaryseam/router/peers.py
@@ -101,6 +101,7 @@
         :raises OSError: the address cannot be used
         """
         self._sock.bind(tuple(self._address))
+        self._out.bind((self._address.ip, 0))
         return [
             gevent.spawn(self._receive),
             gevent.spawn(self._sync),
@@ -125,6 +126,11 @@
         except PlatformError as exc:
             log_warning('cannot_unregister', reason=exc.message)
 
+    def close(self) -> None:
+        """Close the port."""
+        self._sock.close()
+        self._out.close()
+
     def note_host(self, key: str, value: bytes | None) -> None:
         """Take over a host's entry of the store.
 
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -69,28 +69,28 @@
         self.metrics = Metrics()
         self.registry = Registry()
         self._pool = ConnectionPool(http, clock, self.metrics)
-        self._books = PlacementBooks(clock, self._find_service, self._rng)
-        self._dispatcher = Dispatcher(self._books, self.registry, self.metrics)
+        self.books = PlacementBooks(clock, self._find_service, self._rng)
+        self.dispatcher = Dispatcher(self.books, self.registry, self.metrics)
         self._placer = DispatchPlacer(
             cfg.ip,
             cfg.zone,
             clock,
             self.metrics,
-            self._books,
-            self._dispatcher,
+            self.books,
+            self.dispatcher,
             self.registry,
         )
-        self._peers = PeerLink(
+        self.peers = PeerLink(
             Address(cfg.ip, cfg.peer_port),
             store,
             clock,
             self.metrics,
             self._rng,
             self._placer,
-            self._dispatcher,
-            self._books,
+            self.dispatcher,
+            self.books,
         )
-        self._placer.connect(self._peers)
+        self._placer.connect(self.peers)
         self.feed = StateFeed(
             store,
             state,
@@ -110,11 +110,11 @@
             clock,
             self.metrics,
             cfg.retry_terms,
-            self._peers.hosts,
+            self.peers.hosts,
             cfg.key_age_s,
             self._rng,
         )
-        self._callers = CallerServer(
+        self.callers = CallerServer(
             cfg.callers,
             self._forwarder.handle,
             clock,
@@ -139,7 +139,7 @@
         cfg = self._cfg
         self._open('readiness', self._readiness.start)
         self._open('metrics', self._status.start)
-        self._open('callers', self._callers.start)
+        self._open('callers', self.callers.start)
         self._background = [gevent.spawn(self.feed.run), gevent.spawn(self._sweep)]
         self._open('peer_port', self._start_peers)
         log_event('started', zone=cfg.zone, callers=str(cfg.callers))
@@ -153,22 +153,23 @@
         self._stopping.wait()
         began = self._clock.monotonic()
         last = began + self._cfg.grace_s - LAST_CHANCE_S
-        log_event('stopping', busy=self._callers.busy_connections)
-        self._callers.begin_drain()
-        self._peers.leave()
+        log_event('stopping', busy=self.callers.busy_connections)
+        self.callers.begin_drain()
+        self.peers.leave()
         self._forwarder.begin_drain(last)
         gevent.sleep(min(ROTATION_S, self._cfg.grace_s / 2))
-        self._callers.close_idle()
-        while self._callers.busy_connections and self._clock.monotonic() < last:
+        self.callers.close_idle()
+        while self.callers.busy_connections and self._clock.monotonic() < last:
             gevent.sleep(POLL_S)
-        self._callers.stop_accepting()
-        log_event('stopped', cut_off=self._callers.busy_connections)
+        self.callers.stop_accepting()
+        log_event('stopped', cut_off=self.callers.busy_connections)
         gevent.killall(self._background, block=False)
 
     def kill(self) -> None:
         """End at once, as a crash does."""
         gevent.killall(self._background, block=False)
-        self._callers.kill()
+        self.peers.close()
+        self.callers.kill()
         for server in (self._readiness, self._status):
             server.stop(timeout=0)
 
@@ -195,9 +196,9 @@
             'version': table.version if table else None,
             'table_age_s': self.feed.age_s(),
             'upstreams': [entry._asdict() for entry in self.registry.all()],
-            'caller_connections': self._callers.open_connections,
-            'hosts': self._peers.hosts(),
-            'upstream_books': self._books.dump(),
+            'caller_connections': self.callers.open_connections,
+            'hosts': self.peers.hosts(),
+            'upstream_books': self.books.dump(),
             'idle_upstream_connections': self._pool.size(),
             'counters': self.metrics.dump(),
         }
@@ -217,14 +218,14 @@
     def _on_changes(self, changes: Iterable[Change]) -> None:
         usable = self.registry.all()
         self._pool.retain(entry.incarnation for entry in usable)
-        self._books.retain(usable)
+        self.books.retain(usable)
 
     def _on_other_item(self, item: Item) -> None:
         if item.key.startswith(HOSTS_PREFIX):
-            self._peers.note_host(item.key, item.value)
+            self.peers.note_host(item.key, item.value)
 
     def _start_peers(self) -> None:
-        self._background += self._peers.start()
+        self._background += self.peers.start()
 
     def _sweep(self) -> None:
         while True:
--- a/tests/test_policy/test_outliers.py
+++ b/tests/test_policy/test_outliers.py
@@ -61,17 +61,31 @@
 
 
 LIMITS = [
-    ('steady and short', [0.02] * 200, 0.15),
-    ('steady and long', [0.5] * 200, 0.5),
-    ('spread', [0.02, 0.12] * 200, 0.37),
+    ('steady and short', [0.02] * 200, 0.1, 0.15),
+    ('steady and short, wanted later', [0.02] * 200, 0.4, 0.4),
+    ('steady and long', [0.5] * 200, 0.1, 0.5),
+    ('spread', [0.02, 0.12] * 200, 0.1, 0.37),
+    ('too few answers', [0.02] * 19, 0.1, None),
 ]
 
 
 @pytest.mark.parametrize(
-    ('name', 'seconds', 'expected'), LIMITS, ids=[row[0] for row in LIMITS]
+    ('name', 'seconds', 'target', 'expected'), LIMITS, ids=[row[0] for row in LIMITS]
 )
-def test_limit(name: str, seconds: list[float], expected: float) -> None:
+def test_limit(
+    name: str, seconds: list[float], target: float, expected: float | None
+) -> None:
     durations = Durations()
     for one in seconds:
         durations.record('work', one)
-    assert durations.limit_s('work') == pytest.approx(expected, abs=0.06)
+    limit = durations.limit_s('work', target)
+    assert limit == (expected and pytest.approx(expected, abs=0.06))
+
+
+def test_a_limit_that_was_too_short_grows() -> None:
+    durations = Durations()
+    for _ in range(100):
+        durations.record('work', 0.02)
+    for _ in range(40):
+        durations.record('work', durations.limit_s('work', 0.1))
+    assert durations.limit_s('work', 0.1) > 0.5
--- a/tests/test_router/routers.py
+++ b/tests/test_router/routers.py
@@ -85,12 +85,13 @@
 class RunningRouter:
     """A router, its store and its upstreams.
 
+    :param store: shared with other hosts
     :param changes: of the settings
     """
 
-    def __init__(self, **changes: Any) -> None:
+    def __init__(self, store: MemoryRangeStore | None = None, **changes: Any) -> None:
         self.clock = SystemClock()
-        self.store = MemoryRangeStore(self.clock)
+        self.store = store or MemoryRangeStore(self.clock)
         self.upstreams: dict[str, ScriptedUpstream] = {}
         cfg = RouterSettings(
             host='host-1',
@@ -109,7 +110,8 @@
             retry_terms=BudgetTerms(0.2, 50, 10.0),
         )
         self.cfg = cfg._replace(**changes)
-        self.store.put(CONFIGURATION_KEY, configuration())
+        if store is None:
+            self.store.put(CONFIGURATION_KEY, configuration())
         self.router = Router(
             self.cfg,
             self.clock,
@@ -167,6 +169,59 @@
             upstream.stop()
 
 
+class RunningFleet:
+    """Hosts on loopback addresses of their own, with one store.
+
+    :param count: how many hosts
+    """
+
+    def __init__(self, count: int) -> None:
+        self.store = MemoryRangeStore(SystemClock())
+        self.store.put(CONFIGURATION_KEY, configuration())
+        self._port = free_port()
+        self.hosts = [self.make_host(number) for number in range(1, count + 1)]
+        for host in self.hosts:
+            host.start()
+        first = self.hosts[0]
+        first.wait(lambda: all(self.knows_all(host) for host in self.hosts))
+
+    def make_host(self, number: int) -> RunningRouter:
+        """Return a host that is not started."""
+        ip = f'127.0.1.{number}'
+        return RunningRouter(
+            self.store,
+            host=f'host-{number}',
+            ip=ip,
+            callers=Address(ip, free_port()),
+            readiness=Address(ip, free_port()),
+            metrics=Address(ip, free_port()),
+            peer_port=self._port,
+        )
+
+    def knows_all(self, host: RunningRouter) -> bool:
+        """Return whether a host knows all others."""
+        return host.router.peers.hosts() == len(self.hosts)
+
+    def add(self, name: str, script: Callable[[Turn], None]) -> ScriptedUpstream:
+        """Start an upstream and wait until all hosts use it."""
+        upstream = self.hosts[0].add(name, script)
+        for host in self.hosts:
+            host.wait(lambda host=host: name in host.usable())
+        return upstream
+
+    def dispatcher(self, service: str = 'work') -> RunningRouter:
+        """Return the host that dispatches a service's first slot."""
+        plan = self.hosts[0].router.dispatcher.plan(service)
+        ips = [host.cfg.ip for host in self.hosts]
+        first = plan.hosts(0, ips)[0]
+        return next(host for host in self.hosts if host.cfg.ip == first)
+
+    def stop(self) -> None:
+        """End everything without grace."""
+        for host in self.hosts:
+            host.stop()
+
+
 class CallerSide:
     """A caller's connection."""
 
--- /dev/null
+++ b/tests/test_router/test_dispatch.py
@@ -0,0 +1,293 @@
+"""Dispatchers: one host places, the others ask; any of them may fail."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import gevent
+import pytest
+from routers import RunningFleet, RunningRouter
+
+from rosemaryseam.policy.slots import UPSTREAMS_PER_SLOT, SlotPlan
+from rosemaryseam.router.books import Held, Placement, Query
+from rosemaryseam.router.datagrams import (
+    Ask,
+    Datagram,
+    Ended,
+    Reply,
+    decode,
+    encode,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from rosemaryseam.standins.scripted import Turn
+
+QUERY = Query(
+    number=7,
+    service='engines',
+    route='digest',
+    rank=2,
+    workspace_rank=None,
+    parts=((2**63 + 5, 100), (3, 200)),
+    prompt_tokens=300,
+    output_tokens=10,
+    most_output_tokens=40,
+    pause_s=None,
+    time_left_s=1.5,
+    patience_s=5.0,
+    body_bytes=1000,
+    zone='a',
+    excluded=('x', 'y'),
+)
+PLACEMENT = Placement(7, 'one', 5, 'two', 0.25, None, {'loss': 0.5})
+HELD = Held(9, 'one', 0, 100, 200, 300, 0.3, 1.5, 4.0, True)
+
+DATAGRAMS = [
+    ('empty', Datagram('10.0.0.1', 1)),
+    ('leaving', Datagram('10.0.0.1', 2**40, leaving=True)),
+    ('asks', Datagram('h', 1, asks=(Ask(3, QUERY),))),
+    (
+        'a plain ask',
+        Datagram('h', 1, asks=(Ask(0, QUERY._replace(parts=(), workspace_rank=2)),)),
+    ),
+    ('a placement', Datagram('h', 1, replies=(Reply(7, PLACEMENT, '', 0.0, 0.5),))),
+    (
+        'a placement without order',
+        Datagram(
+            'h',
+            1,
+            replies=(
+                Reply(
+                    7,
+                    Placement(7, 'one', None, None, 0.25, 0.5, {}),
+                    '',
+                    0.0,
+                    0.25,
+                ),
+            ),
+        ),
+    ),
+    ('a refusal', Datagram('h', 1, replies=(Reply(7, None, 'busy', 0.75, 1.0),))),
+    (
+        'news',
+        Datagram(
+            'h',
+            1,
+            sync=True,
+            started=(1, 2),
+            ended=(Ended(3, 'done', 0.5),),
+            held=(HELD,),
+            active=(1, 2**32 - 1),
+        ),
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ('name', 'datagram'), DATAGRAMS, ids=[row[0] for row in DATAGRAMS]
+)
+def test_datagrams_arrive_as_they_were_sent(name: str, datagram: Datagram) -> None:
+    assert decode(encode(datagram)) == datagram
+
+
+PLANS = [1, 3, UPSTREAMS_PER_SLOT, UPSTREAMS_PER_SLOT + 1, 56, 300]
+
+
+@pytest.mark.parametrize('count', PLANS)
+def test_slots_hold_each_upstream_once_and_about_as_many(count: int) -> None:
+    names = [f'u-{number}' for number in range(count)]
+    plan = SlotPlan('engines', names)
+    members = [plan.members(slot) for slot in range(plan.count)]
+    assert sorted(name for slot in members for name in slot) == sorted(names)
+    assert max(map(len, members)) <= UPSTREAMS_PER_SLOT
+
+
+def test_few_upstreams_change_their_slot_when_one_leaves() -> None:
+    names = [f'u-{number}' for number in range(56)]
+    before, after = SlotPlan('engines', names), SlotPlan('engines', names[1:])
+    slot_of = {name: slot for slot in range(5) for name in before.members(slot)}
+    moved = [
+        name
+        for slot in range(after.count)
+        for name in after.members(slot)
+        if slot_of[name] != slot
+    ]
+    assert len(moved) <= 8
+
+
+def test_all_hosts_agree_whatever_order_they_learnt_names_in() -> None:
+    names = [f'u-{number}' for number in range(30)]
+    plans = [SlotPlan('engines', names), SlotPlan('engines', names[::-1])]
+    assert plans[0].members(1) == plans[1].members(1)
+    assert plans[0].hosts(1, ['a', 'b', 'c']) == plans[1].hosts(1, ['c', 'b', 'a'])
+
+
+@pytest.fixture
+def fleet() -> Iterator[RunningFleet]:
+    """Three hosts."""
+    running = RunningFleet(3)
+    yield running
+    running.stop()
+
+
+def answer(turn: Turn) -> None:
+    """Answer with the request's own body."""
+    turn.answer(200, b'answer:' + turn.seen.body)
+
+
+def others(fleet: RunningFleet) -> list[RunningRouter]:
+    """Return the hosts that do not dispatch."""
+    keeper = fleet.dispatcher()
+    return [host for host in fleet.hosts if host is not keeper]
+
+
+def dispatched(host: RunningRouter) -> int:
+    """Return how many asks a host has answered."""
+    return host.router.metrics.value('dispatched', service='work')
+
+
+def test_hosts_ask_the_dispatcher(fleet: RunningFleet) -> None:
+    fleet.add('one', answer)
+    fleet.add('two', answer)
+    for host in fleet.hosts:
+        for _ in range(4):
+            assert host.call('safe').status == 200
+    assert dispatched(fleet.dispatcher()) == 8
+    assert all(dispatched(host) == 0 for host in others(fleet))
+
+
+def test_the_dispatcher_spreads_what_all_hosts_have(fleet: RunningFleet) -> None:
+    def slow(turn: Turn) -> None:
+        gevent.sleep(0.4)
+        answer(turn)
+
+    upstreams = [fleet.add(name, slow) for name in ('one', 'two', 'three')]
+    calls = [gevent.spawn(host.call, 'safe') for host in fleet.hosts for _ in range(3)]
+    gevent.joinall(calls, timeout=5.0)
+    assert [len(upstream.requests) for upstream in upstreams] == [3, 3, 3]
+
+
+def test_a_killed_dispatcher_is_passed_over(fleet: RunningFleet) -> None:
+    fleet.add('one', answer)
+    keeper = fleet.dispatcher()
+    left = others(fleet)
+    assert left[0].call('safe').status == 200
+    keeper.router.kill()
+    started = gevent.get_hub().loop.now()
+    statuses = Counter(host.call('safe').status for host in left for _ in range(5))
+    assert statuses == {200: 10}
+    assert gevent.get_hub().loop.now() - started < 1.0
+
+
+def test_a_request_is_placed_when_datagrams_get_lost(
+    fleet: RunningFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fleet.add('one', answer)
+    for host in fleet.hosts:
+        monkeypatch.setattr(host.router.peers, '_transmit', lambda *_: None)
+    for host in fleet.hosts:
+        assert host.call('safe').status == 200
+
+
+def test_every_second_datagram_lost_costs_no_request(
+    fleet: RunningFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    upstream = fleet.add('one', answer)
+    counter = iter(range(10**6))
+    for host in fleet.hosts:
+        send = host.router.peers._transmit
+
+        def lossy(address: str, data: bytes, send: object = send) -> None:
+            if next(counter) % 2:
+                send(address, data)
+
+        monkeypatch.setattr(host.router.peers, '_transmit', lossy)
+    for host in fleet.hosts:
+        for _ in range(10):
+            assert host.call('unsafe').status == 200
+    assert len(upstream.requests) == 30
+
+
+def test_a_new_dispatcher_learns_of_requests_in_flight(fleet: RunningFleet) -> None:
+    def slow(turn: Turn) -> None:
+        gevent.sleep(1.5)
+        answer(turn)
+
+    fleet.add('one', slow)
+    fleet.add('two', slow)
+    keeper = fleet.dispatcher()
+    host = others(fleet)[0]
+    calls = [gevent.spawn(host.call, 'long') for _ in range(4)]
+    host.wait(lambda: host.router.callers.busy_connections == 4)
+    gevent.sleep(0.1)
+    keeper.router.kill()
+    calls.append(gevent.spawn(host.call, 'long'))
+    gevent.sleep(0.3)
+    remaining = others(fleet)
+    books = [entry.router.books.dump() for entry in remaining]
+    total = sum(entry['requests'] for book in books for entry in book.values())
+    gevent.joinall(calls, timeout=5.0)
+    assert total >= 5
+    assert [call.value.status for call in calls] == [200] * 5
+
+
+def test_ends_that_got_lost_are_found_by_the_sync(
+    fleet: RunningFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fleet.add('one', answer)
+    keeper = fleet.dispatcher()
+    host = others(fleet)[0]
+    with monkeypatch.context() as patch:
+        patch.setattr(host.router.peers, 'tell_ended', lambda *_: None)
+        for _ in range(5):
+            assert host.call('safe').status == 200
+    assert keeper.router.books.dump()['one']['requests'] == 5
+    keeper.wait(lambda: keeper.router.books.dump()['one']['requests'] == 0, 4.0)
+
+
+def test_the_requests_of_a_silent_host_are_dropped(fleet: RunningFleet) -> None:
+    def slow(turn: Turn) -> None:
+        gevent.sleep(8.0)
+
+    fleet.add('one', slow)
+    keeper = fleet.dispatcher()
+    host = others(fleet)[0]
+    call = gevent.spawn(host.call, 'long')
+    keeper.wait(lambda: keeper.router.books.dump().get('one', {}).get('requests') == 1)
+    host.router.kill()
+    call.kill()
+    keeper.wait(lambda: keeper.router.books.dump()['one']['requests'] == 0, 6.0)
+
+
+def test_a_leaving_host_dispatches_no_more(fleet: RunningFleet) -> None:
+    fleet.add('one', answer)
+    keeper = fleet.dispatcher()
+    left = others(fleet)
+    keeper.router.request_stop()
+    stop = gevent.spawn(keeper.router.wait)
+    gevent.sleep(0.2)
+    before = dispatched(keeper)
+    for host in left:
+        assert host.call('safe').status == 200
+    assert dispatched(keeper) == before
+    stop.join(timeout=6.0)
+
+
+def test_an_upstream_that_refuses_connections_is_closed_for_all(
+    fleet: RunningFleet,
+) -> None:
+    one = fleet.add('one', answer)
+    two = fleet.add('two', answer)
+    one.stop()
+    first, second = others(fleet)
+    for _ in range(2):
+        assert first.call('safe').status == 200
+    started = first.router.metrics.value('upstream_failures', kind='NotSentError')
+    for _ in range(4):
+        assert second.call('safe').status == 200
+    assert second.router.metrics.value('upstream_failures', kind='NotSentError') == 0
+    assert started <= 1
+    assert len(two.requests) == 6
