Let few hosts read the store for all

Ruled out: longer watches (the proof that a key still holds gets too old). Change: hosts keep a mirror of what they follow and serve it on the peer port; two hosts, or one in 25, watch the store, the others watch their mirrors and count the age of the reader's proof; a host reads by itself when readers fail or have lost the store themselves.

--- a/packages/common/src/rosemaryseam/common/rangestore.py
+++ b/packages/common/src/rosemaryseam/common/rangestore.py
@@ -27,15 +27,26 @@
     revision: int
 
 
+class Proof(NamedTuple):
+    """How sure a relayed answer is: the age of the knowledge that it rests on.
+
+    ``held_s`` is how long the call was held before it was answered.
+    """
+
+    age_s: float
+    held_s: float
+
+
 class Snapshot(NamedTuple):
     """The items below a prefix.
 
     ``revision`` is the store's at the reading of the first page: a watch from there
-    misses nothing.
+    misses nothing. ``proof`` is ``None`` for an answer of the store itself.
     """
 
     items: tuple[Item, ...]
     revision: int
+    proof: Proof | None = None
 
 
 class Changes(NamedTuple):
@@ -43,6 +54,7 @@
 
     items: tuple[Item, ...]
     revision: int
+    proof: Proof | None = None
 
 
 class Write(NamedTuple):
--- a/packages/router/src/rosemaryseam/router/feed.py
+++ b/packages/router/src/rosemaryseam/router/feed.py
@@ -9,13 +9,14 @@
 from rosemaryseam.common.decisionlog import log_event, log_warning
 from rosemaryseam.common.errors import CatalogueError, PlatformError
 from rosemaryseam.common.rangestore import HistoryLostError
+from rosemaryseam.router.mirror import Mirror
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable, Iterable
 
     from rosemaryseam.common.clock import Clock
-    from rosemaryseam.common.rangestore import Item, RangeStore
+    from rosemaryseam.common.rangestore import Item, Proof, RangeStore
     from rosemaryseam.node.metrics import Metrics
     from rosemaryseam.router.codec import StateCodec
     from rosemaryseam.router.routes import RoutingTable
@@ -73,6 +74,7 @@
         self._revision: int | None = None
         self._unreadable: dict[str, bytes] = {}
         self.table: RoutingTable | None = None
+        self.mirror = Mirror(self.age_s)
         self.contact = StoreContact(float('-inf'), None, 0)
 
     def age_s(self) -> float:
@@ -117,7 +119,8 @@
         )
         self._publish(changes)
         self._revision = snapshot.revision
-        self._note_answer(started)
+        self.mirror.load(snapshot)
+        self._note_answer(_confirmed_at(started, snapshot.proof))
 
     def _watch(self, started: float) -> None:
         assert self._revision is not None
@@ -126,7 +129,10 @@
         for item in changes.items:
             self._take(item, now)
         self._revision = changes.revision
-        confirmed = started if changes.items else min(now, started + WATCH_S)
+        self.mirror.extend(changes)
+        confirmed = _confirmed_at(started, changes.proof)
+        if changes.proof is None and not changes.items:
+            confirmed = min(now, started + WATCH_S)
         self._note_answer(confirmed)
 
     def _take(self, item: Item, now: float) -> None:
@@ -215,3 +221,14 @@
         self.contact = StoreContact(self.contact.confirmed_at, now, failures)
         pause = min(RETRY_MAX_S, RETRY_MIN_S * 2 ** min(failures, 10))
         gevent.sleep(pause * self._rng.uniform(0.5, 1.0))
+
+
+def _confirmed_at(started: float, proof: Proof | None) -> float:
+    """Return a time at which an answer to a call missed nothing.
+
+    :param started: when the call was made
+    :param proof: of a relayed answer
+    """
+    if proof is None:
+        return started
+    return started + proof.held_s - proof.age_s
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -20,8 +20,10 @@
 from rosemaryseam.router.dispatch import Dispatcher, DispatchPlacer
 from rosemaryseam.router.feed import StateFeed
 from rosemaryseam.router.forwarder import Forwarder
+from rosemaryseam.router.mirror import build_mirror
 from rosemaryseam.router.peers import HOSTS_PREFIX, PeerLink
 from rosemaryseam.router.pool import ConnectionPool
+from rosemaryseam.router.relayedstore import RelayedStore
 from rosemaryseam.router.routes import CallerLimits
 from rosemaryseam.router.status import build_readiness, build_status
 from rosemaryseam.router.upstreams import Registry
@@ -91,8 +93,10 @@
             self.books,
         )
         self._placer.connect(self.peers)
+        self.relayed = RelayedStore(store, cfg.ip, cfg.peer_port, clock, self.metrics)
+        self.relayed.known_hosts = self.peers.known_hosts
         self.feed = StateFeed(
-            store,
+            self.relayed,
             state,
             self.registry,
             clock,
@@ -129,6 +133,11 @@
         self._status = HttpServer(
             cfg.metrics, build_status(self.metrics, self.dump), ServerBounds()
         )
+        self._mirror = HttpServer(
+            Address(cfg.ip, cfg.peer_port),
+            build_mirror(self.feed.mirror),
+            ServerBounds(),
+        )
         self._background: list[gevent.Greenlet] = []
 
     def start(self) -> None:
@@ -139,6 +148,7 @@
         cfg = self._cfg
         self._open('readiness', self._readiness.start)
         self._open('metrics', self._status.start)
+        self._open('peer_port', self._mirror.start)
         self._open('callers', self.callers.start)
         self._background = [gevent.spawn(self.feed.run), gevent.spawn(self._sweep)]
         self._open('peer_port', self._start_peers)
@@ -170,7 +180,7 @@
         gevent.killall(self._background, block=False)
         self.peers.close()
         self.callers.kill()
-        for server in (self._readiness, self._status):
+        for server in (self._readiness, self._status, self._mirror):
             server.stop(timeout=0)
 
     def reload(self) -> None:
--- /dev/null
+++ b/packages/router/src/rosemaryseam/router/relayedstore.py
@@ -0,0 +1,134 @@
+"""Reads of the store that a few hosts make for all."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from rosemaryseam.common.addresses import Address
+from rosemaryseam.common.decisionlog import log_event
+from rosemaryseam.common.errors import PlatformError
+from rosemaryseam.common.rangestore import (
+    Changes,
+    HistoryLostError,
+    RangeStore,
+    Snapshot,
+    Write,
+)
+from rosemaryseam.policy.rendezvous import rank
+from rosemaryseam.router.mirror import read_mirror, watch_mirror
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from rosemaryseam.common.clock import Clock
+    from rosemaryseam.node.metrics import Metrics
+
+HOSTS_PER_READER = 25
+LEAST_READERS = 2
+WATCH_S = 1.0  # a relayed watch; the proof that it brings is up to 2 s old
+TIMEOUT_S = 0.3
+OLD_PROOF_S = 2.6  # a reader whose own proof is older has lost the store
+AVOID_S = 2.0  # a reader that failed, or has lost the store
+TRIED_READERS = 2  # before this host reads by itself
+
+
+class RelayedStore(RangeStore):
+    """Lets hosts read through the mirrors of a few readers, chosen by hashing.
+
+    A host reads by itself when it is a reader, knows no others, or when readers fail.
+    Writes and leases always go to the store.
+
+    :param store: the store itself
+    :param host: this host's address
+    :param port: of the mirrors
+    :param clock: the process's clock
+    :param metrics: the process's counters
+    """
+
+    def __init__(
+        self, store: RangeStore, host: str, port: int, clock: Clock, metrics: Metrics
+    ) -> None:
+        self._store = store
+        self._host = host
+        self._port = port
+        self._clock = clock
+        self._metrics = metrics
+        self._avoided: dict[str, float] = {}
+        self._source: str | None = None
+        self.known_hosts: Callable[[], Sequence[str]] = tuple
+
+    def read_range(self, prefix: str) -> Snapshot:
+        """Return all items below a prefix."""
+        for reader in self._readers():
+            try:
+                snapshot = read_mirror(Address(reader, self._port), TIMEOUT_S)
+            except PlatformError as exc:
+                self._avoid(reader, exc.message)
+                continue
+            if self._is_sound(reader, snapshot):
+                return snapshot
+        self._use(None)
+        return self._store.read_range(prefix)
+
+    def watch_range(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Wait for changes below a prefix."""
+        for reader in self._readers():
+            address = Address(reader, self._port)
+            try:
+                changes = watch_mirror(address, after, min(wait_s, WATCH_S), TIMEOUT_S)
+            except HistoryLostError:
+                # The reader may be behind this host, which needs no new reading then.
+                self._avoid(reader, 'does not reach this revision')
+                continue
+            except PlatformError as exc:
+                self._avoid(reader, exc.message)
+                continue
+            if self._is_sound(reader, changes):
+                return changes
+        self._use(None)
+        return self._store.watch_range(prefix, after, wait_s)
+
+    def grant_lease(self, ttl_s: float) -> int:
+        """Return a new lease."""
+        return self._store.grant_lease(ttl_s)
+
+    def renew_lease(self, lease: int) -> bool:
+        """Renew a lease and return whether it still held."""
+        return self._store.renew_lease(lease)
+
+    def write(self, writes: Sequence[Write], removals: Sequence[str] = ()) -> int:
+        """Write and remove keys, all or none, and return the revision."""
+        return self._store.write(writes, removals)
+
+    def _readers(self) -> list[str]:
+        """Return the readers to try, none when this host is to read by itself."""
+        others = list(self.known_hosts())
+        hosts = [*others, self._host]
+        count = max(LEAST_READERS, math.ceil(len(hosts) / HOSTS_PER_READER))
+        chosen = rank('readers', hosts)[:count]
+        if self._host in chosen:
+            return []
+        now = self._clock.monotonic()
+        near = rank(self._host, chosen)
+        usable = [host for host in near if self._avoided.get(host, 0.0) <= now]
+        return usable[:TRIED_READERS]
+
+    def _is_sound(self, reader: str, answer: Snapshot | Changes) -> bool:
+        """Return whether a reader is in touch with the store."""
+        assert answer.proof is not None
+        if answer.proof.age_s > OLD_PROOF_S:
+            self._avoid(reader, f'its proof is {answer.proof.age_s:.1f} s old')
+            return False
+        self._use(reader)
+        return True
+
+    def _avoid(self, reader: str, reason: str) -> None:
+        self._metrics.count('readers_avoided')
+        self._avoided[reader] = self._clock.monotonic() + AVOID_S
+        log_event('reader_avoided', reader=reader, reason=reason)
+
+    def _use(self, reader: str | None) -> None:
+        if reader != self._source:
+            log_event('reader_changed', reader=reader, previous=self._source)
+            self._source = reader
--- /dev/null
+++ b/tests/test_router/test_mirror.py
@@ -0,0 +1,189 @@
+"""Reads of the store that few hosts make for all."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import gevent
+import pytest
+from routers import RunningFleet, RunningRouter, configuration
+
+from rosemaryseam.common.errors import PlatformError
+from rosemaryseam.common.rangestore import (
+    Changes,
+    HistoryLostError,
+    Item,
+    Snapshot,
+)
+from rosemaryseam.router.documentcodec import CONFIGURATION_KEY
+from rosemaryseam.router.mirror import KEPT_CHANGES, Mirror
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+def item(number: int, value: bytes | None = b'v') -> Item:
+    """Return an item whose key and revision are a number."""
+    return Item(f'k/{number}', value, number)
+
+
+def mirror_of(*changes: Item) -> Mirror:
+    """Return a mirror that read one item at revision 10 and then some changes."""
+    mirror = Mirror(lambda: 0.5)
+    mirror.load(Snapshot((item(9),), 10))
+    for change in changes:
+        mirror.extend(Changes((change,), change.revision))
+    return mirror
+
+
+WAITS: list[tuple[str, list[Item], int, list[int]]] = [
+    ('nothing new', [], 10, []),
+    ('one change', [item(11)], 10, [11]),
+    ('only later changes', [item(11), item(12)], 11, [12]),
+    ('a removal', [item(11), item(12, None)], 10, [11, 12]),
+]
+
+
+@pytest.mark.parametrize(
+    ('name', 'changes', 'after', 'expected'), WAITS, ids=[row[0] for row in WAITS]
+)
+def test_wait(name: str, changes: list[Item], after: int, expected: list[int]) -> None:
+    answer = mirror_of(*changes).wait(after, 0.01)
+    assert [change.revision for change in answer.items] == expected
+    assert answer.proof.age_s == 0.5
+
+
+LOST = [('before the reading', 9), ('not reached yet', 12)]
+
+
+@pytest.mark.parametrize(('name', 'after'), LOST, ids=[row[0] for row in LOST])
+def test_wait_beyond_what_is_kept(name: str, after: int) -> None:
+    with pytest.raises(HistoryLostError):
+        mirror_of(item(11)).wait(after, 0.01)
+
+
+def test_changes_that_were_dropped_are_lost() -> None:
+    changes = [item(number) for number in range(11, 11 + KEPT_CHANGES + 5)]
+    mirror = mirror_of(*changes)
+    with pytest.raises(HistoryLostError):
+        mirror.wait(12, 0.01)
+    assert len(mirror.wait(20, 0.01).items) == KEPT_CHANGES + 5 - 10
+
+
+def test_a_snapshot_has_what_is_left() -> None:
+    mirror = mirror_of(item(11), item(9, None))
+    assert [entry.key for entry in mirror.snapshot().items] == ['k/11']
+
+
+class Gate:
+    """Lets a host's calls through to the store, or not."""
+
+    def __init__(self, store: Any) -> None:
+        self._store = store
+        self.open = True
+        self.calls = 0
+
+    def __getattr__(self, name: str) -> Any:
+        """Return a method that fails while the gate is closed."""
+        method = getattr(self._store, name)
+
+        def call(*args: Any) -> Any:
+            self.calls += 1
+            if not self.open:
+                gevent.sleep(0.01)
+                raise PlatformError('cut off')
+            result = method(*args)
+            if not self.open:
+                raise PlatformError('cut off')
+            return result
+
+        return call
+
+
+@pytest.fixture
+def gated() -> Iterator[tuple[RunningFleet, dict[str, Gate]]]:
+    """Five hosts, each with a gate before the store."""
+    fleet = RunningFleet(5)
+    gates = {}
+    for host in fleet.hosts:
+        gate = gates[host.cfg.ip] = Gate(fleet.store)
+        host.router.relayed._store = gate
+    yield fleet, gates
+    fleet.stop()
+
+
+def readers(fleet: RunningFleet) -> list[RunningRouter]:
+    """Return the hosts that read by themselves."""
+    return [host for host in fleet.hosts if not host.router.relayed._readers()]
+
+
+def change(fleet: RunningFleet, version: int) -> None:
+    """Write a configuration."""
+    fleet.store.put(CONFIGURATION_KEY, configuration(version))
+
+
+def wait_version(hosts: list[RunningRouter], version: int, timeout_s: float) -> None:
+    """Wait until hosts have a version."""
+    for host in hosts:
+        host.wait(
+            lambda host=host: host.router.feed.table.version >= version, timeout_s
+        )
+
+
+def test_few_hosts_read_for_all(gated: tuple[RunningFleet, dict[str, Gate]]) -> None:
+    fleet, gates = gated
+    gevent.sleep(2.5)
+    for gate in gates.values():
+        gate.calls = 0
+    change(fleet, 2)
+    wait_version(fleet.hosts, 2, 0.5)
+    gevent.sleep(3.0)
+    calling = {ip for ip, gate in gates.items() if gate.calls}
+    assert calling == {host.cfg.ip for host in readers(fleet)}
+    assert len(calling) == 2
+    assert all(host.router.feed.age_s() < 4.0 for host in fleet.hosts)
+
+
+def test_hosts_read_by_themselves_when_readers_are_killed(
+    gated: tuple[RunningFleet, dict[str, Gate]],
+) -> None:
+    fleet, _ = gated
+    gevent.sleep(2.5)
+    gone = readers(fleet)
+    left = [host for host in fleet.hosts if host not in gone]
+    for host in gone:
+        host.router.kill()
+    gevent.sleep(0.1)
+    change(fleet, 2)
+    wait_version(left, 2, 2.0)
+
+
+def test_a_reader_that_lost_the_store_is_not_believed(
+    gated: tuple[RunningFleet, dict[str, Gate]],
+) -> None:
+    fleet, gates = gated
+    gevent.sleep(2.5)
+    lost = readers(fleet)
+    left = [host for host in fleet.hosts if host not in lost]
+    for host in lost:
+        gates[host.cfg.ip].open = False
+    change(fleet, 2)
+    wait_version(left, 2, 5.0)
+    oldest = 0.0
+    for _ in range(40):
+        gevent.sleep(0.1)
+        oldest = max([oldest, *(host.router.feed.age_s() for host in left)])
+    assert oldest < 5.0
+
+
+def test_a_host_that_the_store_turns_away_goes_on_through_readers(
+    gated: tuple[RunningFleet, dict[str, Gate]],
+) -> None:
+    fleet, gates = gated
+    gevent.sleep(2.5)
+    host = next(one for one in fleet.hosts if one not in readers(fleet))
+    gates[host.cfg.ip].open = False
+    change(fleet, 2)
+    wait_version([host], 2, 1.0)
+    gevent.sleep(3.0)
+    assert host.router.feed.age_s() < 4.0
