Wait for slots instead of shunning full engines; relay only in larger fleets

Change: waiting for a slot is part of the expected first event; the opening price is in worths. Hosts relay from 13 hosts on; readers ask the store for a sign of life each 0.3 s while they are relied on, and tell how long it has been silent; watches of mirrors last 0.5 s; a proof that is old already shortens the next watch.

--- a/packages/common/src/rosemaryseam/common/rangestore.py
+++ b/packages/common/src/rosemaryseam/common/rangestore.py
@@ -30,11 +30,13 @@
 class Proof(NamedTuple):
     """How sure a relayed answer is: the age of the knowledge that it rests on.
 
-    ``held_s`` is how long the call was held before it was answered.
+    ``held_s`` is how long the call was held before it was answered, ``silent_s`` how
+    long ago the answering host last heard of the store.
     """
 
     age_s: float
     held_s: float
+    silent_s: float
 
 
 class Snapshot(NamedTuple):
--- a/packages/experiments/src/rosemaryseam/experiments/fleet.py
+++ b/packages/experiments/src/rosemaryseam/experiments/fleet.py
@@ -61,7 +61,7 @@
         self._rng = random.Random(seed)
         self.outcomes: list[Outcome] = []
         shape = EngineShape(
-            EngineRates().slots, scenario.memory_tokens, scenario.tokens_per_event, True
+            scenario.slots, scenario.memory_tokens, scenario.tokens_per_event, True
         )
         self._service = Service('engines', '/health', 0, shape)
         self._routes = {kind.name: _route(kind) for kind in scenario.kinds}
@@ -130,6 +130,7 @@
         for number in range(scenario.engines):
             slowness = scenario.engine_slowness[number % len(scenario.engine_slowness)]
             rates = EngineRates(
+                slots=scenario.slots,
                 memory_tokens=scenario.memory_tokens,
                 tokens_per_event=scenario.tokens_per_event,
                 slowness=slowness,
--- a/packages/experiments/src/rosemaryseam/experiments/load.py
+++ b/packages/experiments/src/rosemaryseam/experiments/load.py
@@ -57,6 +57,7 @@
     name: str
     engines: int
     engine_slowness: tuple[float, ...]
+    slots: int
     memory_tokens: int
     tokens_per_event: int
     hosts: int
--- a/packages/policy/src/rosemaryseam/policy/engineplacement.py
+++ b/packages/policy/src/rosemaryseam/policy/engineplacement.py
@@ -29,16 +29,15 @@
 STREAM_S = 1.0  # in which an engine's streams are replaced by new ones
 NO_RISK = 0.6  # of a limit, below which the risk is taken for none
 SLOPE = 12.0  # how sharply the risk grows around the safe share of a limit
-OPENING_LOSS = 8.0  # of a stream with short pauses on an engine that has none
+OPENING_LOSS = 1.6  # worths that a stream costs where none has pauses as short
 STREAMS_TOGETHER = 8.0  # streams with short pauses that halve that
 STALL_LOSS = 0.3  # share of its worth that a stream loses where prefill never ends
 WAIT_LOSS = 0.2  # share of its worth that a request loses by waiting up to its target
 PATIENCE_SAFETY = 0.7  # of the caller's patience; output lengths are often far off
 OTHER_ZONE_PER_BYTE = 0.000002  # bytes between zones cost
 MEMORY_SHARE = 0.8  # of an engine's memory that running requests may fill
-SLOTS_SHARE = 0.9  # of an engine's slots that requests may fill
 ORDER_LOSS = 0.002  # sends a new session where all hosts would
-FULL_LOSS = 5.0  # an engine without a slot or memory preempts somebody
+FULL_LOSS = 5.0  # an engine without memory preempts somebody
 
 
 class PlacementRequest(NamedTuple):
@@ -81,7 +80,7 @@
 
     ``late``: the request's own late first event; ``unfinished``: its answer does not
     end in time; ``cache``: tokens read again or fetched; ``pauses`` and ``endings``:
-    what other requests lose; ``capacity``: slots and memory; ``other``: zones, failures
+    what other requests lose; ``capacity``: memory; ``other``: zones, failures
     and affinity.
     """
 
@@ -190,7 +189,7 @@
             fetched = 0
     cached = own + fetched
     prefill = max(1, request.prompt_tokens - cached)
-    first = view.first_event_s(prefill, now)
+    first = view.first_event_s(prefill, request.rank, now)
     if fetched:
         first += FETCH_SETUP_S + fetched * FETCH_S_PER_TOKEN
     other = candidate.penalty + candidate.order * ORDER_LOSS
@@ -272,7 +271,7 @@
         if limit <= request.pause_s
     )
     opening = OPENING_LOSS * load * load / (1.0 + alike / STREAMS_TOGETHER)
-    return value_of(request.rank, request.size) * stalls + opening
+    return value_of(request.rank, request.size) * (stalls + opening)
 
 
 def _ending_loss(view: EngineView, prefill: int, now: float) -> float:
@@ -293,9 +292,7 @@
 def _capacity_loss(request: PlacementRequest, view: EngineView) -> float:
     size = view.size
     memory = view.memory_tokens + request.prompt_tokens + request.output_tokens
-    slots = risk(view.requests + 1, size.batch_slots * SLOTS_SHARE)
-    full = risk(memory, size.cache_tokens * MEMORY_SHARE)
-    return FULL_LOSS * max(slots, full)
+    return FULL_LOSS * risk(memory, size.cache_tokens * MEMORY_SHARE)
 
 
 def risk(value: float, limit: float, slope: float = SLOPE) -> float:
--- a/packages/policy/src/rosemaryseam/policy/engines.py
+++ b/packages/policy/src/rosemaryseam/policy/engines.py
@@ -9,6 +9,8 @@
 SPEED_MEMORY = 0.98  # of what is known, kept at each observation
 SPEED_PRIOR_S = 0.5  # of work at the sheet's speed that is assumed to begin with
 SPEED_MAX = 8.0
+FIRST_OCCUPIED_S = 1.0
+OCCUPIED_WEIGHT = 0.05  # of one request in the mean time that a slot is taken
 LEAST_LEFT = 0.2  # of an expected length; lengths are often underestimated
 GAP_MARGIN_S = 0.02  # the end of prefill is known no better
 LOAD_MEMORY_S = 1.0  # over which the share of time spent on prefill is averaged
@@ -94,6 +96,7 @@
         self._alone: set[FlightKey] = set()  # that found an engine without prefill work
         self.memory_tokens = 0  # of requests in flight, without shared parts
         self.output_tokens = 0  # expected of requests in flight
+        self._occupied_s = FIRST_OCCUPIED_S  # mean time that a request has a slot
         self._recent_prefill_s = 0.0  # decays with LOAD_MEMORY_S
         self._recent_at = 0.0
 
@@ -161,7 +164,8 @@
             self._bound_backlog(now)
         else:
             flight = self._decoding.pop(key, None)
-            self._first_at.pop(key, None)
+            first_at = self._first_at.pop(key, now)
+            self._occupied_s += OCCUPIED_WEIGHT * (now - first_at - self._occupied_s)
         if flight is not None:
             self.memory_tokens -= flight.memory_tokens
             self.output_tokens -= flight.output_tokens
@@ -201,6 +205,18 @@
             return max(0.0, now - due)
         return 0.0
 
+    def slot_wait_s(self, rank: int) -> float:
+        """Return how long a new request waits for a place in the batch.
+
+        :param rank: more urgent requests go first
+        """
+        over = self.requests + 1 - self.size.batch_slots
+        if over <= 0:
+            return 0.0
+        ahead = sum(1 for flight in self._pending.values() if flight.rank <= rank)
+        release_s = self._occupied_s / self.size.batch_slots
+        return min(over, ahead + 1) * release_s
+
     def prefill_share(self, now: float) -> float:
         """Return the share of its time that the engine lately spent on prefill.
 
@@ -208,15 +224,16 @@
         """
         return min(1.0, self._recent_work(now) / LOAD_MEMORY_S)
 
-    def first_event_s(self, prefill_tokens: int, now: float) -> float:
+    def first_event_s(self, prefill_tokens: int, rank: int, now: float) -> float:
         """Return how long a new request waits for its first event.
 
         :param prefill_tokens: what it adds to the prefill work
+        :param rank: of the request
         :param now: seconds on the monotonic clock
         """
         chunk = self._chunk_s() * self.prefill_share(now)
         return (
-            self.backlog_s(now)
+            max(self.backlog_s(now), self.slot_wait_s(rank))
             + self.overdue_s(now)
             + self.prefill_s(prefill_tokens)
             + self._terms.network_s
--- a/packages/router/src/rosemaryseam/router/feed.py
+++ b/packages/router/src/rosemaryseam/router/feed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 import gevent
@@ -23,6 +24,8 @@
     from rosemaryseam.router.upstreams import Change, Registration, Registry
 
 WATCH_S = 2.0  # a watch that ends without changes renews the proof of freshness
+LEAST_WATCH_S = 0.4
+PROOF_AGE_S = 2.4  # that a watch should not let the proof pass
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8  # a host is back well within a second of the store's return
 OUTAGE_TAIL_S = 2.0  # entries that lapsed in an outage are back by then
@@ -50,6 +53,7 @@
     :param rng: spreads retries
     :param on_changes: called with the upstreams that changed
     :param on_other: called with items that are neither configuration nor upstream
+    :param mirror: keeps what was read for other hosts
     """
 
     def __init__(
@@ -62,6 +66,7 @@
         rng: random.Random,
         on_changes: Callable[[Iterable[Change]], None],
         on_other: Callable[[Item], None],
+        mirror: Mirror | None = None,
     ) -> None:
         self._store = store
         self._codec = codec
@@ -71,10 +76,11 @@
         self._rng = rng
         self._on_changes = on_changes
         self._on_other = on_other
+        self._mirror = mirror or Mirror(self.age_s, lambda: 0.0)
         self._revision: int | None = None
         self._unreadable: dict[str, bytes] = {}
         self.table: RoutingTable | None = None
-        self.mirror = Mirror(self.age_s)
+        self.heard_at = -math.inf  # when the store last answered, or a reader's call
         self.contact = StoreContact(float('-inf'), None, 0)
 
     def age_s(self) -> float:
@@ -119,21 +125,29 @@
         )
         self._publish(changes)
         self._revision = snapshot.revision
-        self.mirror.load(snapshot)
-        self._note_answer(_confirmed_at(started, snapshot.proof))
+        self._mirror.load(snapshot)
+        self._note_answer(_confirmed_at(started, snapshot.proof), snapshot.proof)
 
     def _watch(self, started: float) -> None:
         assert self._revision is not None
-        changes = self._store.watch_range(self._codec.root, self._revision, WATCH_S)
+        wait_s = self._wait_s()
+        changes = self._store.watch_range(self._codec.root, self._revision, wait_s)
         now = self._clock.monotonic()
         for item in changes.items:
             self._take(item, now)
         self._revision = changes.revision
-        self.mirror.extend(changes)
+        self._mirror.extend(changes)
         confirmed = _confirmed_at(started, changes.proof)
         if changes.proof is None and not changes.items:
-            confirmed = min(now, started + WATCH_S)
-        self._note_answer(confirmed)
+            confirmed = min(now, started + wait_s)
+        self._note_answer(confirmed, changes.proof)
+
+    def _wait_s(self) -> float:
+        """Return how long to watch: shorter the older the proof is already.
+
+        A watch that returns with a change proves only when it began.
+        """
+        return min(WATCH_S, max(LEAST_WATCH_S, PROOF_AGE_S - self.age_s()))
 
     def _take(self, item: Item, now: float) -> None:
         self._take_configuration(item)
@@ -206,9 +220,11 @@
         now = self._clock.monotonic()
         return failed_at is not None and now < failed_at + OUTAGE_TAIL_S
 
-    def _note_answer(self, confirmed_at: float) -> None:
+    def _note_answer(self, confirmed_at: float, proof: Proof | None) -> None:
         if self.contact.failures:
             log_event('store_regained', failures=self.contact.failures)
+        silent_s = 0.0 if proof is None else proof.silent_s
+        self.heard_at = self._clock.monotonic() - silent_s
         confirmed_at = max(confirmed_at, self.contact.confirmed_at)
         self.contact = StoreContact(confirmed_at, self.contact.failed_at, 0)
 
--- a/packages/router/src/rosemaryseam/router/mirror.py
+++ b/packages/router/src/rosemaryseam/router/mirror.py
@@ -4,6 +4,7 @@
 
 import base64
 import json
+import math
 import time
 import zlib
 from collections import deque
@@ -37,10 +38,15 @@
     """All items that this host follows, and their last changes.
 
     :param age_s: returns how old the proof is that nothing is missing
+    :param silent_s: returns how long ago the store was last heard of
     """
 
-    def __init__(self, age_s: Callable[[], float]) -> None:
+    def __init__(
+        self, age_s: Callable[[], float], silent_s: Callable[[], float]
+    ) -> None:
         self._age_s = age_s
+        self._silent_s = silent_s
+        self.asked_at = -math.inf  # when another host last asked
         self._items: dict[str, Item] = {}
         self._changes: deque[Item] = deque(maxlen=KEPT_CHANGES)
         self._floor = 0  # changes up to this revision are not kept
@@ -76,7 +82,8 @@
 
     def snapshot(self) -> Snapshot:
         """Return all items."""
-        proof = Proof(self._age_s(), 0.0)
+        self.asked_at = time.monotonic()
+        proof = Proof(self._age_s(), 0.0, self._silent_s())
         return Snapshot(tuple(self._items.values()), self.revision, proof)
 
     def wait(self, after: int, wait_s: float) -> Changes:
@@ -86,14 +93,19 @@
         :param wait_s: how long to wait for the first
         :raises HistoryLostError: changes since then are not kept
         """
-        started = time.monotonic()
+        started = self.asked_at = time.monotonic()
+        self._check_reach(after)
         if not self._after(after):
             self._changed.wait(wait_s)
-        if not self._floor <= after <= self.revision:
-            raise HistoryLostError('the mirror does not reach so far back')
-        proof = Proof(self._age_s(), time.monotonic() - started)
+            self._check_reach(after)
+        held_s = time.monotonic() - started
+        proof = Proof(self._age_s(), held_s, self._silent_s())
         return Changes(tuple(self._after(after)), self.revision, proof)
 
+    def _check_reach(self, revision: int) -> None:
+        if not self._floor <= revision <= self.revision:
+            raise HistoryLostError('the mirror does not reach this revision')
+
     def _after(self, revision: int) -> list[Item]:
         return [item for item in self._changes if item.revision > revision]
 
@@ -194,6 +206,7 @@
         'revision': answer.revision,
         'age_s': answer.proof.age_s,
         'held_s': answer.proof.held_s,
+        'silent_s': answer.proof.silent_s,
     }
 
 
@@ -209,4 +222,4 @@
 
 
 def _proof(data: dict[str, Any]) -> Proof:
-    return Proof(data['age_s'], data['held_s'])
+    return Proof(data['age_s'], data['held_s'], data['silent_s'])
--- a/packages/router/src/rosemaryseam/router/peers.py
+++ b/packages/router/src/rosemaryseam/router/peers.py
@@ -116,6 +116,10 @@
         """Return the other hosts that may dispatch."""
         return [host for host in self._known if host not in self._leaving]
 
+    def lease(self) -> int:
+        """Return the lease of this host's entry, 0 while it has none."""
+        return self._lease
+
     def leave(self) -> None:
         """Tell the hosts and the store that this host stops."""
         data = encode(Datagram(self._address.ip, self._incarnation, leaving=True))
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -20,10 +20,10 @@
 from rosemaryseam.router.dispatch import Dispatcher, DispatchPlacer
 from rosemaryseam.router.feed import StateFeed
 from rosemaryseam.router.forwarder import Forwarder
-from rosemaryseam.router.mirror import build_mirror
+from rosemaryseam.router.mirror import Mirror, build_mirror
 from rosemaryseam.router.peers import HOSTS_PREFIX, PeerLink
 from rosemaryseam.router.pool import ConnectionPool
-from rosemaryseam.router.relayedstore import RelayedStore
+from rosemaryseam.router.relayedstore import ContactChecker, RelayedStore
 from rosemaryseam.router.routes import CallerLimits
 from rosemaryseam.router.status import build_readiness, build_status
 from rosemaryseam.router.upstreams import Registry
@@ -95,6 +95,10 @@
         self._placer.connect(self.peers)
         self.relayed = RelayedStore(store, cfg.ip, cfg.peer_port, clock, self.metrics)
         self.relayed.known_hosts = self.peers.known_hosts
+        self.contact = ContactChecker(
+            store, clock, self.peers.lease, lambda: self.feed.heard_at
+        )
+        self.mirror = Mirror(lambda: self.feed.age_s(), self.contact.silent_s)
         self.feed = StateFeed(
             self.relayed,
             state,
@@ -104,6 +108,7 @@
             self._rng,
             self._on_changes,
             self._on_other_item,
+            self.mirror,
         )
         self._forwarder = Forwarder(
             self.feed,
@@ -135,7 +140,7 @@
         )
         self._mirror = HttpServer(
             Address(cfg.ip, cfg.peer_port),
-            build_mirror(self.feed.mirror),
+            build_mirror(self.mirror),
             ServerBounds(),
         )
         self._background: list[gevent.Greenlet] = []
@@ -150,7 +155,11 @@
         self._open('metrics', self._status.start)
         self._open('peer_port', self._mirror.start)
         self._open('callers', self.callers.start)
-        self._background = [gevent.spawn(self.feed.run), gevent.spawn(self._sweep)]
+        self._background = [
+            gevent.spawn(self.feed.run),
+            gevent.spawn(self._sweep),
+            gevent.spawn(self.contact.run, self.mirror),
+        ]
         self._open('peer_port', self._start_peers)
         log_event('started', zone=cfg.zone, callers=str(cfg.callers))
 
--- a/packages/router/src/rosemaryseam/router/relayedstore.py
+++ b/packages/router/src/rosemaryseam/router/relayedstore.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import math
+import time
 from typing import TYPE_CHECKING
 
+import gevent
+
 from rosemaryseam.common.addresses import Address
 from rosemaryseam.common.decisionlog import log_event
 from rosemaryseam.common.errors import PlatformError
@@ -23,12 +26,17 @@
 
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.node.metrics import Metrics
+    from rosemaryseam.router.mirror import Mirror
 
 HOSTS_PER_READER = 25
 LEAST_READERS = 2
-WATCH_S = 1.0  # a relayed watch; the proof that it brings is up to 2 s old
+RELAYED_FROM_HOSTS = 13  # with fewer hosts their own watches are cheaper
+WATCH_S = 0.5  # a relayed watch; a reader that lost the store is found out by then
 TIMEOUT_S = 0.3
-OLD_PROOF_S = 2.6  # a reader whose own proof is older has lost the store
+OLD_PROOF_S = 3.4  # a reader whose own proof is older is not believed
+SILENT_S = 0.9  # a reader that has not heard of the store for longer has lost it
+TOUCH_S = 0.3  # between the calls by which a reader notices that
+ASKED_S = 3.0  # a mirror that nobody asked for longer has no readers
 AVOID_S = 2.0  # a reader that failed, or has lost the store
 TRIED_READERS = 2  # before this host reads by itself
 
@@ -103,8 +111,9 @@
 
     def _readers(self) -> list[str]:
         """Return the readers to try, none when this host is to read by itself."""
-        others = list(self.known_hosts())
-        hosts = [*others, self._host]
+        hosts = [*self.known_hosts(), self._host]
+        if len(hosts) < RELAYED_FROM_HOSTS:
+            return []
         count = max(LEAST_READERS, math.ceil(len(hosts) / HOSTS_PER_READER))
         chosen = rank('readers', hosts)[:count]
         if self._host in chosen:
@@ -117,8 +126,12 @@
     def _is_sound(self, reader: str, answer: Snapshot | Changes) -> bool:
         """Return whether a reader is in touch with the store."""
         assert answer.proof is not None
-        if answer.proof.age_s > OLD_PROOF_S:
-            self._avoid(reader, f'its proof is {answer.proof.age_s:.1f} s old')
+        proof = answer.proof
+        if proof.age_s > OLD_PROOF_S or proof.silent_s > SILENT_S:
+            reason = (
+                f'proof {proof.age_s:.1f} s old, store silent {proof.silent_s:.1f} s'
+            )
+            self._avoid(reader, reason)
             return False
         self._use(reader)
         return True
@@ -132,3 +145,53 @@
         if reader != self._source:
             log_event('reader_changed', reader=reader, previous=self._source)
             self._source = reader
+
+
+class ContactChecker:
+    """Asks the store for a sign of life while other hosts rely on this one.
+
+    Renewing a lease costs a tenth of a read.
+
+    :param store: the store itself
+    :param clock: the process's clock
+    :param lease: returns this host's lease, 0 while it has none
+    :param heard_at: returns when the feed last heard of the store
+    """
+
+    def __init__(
+        self,
+        store: RangeStore,
+        clock: Clock,
+        lease: Callable[[], int],
+        heard_at: Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._lease = lease
+        self._heard_at = heard_at
+        self._touched_at = -math.inf
+
+    def silent_s(self) -> float:
+        """Return how long ago the store was last heard of."""
+        heard_at = max(self._touched_at, self._heard_at())
+        return self._clock.monotonic() - heard_at
+
+    def run(self, mirror: Mirror) -> None:
+        """Check for ever, as long as a mirror is asked.
+
+        :param mirror: of this host
+        """
+        while True:
+            gevent.sleep(TOUCH_S)
+            asked = time.monotonic() - mirror.asked_at < ASKED_S
+            if asked and self._lease():
+                self._touch()
+
+    def _touch(self) -> None:
+        started = self._clock.monotonic()
+        try:
+            self._store.renew_lease(self._lease())
+        except PlatformError as exc:
+            log_event('store_touch_failed', reason=exc.message)
+        else:
+            self._touched_at = started
