Hand upstreams over to new dispatchers; learn nothing from what they had

A new dispatcher adopted requests in flight and took the time since they were placed for the time that the engine needs: it believed engines up to eight times slower than they were, and refused digests beside idle engines. It also knew nothing of what engines hold, heard of other hosts' requests only with their next ask, and refused requests while it knew no upstream yet. Change: Handover keeps who has the books of each upstream; when hosts or upstreams change it tells the new keeper requests, prompts and engine speeds at once. Adopted requests teach nothing. A host that knows no upstream says so and another one decides. Incarnations are random: a host whose clock went back before its restart was never heard again. The receiver no longer spins on a closed socket. Tests draw ports below the ephemeral range: one run failed with an address in use.

--- a/packages/experiments/src/rosemaryseam/experiments/run.py
+++ b/packages/experiments/src/rosemaryseam/experiments/run.py
@@ -9,23 +9,19 @@
 from absl import app, flags
 
 from rosemaryseam.experiments.fleet import ZONE, Fleet
+from rosemaryseam.experiments.hosts import ModelHost, ModelHosts
 from rosemaryseam.experiments.load import draw_arrivals
 from rosemaryseam.experiments.report import format_result, summarise
 from rosemaryseam.experiments.scenarios import SCENARIOS
-from rosemaryseam.node.metrics import Metrics
-from rosemaryseam.router.books import PlacementBooks
-from rosemaryseam.router.dispatch import Dispatcher, DispatchPlacer
 from rosemaryseam.router.placement import LeastLoadedPlacer, Placer
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Sequence
 
     from rosemaryseam.experiments.events import Timeline
     from rosemaryseam.experiments.report import DayResult
-    from rosemaryseam.router.placement import Order, Ticket
     from rosemaryseam.router.routes import Service
-    from rosemaryseam.router.upstreams import Registry, Upstream
+    from rosemaryseam.router.upstreams import Registry
 
 _SCENARIO = flags.DEFINE_multi_enum(
     'scenario', sorted(SCENARIOS), sorted(SCENARIOS), 'Which days to play.'
@@ -33,11 +29,13 @@
 _POLICY = flags.DEFINE_enum(
     'policy',
     'dispatched',
-    ['dispatched', 'separate', 'least_loaded'],
+    ['dispatched', 'restarting', 'separate', 'least_loaded'],
     'Which policy places requests.',
 )
 _SEEDS = flags.DEFINE_integer('seeds', 1, 'How many seeds to play.', lower_bound=1)
 _TAIL_S = 20.0  # for the last answers
+FIRST_RESTART_S = 1.0
+RESTART_GAP_S = 2.0
 
 
 def make_dispatched(
@@ -48,7 +46,20 @@
     hosts: int,
 ) -> list[Placer]:
     """Return placers that share the books of their dispatchers."""
-    return [_make_placer(timeline, registry, service, rng)]
+    return [_make_host(timeline, registry, service, rng)]
+
+
+def make_restarting(
+    timeline: Timeline,
+    registry: Registry,
+    service: Service,
+    rng: random.Random,
+    hosts: int,
+) -> list[Placer]:
+    """Return placers of hosts that restart one after the other."""
+    fleet = ModelHosts(hosts, ZONE, timeline, registry, service, rng)
+    fleet.schedule_restarts(FIRST_RESTART_S, RESTART_GAP_S)
+    return fleet.placers
 
 
 def make_separate(
@@ -59,7 +70,7 @@
     hosts: int,
 ) -> list[Placer]:
     """Return placers that know only their own host's requests."""
-    return [_make_placer(timeline, registry, service, rng) for _ in range(hosts)]
+    return [_make_host(timeline, registry, service, rng) for _ in range(hosts)]
 
 
 def make_least_loaded(
@@ -73,41 +84,15 @@
     return [LeastLoadedPlacer() for _ in range(hosts)]
 
 
-def _make_placer(
+def _make_host(
     timeline: Timeline, registry: Registry, service: Service, rng: random.Random
-) -> Placer:
-    books = PlacementBooks(timeline, lambda _: service, rng)
-    books.retain(registry.all())
-    metrics = Metrics()
-    dispatcher = Dispatcher(books, registry, metrics)
-    return _FollowingPlacer(
-        DispatchPlacer('host', ZONE, timeline, metrics, books, dispatcher, registry),
-        books,
-        registry,
-    )
-
-
-class _FollowingPlacer(Placer):
-    """Keeps a placer's books in step with the registry, as the feed does."""
-
-    def __init__(
-        self, placer: DispatchPlacer, books: PlacementBooks, registry: Registry
-    ) -> None:
-        self._placer = placer
-        self._books = books
-        self._registry = registry
-        self._known: tuple[Upstream, ...] = ()
-
-    def place(self, order: Order, upstreams: Sequence[Upstream]) -> Ticket:
-        """Return a ticket for an upstream."""
-        if self._registry.all() != self._known:
-            self._known = self._registry.all()
-            self._books.retain(self._known)
-        return self._placer.place(order, upstreams)
+) -> ModelHost:
+    return ModelHost('host', ZONE, timeline, registry, service, rng)
 
 
 POLICIES = {
     'dispatched': make_dispatched,
+    'restarting': make_restarting,
     'separate': make_separate,
     'least_loaded': make_least_loaded,
 }
--- a/packages/policy/src/rosemaryseam/policy/engines.py
+++ b/packages/policy/src/rosemaryseam/policy/engines.py
@@ -125,6 +125,24 @@
             return
         if not self._pending:
             self._alone.add(flight.key)
+        self._put(flight, now)
+
+    def adopt(self, flight: Flight, now: float, *, started: bool) -> None:
+        """Note a request that another host knew of; its times teach nothing.
+
+        :param flight: the request
+        :param now: seconds on the monotonic clock
+        :param started: whether its first event arrived
+        """
+        if flight.key in self._pending or flight.key in self._decoding:
+            return
+        self._put(flight, now)
+        if started:
+            self._decoding[flight.key] = self._pending.pop(flight.key)
+            self._first_at[flight.key] = flight.placed_at + flight.expected_first_s
+            self._bound_backlog(now)
+
+    def _put(self, flight: Flight, now: float) -> None:
         self._pending[flight.key] = flight
         if flight.pause_s is not None:
             self._limits[flight.pause_s, flight.rank] += 1
@@ -138,6 +156,14 @@
         self._recent_prefill_s = self._recent_work(now) + work
         self._recent_at = now
 
+    def adopt_speed(self, speed: float) -> None:
+        """Take over what another host learnt of the engine, if nothing is known here.
+
+        :param speed: as :attr:`speed` there
+        """
+        if self._nominal_s == SPEED_PRIOR_S:
+            self._took_s = SPEED_PRIOR_S * speed
+
     def first_event(self, key: FlightKey, now: float) -> None:
         """Note that a request's first event arrived: its prefill is done.
 
--- a/packages/policy/src/rosemaryseam/policy/prefixes.py
+++ b/packages/policy/src/rosemaryseam/policy/prefixes.py
@@ -103,7 +103,8 @@
         """
         for digest, _ in parts:
             last = self._uses.pop(digest, None)
-            self._uses[digest] = _Use(now, 0.0) if last is None else _next(last, now)
+            use = _Use(now, 0.0) if last is None else _next(last, now)
+            self._uses[digest] = use
         while len(self._uses) > MAX_PARTS:
             self._uses.popitem(last=False)
 
@@ -133,4 +134,4 @@
     gap = max(MIN_GAP_S, now - last.at)
     weight = min(1.0, gap / RATE_MEMORY_S)
     rate = last.per_s + weight * (1.0 / gap - last.per_s)
-    return _Use(now, rate)
+    return _Use(max(now, last.at), rate)
--- a/packages/router/src/rosemaryseam/router/books.py
+++ b/packages/router/src/rosemaryseam/router/books.py
@@ -80,7 +80,8 @@
 
     ``urgency`` is the engine's order of admission. ``answer_limit_s`` is how long an
     answer is awaited where no stream tells that the upstream lives. ``inputs`` is what
-    decided, for the log.
+    decided, for the log. ``engine_speed`` is how many times slower than its sheet
+    says the engine is believed to be.
     """
 
     number: int
@@ -89,9 +90,19 @@
     fetch_from: str | None
     expected_first_s: float
     answer_limit_s: float | None
+    engine_speed: float
     inputs: dict[str, object]
 
 
+class Placed(NamedTuple):
+    """A prompt that an engine read lately; ``engine_speed`` is how slow it then was."""
+
+    upstream: str
+    parts: tuple[Part, ...]
+    engine_speed: float
+    age_s: float
+
+
 class Held(NamedTuple):
     """A request in flight that another dispatcher, or none, has placed."""
 
@@ -102,6 +113,7 @@
     memory_tokens: int
     output_tokens: int
     pause_s: float | None
+    expected_first_s: float
     age_s: float
     patience_s: float
     started: bool
@@ -230,6 +242,7 @@
             choice.fetch_from,
             choice.first_event_s,
             None,
+            view.speed,
             inputs,
         )
 
@@ -299,7 +312,7 @@
         self._note(host, query, chosen.id, None, now)
         limit = self._durations.limit_s(query.service, query.time_left_s)
         return Placement(
-            query.number, chosen.id, None, None, FIRST_EVENT_APP_S, limit, inputs
+            query.number, chosen.id, None, None, FIRST_EVENT_APP_S, limit, 1.0, inputs
         )
 
     def _penalty(self, name: str, names: Sequence[str], now: float) -> float:
@@ -320,15 +333,16 @@
             memory_tokens=own_tokens + query.output_tokens,
             output_tokens=query.output_tokens,
             pause_s=query.pause_s if choice else None,
+            expected_first_s=choice.first_event_s if choice else FIRST_EVENT_APP_S,
             age_s=0.0,
             patience_s=query.patience_s,
             started=False,
         )
-        expected = choice.first_event_s if choice else FIRST_EVENT_APP_S
-        self._add(host, held, expected, now)
+        record = self._records[name]
+        record.view.add(self._flight(host, held, now), now)
         if query.parts:
-            record = self._records[name]
-            record.cache.touch(query.parts, record.view.output_tokens, now + expected)
+            ready_at = now + held.expected_first_s
+            record.cache.touch(query.parts, record.view.output_tokens, ready_at)
             self._uses.touch(query.parts[:-1], now)
 
     # What becomes of requests.
@@ -342,11 +356,23 @@
         upstream = self._upstreams.get(held.upstream)
         if upstream is None or held.number in self._flights.get(host, {}):
             return
-        self._record(upstream)
         now = self._clock.monotonic()
-        self._add(host, held, FIRST_EVENT_APP_S, now)
-        if held.started:
-            self.started(host, held.number)
+        flight = self._flight(host, held, now)
+        self._record(upstream).view.adopt(flight, now, started=held.started)
+
+    def adopt_placed(self, placed: Placed) -> None:
+        """Note a prompt that an engine read before this dispatcher knew of it.
+
+        :param placed: the prompt
+        """
+        upstream = self._upstreams.get(placed.upstream)
+        if upstream is None:
+            return
+        now = self._clock.monotonic()
+        record = self._record(upstream)
+        record.view.adopt_speed(placed.engine_speed)
+        record.cache.touch(placed.parts, record.view.output_tokens, now)
+        self._uses.touch(placed.parts[:-1], now - placed.age_s)
 
     def started(self, host: str, number: int) -> None:
         """Note that a request got its first event.
@@ -415,6 +441,15 @@
                 del self._records[name]
         self._outliers.forget(kept)
 
+    def cached_tokens(self, name: str, parts: Sequence[Part]) -> int:
+        """Return how many leading tokens of a prompt an engine is believed to hold.
+
+        :param name: id of the engine
+        :param parts: the prompt's parts in order
+        """
+        record = self._records.get(name)
+        return record.cache.cached_tokens(parts) if record is not None else 0
+
     def dump(self) -> dict[str, object]:
         """Return what is believed of each upstream, in JSON's types."""
         now = self._clock.monotonic()
@@ -430,8 +465,10 @@
             for name, record in self._records.items()
         }
 
-    def _add(self, host: str, held: Held, expected_s: float, now: float) -> None:
-        flight = Flight(
+    def _flight(self, host: str, held: Held, now: float) -> Flight:
+        """Return a request in flight and note who has it."""
+        self._flights.setdefault(host, {})[held.number] = held.upstream
+        return Flight(
             FlightKey(host, held.number),
             held.rank,
             held.prefill_tokens,
@@ -439,11 +476,9 @@
             held.output_tokens,
             held.pause_s,
             now - held.age_s,
-            expected_s,
+            held.expected_first_s,
             now + held.patience_s,
         )
-        self._records[held.upstream].view.add(flight, now)
-        self._flights.setdefault(host, {})[held.number] = held.upstream
 
     def _close(self, name: str, now: float) -> None:
         """Send nothing to an upstream for a while, and forget what it held."""
--- a/packages/router/src/rosemaryseam/router/datagrams.py
+++ b/packages/router/src/rosemaryseam/router/datagrams.py
@@ -4,12 +4,15 @@
 
 import json
 import pathlib
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import capnp
 
 from rosemaryseam.common.errors import PeerError
-from rosemaryseam.router.books import Held, Placement, Query
+from rosemaryseam.router.books import Held, Placed, Placement, Query
+
+if TYPE_CHECKING:
+    from rosemaryseam.policy.prefixes import Part
 
 MAX_DATAGRAM_BYTES = 60_000
 MAX_TRAVERSAL_WORDS = 65_536
@@ -29,7 +32,8 @@
 class Reply(NamedTuple):
     """The dispatcher's answer: a placement, or why there is none.
 
-    ``pressure`` tells how busy its engines are, 0 to 1.
+    ``pressure`` tells how busy its engines are, 0 to 1. ``unable`` tells that the host
+    knows no upstream of the service yet, so that another one must decide.
     """
 
     number: int
@@ -37,6 +41,7 @@
     refusal: str
     retry_after_s: float
     pressure: float
+    unable: bool = False
 
 
 class Ended(NamedTuple):
@@ -64,6 +69,7 @@
     ended: tuple[Ended, ...] = ()
     held: tuple[Held, ...] = ()
     active: tuple[int, ...] = ()
+    placed: tuple[Placed, ...] = ()
 
 
 def encode(datagram: Datagram) -> bytes:
@@ -82,6 +88,7 @@
         ended=[_plain_ended(entry) for entry in datagram.ended],
         held=[_plain_held(entry) for entry in datagram.held],
         active=list(datagram.active),
+        placed=[_plain_placed(entry) for entry in datagram.placed],
     )
     return message.to_bytes_packed()
 
@@ -107,6 +114,7 @@
             ended=tuple(_read_ended(entry) for entry in message.ended),
             held=tuple(_read_held(entry) for entry in message.held),
             active=tuple(message.active),
+            placed=tuple(_read_placed(entry) for entry in message.placed),
         )
     except (capnp.KjException, ValueError) as exc:
         raise PeerError(f'unreadable datagram: {exc}') from exc
@@ -126,7 +134,7 @@
         'route': query.route,
         'rank': query.rank,
         'workspaceRank': NONE if rank is None else rank,
-        'parts': [{'digest': digest, 'tokens': size} for digest, size in query.parts],
+        'parts': _plain_parts(query.parts),
         'promptTokens': query.prompt_tokens,
         'outputTokens': query.output_tokens,
         'mostOutputTokens': query.most_output_tokens,
@@ -147,7 +155,7 @@
         route=entry.route,
         rank=entry.rank,
         workspace_rank=None if rank == NONE else rank,
-        parts=tuple((part.digest, part.tokens) for part in entry.parts),
+        parts=_read_parts(entry.parts),
         prompt_tokens=entry.promptTokens,
         output_tokens=entry.outputTokens,
         most_output_tokens=entry.mostOutputTokens,
@@ -169,6 +177,7 @@
             'refusal': reply.refusal,
             'retryAfterMs': _ms(reply.retry_after_s),
             'pressure': reply.pressure,
+            'unable': reply.unable,
         }
     urgency = placement.urgency
     return {
@@ -179,6 +188,7 @@
         'expectedFirstMs': _ms(placement.expected_first_s),
         'answerLimitMs': _ms(placement.answer_limit_s),
         'inputs': json.dumps(placement.inputs),
+        'engineSpeed': placement.engine_speed,
         'pressure': reply.pressure,
     }
 
@@ -193,6 +203,7 @@
             fetch_from=entry.fetchFrom or None,
             expected_first_s=entry.expectedFirstMs / 1000,
             answer_limit_s=entry.answerLimitMs / 1000 or None,
+            engine_speed=entry.engineSpeed,
             inputs=json.loads(entry.inputs or '{}'),
         )
     return Reply(
@@ -201,6 +212,7 @@
         entry.refusal,
         entry.retryAfterMs / 1000,
         entry.pressure,
+        entry.unable,
     )
 
 
@@ -225,6 +237,7 @@
         'memoryTokens': entry.memory_tokens,
         'outputTokens': entry.output_tokens,
         'pauseMs': _ms(entry.pause_s),
+        'expectedFirstMs': _ms(entry.expected_first_s),
         'ageMs': _ms(entry.age_s),
         'patienceMs': _ms(entry.patience_s),
         'started': entry.started,
@@ -240,7 +253,34 @@
         memory_tokens=entry.memoryTokens,
         output_tokens=entry.outputTokens,
         pause_s=entry.pauseMs / 1000 if entry.pauseMs else None,
+        expected_first_s=entry.expectedFirstMs / 1000,
         age_s=entry.ageMs / 1000,
         patience_s=entry.patienceMs / 1000,
         started=entry.started,
     )
+
+
+def _plain_placed(entry: Placed) -> dict[str, object]:
+    return {
+        'upstream': entry.upstream,
+        'parts': _plain_parts(entry.parts),
+        'engineSpeed': entry.engine_speed,
+        'ageMs': _ms(entry.age_s),
+    }
+
+
+def _read_placed(entry: object) -> Placed:
+    return Placed(
+        entry.upstream,
+        _read_parts(entry.parts),
+        entry.engineSpeed,
+        entry.ageMs / 1000,
+    )
+
+
+def _plain_parts(parts: tuple[Part, ...]) -> list[dict[str, int]]:
+    return [{'digest': digest, 'tokens': size} for digest, size in parts]
+
+
+def _read_parts(entries: object) -> tuple[Part, ...]:
+    return tuple((part.digest, part.tokens) for part in entries)
--- a/packages/router/src/rosemaryseam/router/dispatch.py
+++ b/packages/router/src/rosemaryseam/router/dispatch.py
@@ -3,27 +3,29 @@
 from __future__ import annotations
 
 import math
-from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 import gevent
 from gevent.event import AsyncResult
 
 from rosemaryseam.common.decisionlog import log_event
-from rosemaryseam.policy.slots import SlotPlan
-from rosemaryseam.router.books import NO_UPSTREAM_RETRY_S, Held, Query, hashed_parts
-from rosemaryseam.router.datagrams import Ask, Ended, Reply
+from rosemaryseam.router.books import NO_UPSTREAM_RETRY_S, Query, hashed_parts
+from rosemaryseam.router.datagrams import Ask, Ended
+from rosemaryseam.router.handover import Handover
 from rosemaryseam.router.placement import NoUpstreamError, Order, Placer, Ticket
+from rosemaryseam.router.tickets import DispatchTicket
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from rosemaryseam.common.addresses import Address
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.node.metrics import Metrics
+    from rosemaryseam.policy.slots import SlotPlan
     from rosemaryseam.router.books import Placement, PlacementBooks
-    from rosemaryseam.router.datagrams import Datagram
-    from rosemaryseam.router.peers import PeerLink
-    from rosemaryseam.router.requests import AnswerHead
+    from rosemaryseam.router.datagrams import Reply
+    from rosemaryseam.router.dispatcher import Dispatcher
+    from rosemaryseam.router.hostlink import HostLink
     from rosemaryseam.router.upstreams import Registry, Upstream
 
 ASK_AGAIN_S = 0.012  # a datagram was lost; a dispatcher answers in 1 to 3 ms
@@ -34,176 +36,9 @@
 OFFERED_SLOTS = 2  # dispatchers that may refuse a request before it is refused
 PRESSURE_S = 1.0  # how long a dispatcher's pressure is believed
 PRESSURE_MARGIN = 0.2  # above another slot's, at which a session leaves its slot
-KEPT_REPLIES = 2000  # for asks that come again
-SILENT_S = 1.0  # streams of a sound engine never pause for so long
-SILENT_PREFILL_S = 2.0  # beyond three times the expected wait for a first event
 WRONG_PLACEMENTS = 3  # of upstreams that this host knows to be gone
 
 
-class Dispatcher:
-    """Answers other hosts' asks from this host's books.
-
-    :param books: what is known of the upstreams
-    :param registry: the usable upstreams
-    :param metrics: the process's counters
-    """
-
-    def __init__(
-        self, books: PlacementBooks, registry: Registry, metrics: Metrics
-    ) -> None:
-        self._books = books
-        self._registry = registry
-        self._metrics = metrics
-        self._plans: dict[str, tuple[tuple[str, ...], SlotPlan]] = {}
-        self._replies: OrderedDict[tuple[str, int], Reply] = OrderedDict()
-
-    def plan(self, service: str) -> SlotPlan:
-        """Return the division of a service's upstreams that is in force.
-
-        :param service: its name
-        """
-        names = tuple(upstream.id for upstream in self._registry.usable(service))
-        known = self._plans.get(service)
-        if known is None or known[0] != names:
-            known = (names, SlotPlan(service, names))
-            self._plans[service] = known
-        return known[1]
-
-    def answer(self, host: str, ask: Ask) -> Reply:
-        """Place a request, or repeat the answer to an ask that came again.
-
-        :param host: that asks
-        :param ask: the request
-        """
-        key = (host, ask.query.number)
-        reply = self._replies.get(key)
-        if reply is None:
-            reply = self._decide(host, ask)
-            self._replies[key] = reply
-            if len(self._replies) > KEPT_REPLIES:
-                self._replies.popitem(last=False)
-        return reply
-
-    def _decide(self, host: str, ask: Ask) -> Reply:
-        query = ask.query
-        names = self.plan(query.service).members(ask.slot)
-        pressure = self._books.pressure(names)
-        self._metrics.count('dispatched', service=query.service)
-        try:
-            placement = self._books.place(host, query, names)
-        except NoUpstreamError as exc:
-            return Reply(query.number, None, str(exc), exc.retry_after_s, pressure)
-        return Reply(query.number, placement, '', 0.0, pressure)
-
-    def take(self, datagram: Datagram) -> list[Reply]:
-        """Take over a host's news and return the answers to its asks.
-
-        :param datagram: the news
-        """
-        host = datagram.host
-        for held in datagram.held:
-            self._books.adopt(host, held)
-        replies = [self.answer(host, ask) for ask in datagram.asks]
-        for number in datagram.started:
-            self._books.started(host, number)
-        for entry in datagram.ended:
-            self._books.ended(host, entry.number, entry.outcome, entry.took_s)
-        if datagram.sync:
-            self._books.keep_only(host, set(datagram.active))
-        return replies
-
-
-class DispatchTicket(Ticket):
-    """A request of this host; tells its dispatcher what becomes of it.
-
-    :param placer: of this host
-    :param clock: the process's clock
-    :param upstream: that gets the request
-    :param query: as it was asked
-    :param placement: as it was answered
-    :param slot: service and slot
-    :param keeper: the host that placed it
-    """
-
-    def __init__(
-        self,
-        placer: DispatchPlacer,
-        clock: Clock,
-        upstream: Upstream,
-        query: Query,
-        placement: Placement,
-        slot: tuple[str, int],
-        keeper: str,
-    ) -> None:
-        self._placer = placer
-        self._clock = clock
-        self._query = query
-        self._placement = placement
-        self._placed_at = clock.monotonic()
-        self._last_event_at = self._placed_at
-        self._started = False
-        self._ended = False
-        self.number = query.number
-        self.slot = slot
-        self.keeper = keeper
-        self.upstream = upstream
-        self.urgency = placement.urgency
-        self.fetch_from = placer.address_of(placement.fetch_from)
-        self.first_s = None
-        self.pause_s = 0.0
-        self.inputs = {**placement.inputs, 'dispatcher': keeper}
-
-    def answered(self, head: AnswerHead) -> None:
-        """Learn nothing; engines answer with their first event."""
-
-    def event(self) -> None:
-        """Note an event and the pause before it."""
-        now = self._clock.monotonic()
-        if self._started:
-            self.pause_s = max(self.pause_s, now - self._last_event_at)
-        else:
-            self._started = True
-            self.first_s = now - self._placed_at
-            self._placer.note_started(self)
-        self._last_event_at = now
-
-    def is_hopeless(self) -> bool:
-        """Return whether the upstream has fallen silent."""
-        waited = self._clock.monotonic() - self._last_event_at
-        if not self._query.parts:
-            limit = self._placement.answer_limit_s
-            return limit is not None and waited > limit
-        if self._started:
-            return waited > SILENT_S
-        return waited > SILENT_PREFILL_S + 3 * self._placement.expected_first_s
-
-    def end(self, outcome: str) -> None:
-        """Note the end."""
-        if not self._ended:
-            self._ended = True
-            took_s = self._clock.monotonic() - self._placed_at
-            self._placer.note_ended(self, outcome, took_s)
-
-    def held(self) -> Held:
-        """Return what another dispatcher needs to know of the request."""
-        query = self._query
-        age = self._clock.monotonic() - self._placed_at
-        prefill = self._placement.inputs.get('prefill_tokens', 0)
-        own_tokens = query.parts[-1][1] if query.parts else 0
-        return Held(
-            number=self.number,
-            upstream=self.upstream.id,
-            rank=query.rank,
-            prefill_tokens=0 if self._started else int(prefill),
-            memory_tokens=own_tokens + query.output_tokens,
-            output_tokens=query.output_tokens,
-            pause_s=query.pause_s if query.parts else None,
-            age_s=age,
-            patience_s=max(0.0, query.patience_s - age),
-            started=self._started,
-        )
-
-
 class DispatchPlacer(Placer):
     """Asks the dispatcher of a slot; decides by itself when none answers.
 
@@ -214,6 +49,7 @@
     :param books: this host's own
     :param dispatcher: this host's own
     :param registry: the usable upstreams
+    :param first_number: from which requests are numbered; differs between processes
     """
 
     def __init__(
@@ -225,6 +61,7 @@
         books: PlacementBooks,
         dispatcher: Dispatcher,
         registry: Registry,
+        first_number: int = 0,
     ) -> None:
         self._host = host
         self._zone = zone
@@ -233,20 +70,20 @@
         self._books = books
         self._dispatcher = dispatcher
         self._registry = registry
-        self._link: PeerLink | None = None
-        self._numbers = 0
+        self._link: HostLink | None = None
+        self.handover = Handover(host, clock, books)
+        self._numbers = first_number
         self._waiting: dict[int, AsyncResult] = {}
-        self._active: dict[int, DispatchTicket] = {}
-        self._keepers: dict[tuple[str, int], str] = {}
         self._suspects: dict[str, tuple[float, float]] = {}  # until, and how long
         self._pressures: dict[tuple[str, int], tuple[float, float]] = {}
 
-    def connect(self, link: PeerLink) -> None:
+    def connect(self, link: HostLink) -> None:
         """Set how other hosts are reached.
 
         :param link: to the other hosts
         """
         self._link = link
+        self.handover.connect(link)
 
     # Placement.
 
@@ -284,8 +121,8 @@
             keeper, placement = self._ask_any(plan, slot, query)
             upstream = self._usable(query.service, placement.upstream)
             if upstream is not None:
-                return self._ticket(upstream, query, placement, slot, keeper)
-            self._tell_ended(keeper, Ended(query.number, 'cancelled', 0.0))
+                return self._ticket(upstream, query, placement, keeper)
+            self.handover.tell_ended(keeper, Ended(query.number, 'cancelled', 0.0))
             excluded = (*query.excluded, placement.upstream)
             query = query._replace(excluded=excluded, number=self._next_number())
         raise NoUpstreamError('dispatchers name upstreams that left', 0.2)
@@ -299,7 +136,7 @@
             if host == self._host or asked >= ASKED_HOSTS:
                 break
             asked += 1
-            self._move_to(host, query.service, slot)
+            self.handover.assign(plan.members(slot), host)
             reply = self._ask(host, Ask(slot, query))
             if reply is None:
                 continue
@@ -309,8 +146,8 @@
             if reply.placement is None:
                 raise NoUpstreamError(reply.refusal, reply.retry_after_s)
             return host, reply.placement
-        self._move_to(self._host, query.service, slot)
         names = plan.members(slot)
+        self.handover.assign(names, self._host)
         self._pressures[query.service, slot] = (
             self._books.pressure(names),
             self._clock.monotonic(),
@@ -331,13 +168,14 @@
                 reply = _wait(result, ASK_S - ASK_AGAIN_S)
         finally:
             del self._waiting[number]
-        if reply is None:
-            self._suspect(host, ask)
+        if reply is None or reply.unable:
+            self._suspect(host, ask, 'silent' if reply is None else reply.refusal)
+            return None
         return reply
 
-    def _suspect(self, host: str, ask: Ask) -> None:
+    def _suspect(self, host: str, ask: Ask, reason: str) -> None:
         """Pass a dispatcher over for a while, twice as long as the last time."""
-        self._metrics.count('dispatchers_silent')
+        self._metrics.count('dispatchers_suspected')
         _, length = self._suspects.get(host, (0.0, SUSPECT_S / 2))
         length = min(MOST_SUSPECT_S, length * 2)
         self._suspects[host] = (self._clock.monotonic() + length, length)
@@ -345,9 +183,10 @@
             'dispatcher_suspected',
             dispatcher=host,
             service=ask.query.service,
+            reason=reason,
             seconds=length,
         )
-        self._tell_ended(host, Ended(ask.query.number, 'cancelled', 0.0))
+        self.handover.tell_ended(host, Ended(ask.query.number, 'cancelled', 0.0))
 
     def _hosts(self) -> list[str]:
         """Return the hosts that may dispatch now, this one included."""
@@ -380,23 +219,18 @@
         )
 
     def _ticket(
-        self,
-        upstream: Upstream,
-        query: Query,
-        placement: Placement,
-        slot: int,
-        keeper: str,
+        self, upstream: Upstream, query: Query, placement: Placement, keeper: str
     ) -> DispatchTicket:
         ticket = DispatchTicket(
-            self,
+            self.handover,
             self._clock,
             upstream,
             query,
             placement,
-            (query.service, slot),
+            self._address_of(placement.fetch_from),
             keeper,
         )
-        self._active[ticket.number] = ticket
+        self.handover.note_placed(ticket)
         return ticket
 
     def _usable(self, service: str, name: str) -> Upstream | None:
@@ -405,11 +239,7 @@
                 return upstream
         return None
 
-    def address_of(self, name: str | None) -> object:
-        """Return the address of an upstream, or ``None``.
-
-        :param name: its id
-        """
+    def _address_of(self, name: str | None) -> Address | None:
         for upstream in self._registry.all() if name else ():
             if upstream.id == name:
                 return upstream.address
@@ -421,26 +251,6 @@
 
     # News.
 
-    def note_started(self, ticket: DispatchTicket) -> None:
-        """Tell the keeper of a request that its first event came.
-
-        :param ticket: of the request
-        """
-        if ticket.keeper == self._host or self._link is None:
-            self._books.started(self._host, ticket.number)
-        else:
-            self._link.tell_started(ticket.keeper, ticket.number)
-
-    def note_ended(self, ticket: DispatchTicket, outcome: str, took_s: float) -> None:
-        """Tell the keeper of a request how it ended.
-
-        :param ticket: of the request
-        :param outcome: as :meth:`Ticket.end` gets it
-        :param took_s: from its placement on
-        """
-        self._active.pop(ticket.number, None)
-        self._tell_ended(ticket.keeper, Ended(ticket.number, outcome, took_s))
-
     def take_reply(self, reply: Reply) -> None:
         """Give a dispatcher's answer to the request that waits for it.
 
@@ -455,51 +265,24 @@
 
         :param host: that restarted
         """
-        for slot, keeper in list(self._keepers.items()):
-            if keeper == host:
-                del self._keepers[slot]
-
-    def active_at(self, keeper: str) -> list[int]:
-        """Return the numbers of this host's requests that a dispatcher keeps.
-
-        :param keeper: the dispatcher
-        """
-        return [
-            number for number, ticket in self._active.items() if ticket.keeper == keeper
-        ]
-
-    def keepers(self) -> set[str]:
-        """Return the dispatchers that keep requests of this host, or lately did."""
-        return {host for host in self._keepers.values() if host != self._host}
-
-    def _tell_ended(self, keeper: str, entry: Ended) -> None:
-        if keeper == self._host or self._link is None:
-            self._books.ended(self._host, entry.number, entry.outcome, entry.took_s)
-        else:
-            self._link.tell_ended(keeper, entry)
-
-    def _move_to(self, host: str, service: str, slot: int) -> None:
-        """Hand this host's requests of a slot over when its dispatcher changes."""
-        key = (service, slot)
-        before = self._keepers.get(key)
-        if before == host:
-            return
-        self._keepers[key] = host
-        moved = [ticket for ticket in self._active.values() if ticket.slot == key]
-        log_event(
-            'dispatcher_changed',
-            service=service,
-            slot=slot,
-            dispatcher=host,
-            previous=before,
-            requests=len(moved),
-        )
-        for ticket in moved:
-            ticket.keeper = host
-            if host == self._host or self._link is None:
-                self._books.adopt(self._host, ticket.held())
-            else:
-                self._link.tell_held(host, ticket.held())
+        self._suspects.pop(host, None)
+        self.handover.forget_keeper(host)
+        self.hosts_changed()
+
+    def hosts_changed(self) -> None:
+        """Hand upstreams over whose dispatcher is another one by now."""
+        kept = set(self.handover.kept_upstreams())
+        for plan in self._dispatcher.plans():
+            for slot in range(plan.count):
+                names = plan.members(slot)
+                if kept.intersection(names):
+                    first = plan.hosts(slot, self._hosts())[0]
+                    self.handover.assign(names, first)
+
+    def upstreams_changed(self) -> None:
+        """Take over a changed registry: slots may have other members."""
+        self.handover.retain(entry.id for entry in self._registry.all())
+        self.hosts_changed()
 
     def _next_number(self) -> int:
         self._numbers = (self._numbers + 1) % 2**32
--- /dev/null
+++ b/packages/router/src/rosemaryseam/router/hostlink.py
@@ -0,0 +1,60 @@
+"""How a host reaches the dispatchers of other hosts."""
+
+from __future__ import annotations
+
+import abc
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from rosemaryseam.router.books import Held, Placed
+    from rosemaryseam.router.datagrams import Ask, Ended
+
+
+class HostLink(abc.ABC):
+    """Sends messages that may be lost; nothing here waits."""
+
+    @abc.abstractmethod
+    def known_hosts(self) -> Sequence[str]:
+        """Return the other hosts that may dispatch."""
+
+    @abc.abstractmethod
+    def ask(self, host: str, ask: Ask) -> None:
+        """Ask a dispatcher to place a request.
+
+        :param host: the dispatcher
+        :param ask: the request
+        """
+
+    @abc.abstractmethod
+    def tell_started(self, host: str, number: int) -> None:
+        """Tell a dispatcher that an answer began.
+
+        :param host: the dispatcher
+        :param number: of the request
+        """
+
+    @abc.abstractmethod
+    def tell_ended(self, host: str, entry: Ended) -> None:
+        """Tell a dispatcher how a request ended.
+
+        :param host: the dispatcher
+        :param entry: the request's end
+        """
+
+    @abc.abstractmethod
+    def tell_held(self, host: str, held: Held) -> None:
+        """Tell a new dispatcher of a request in flight.
+
+        :param host: the dispatcher
+        :param held: the request
+        """
+
+    @abc.abstractmethod
+    def tell_placed(self, host: str, placed: Placed) -> None:
+        """Tell a new dispatcher of a prompt that an engine read lately.
+
+        :param host: the dispatcher
+        :param placed: the prompt
+        """
--- a/packages/router/src/rosemaryseam/router/peers.py
+++ b/packages/router/src/rosemaryseam/router/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections import deque
 from typing import TYPE_CHECKING
 
 import gevent
@@ -18,6 +19,7 @@
     decode,
     encode,
 )
+from rosemaryseam.router.hostlink import HostLink
 
 if TYPE_CHECKING:
     import random
@@ -26,9 +28,10 @@
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.common.rangestore import RangeStore
     from rosemaryseam.node.metrics import Metrics
-    from rosemaryseam.router.books import Held, PlacementBooks
+    from rosemaryseam.router.books import Held, Placed, PlacementBooks
     from rosemaryseam.router.datagrams import Ask, Ended, Reply
-    from rosemaryseam.router.dispatch import Dispatcher, DispatchPlacer
+    from rosemaryseam.router.dispatch import DispatchPlacer
+    from rosemaryseam.router.dispatcher import Dispatcher
 
 HOSTS_PREFIX = 'rosemaryseam/hosts/'
 LEASE_S = 600.0  # the store's longest: one renewal in minutes
@@ -36,7 +39,9 @@
 JOIN_RETRY_S = 1.0
 SYNC_S = 1.0
 SILENCE_S = 3.0  # a host that is silent for longer has no requests here
-MAX_HELD = 100  # requests handed over in one datagram
+RECEIVE_RETRY_S = 0.05  # after an error of the socket
+MAX_HANDED = 100  # requests or prompts handed over in one datagram
+PAST_INCARNATIONS = 8  # of each host, whose late datagrams are dropped
 
 
 class _Outbox:
@@ -48,9 +53,10 @@
         self.started: list[int] = []
         self.ended: list[Ended] = []
         self.held: list[Held] = []
+        self.placed: list[Placed] = []
 
 
-class PeerLink:
+class PeerLink(HostLink):
     """Sends this host's asks, answers and news, and hands out those of others.
 
     :param address: where this host listens
@@ -82,13 +88,14 @@
         self._placer = placer
         self._dispatcher = dispatcher
         self._books = books
-        self._incarnation = int(clock.now().timestamp() * 1000)
+        self._incarnation = rng.getrandbits(63)
         self._heard: dict[str, float] = {}
         self._known: set[str] = set()
-        self._leaving: dict[str, int] = {}
-        self._incarnations: dict[str, int] = {}
+        self._leaving: set[str] = set()
+        self._incarnations: dict[str, deque[int]] = {}  # the last one is in force
         self._outboxes: dict[str, _Outbox] = {}
         self._flushing = False
+        self._closed = False
         self._lease = 0
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         # Datagrams leave from the loop's own callbacks, which must not wait.
@@ -132,6 +139,7 @@
 
     def close(self) -> None:
         """Close the port."""
+        self._closed = True
         self._sock.close()
         self._out.close()
 
@@ -150,42 +158,32 @@
         elif host not in self._known:
             self._known.add(host)
             log_event('peer_registered', peer=host)
-        self._leaving.pop(host, None)
+            self._send(host, Datagram(self._address.ip, self._incarnation))
+        self._leaving.discard(host)
+        self._placer.hosts_changed()
 
     # Sending.
 
     def ask(self, host: str, ask: Ask) -> None:
-        """Ask a dispatcher to place a request.
-
-        :param host: the dispatcher
-        :param ask: the request
-        """
+        """Ask a dispatcher to place a request."""
         self._outbox(host).asks.append(ask)
 
     def tell_started(self, host: str, number: int) -> None:
-        """Tell a dispatcher that an answer began.
-
-        :param host: the dispatcher
-        :param number: of the request
-        """
+        """Tell a dispatcher that an answer began."""
         self._outbox(host).started.append(number)
 
     def tell_ended(self, host: str, entry: Ended) -> None:
-        """Tell a dispatcher how a request ended.
-
-        :param host: the dispatcher
-        :param entry: the request's end
-        """
+        """Tell a dispatcher how a request ended."""
         self._outbox(host).ended.append(entry)
 
     def tell_held(self, host: str, held: Held) -> None:
-        """Tell a new dispatcher of a request in flight.
-
-        :param host: the dispatcher
-        :param held: the request
-        """
+        """Tell a new dispatcher of a request in flight."""
         self._outbox(host).held.append(held)
 
+    def tell_placed(self, host: str, placed: Placed) -> None:
+        """Tell a new dispatcher of a prompt that an engine read lately."""
+        self._outbox(host).placed.append(placed)
+
     def _outbox(self, host: str) -> _Outbox:
         outbox = self._outboxes.get(host)
         if outbox is None:
@@ -200,12 +198,7 @@
         self._flushing = False
         outboxes, self._outboxes = self._outboxes, {}
         for host, outbox in outboxes.items():
-            while len(outbox.held) > MAX_HELD:
-                held = tuple(outbox.held[:MAX_HELD])
-                del outbox.held[:MAX_HELD]
-                self._send(
-                    host, Datagram(self._address.ip, self._incarnation, held=held)
-                )
+            self._hand_over(host, outbox)
             self._send(
                 host,
                 Datagram(
@@ -215,15 +208,25 @@
                     replies=tuple(outbox.replies),
                     started=tuple(outbox.started),
                     ended=tuple(outbox.ended),
-                    held=tuple(outbox.held),
                 ),
             )
 
+    def _hand_over(self, host: str, outbox: _Outbox) -> None:
+        """Send what a new dispatcher needs to know, before it is asked."""
+        for start in range(0, len(outbox.placed), MAX_HANDED):
+            placed = tuple(outbox.placed[start : start + MAX_HANDED])
+            self._send(
+                host, Datagram(self._address.ip, self._incarnation, placed=placed)
+            )
+        for start in range(0, len(outbox.held), MAX_HANDED):
+            held = tuple(outbox.held[start : start + MAX_HANDED])
+            self._send(host, Datagram(self._address.ip, self._incarnation, held=held))
+
     def _sync(self) -> None:
         while True:
             gevent.sleep(SYNC_S * self._rng.uniform(0.9, 1.1))
-            for host in self._placer.keepers():
-                active = tuple(self._placer.active_at(host))
+            for host in self._placer.handover.keepers():
+                active = tuple(self._placer.handover.active_at(host))
                 self._send(
                     host,
                     Datagram(
@@ -250,7 +253,10 @@
             try:
                 data, (host, _) = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
             except OSError as exc:
+                if self._closed:
+                    return
                 self._metrics.count('peer_receive_failures', reason=str(exc.errno))
+                gevent.sleep(RECEIVE_RETRY_S)
                 continue
             try:
                 self._take(host, decode(data))
@@ -259,18 +265,12 @@
                 log_warning('peer_unreadable', peer=host, reason=exc.message)
 
     def _take(self, host: str, datagram: Datagram) -> None:
-        known = self._incarnations.get(host, 0)
-        if datagram.host != host or datagram.incarnation < known:
+        if datagram.host != host or not self._is_in_force(host, datagram.incarnation):
             return
-        if datagram.incarnation > known:
-            self._incarnations[host] = datagram.incarnation
-            self._leaving.pop(host, None)
-            self._books.forget_host(host)
-            self._placer.take_restart(host)
-            log_event('peer_heard', peer=host, incarnation=datagram.incarnation)
         if datagram.leaving:
-            self._leaving[host] = datagram.incarnation
+            self._leaving.add(host)
             log_event('peer_leaving', peer=host)
+            self._placer.hosts_changed()
             return
         self._heard[host] = self._clock.monotonic()
         for reply in datagram.replies:
@@ -278,6 +278,20 @@
         for reply in self._dispatcher.take(datagram):
             self._outbox(host).replies.append(reply)
 
+    def _is_in_force(self, host: str, incarnation: int) -> bool:
+        """Return whether a datagram is of a host's running process."""
+        known = self._incarnations.setdefault(host, deque(maxlen=PAST_INCARNATIONS))
+        if known and known[-1] == incarnation:
+            return True
+        if incarnation in known:
+            return False
+        known.append(incarnation)
+        self._leaving.discard(host)
+        self._books.forget_host(host)
+        log_event('peer_heard', peer=host, incarnation=incarnation)
+        self._placer.take_restart(host)
+        return True
+
     def _forget(self, host: str, reason: str) -> None:
         self._heard.pop(host, None)
         self._books.forget_host(host)
--- a/packages/router/src/rosemaryseam/router/peerwire.capnp
+++ b/packages/router/src/rosemaryseam/router/peerwire.capnp
@@ -35,6 +35,8 @@
   refusal @7 :Text;
   retryAfterMs @8 :UInt32;
   pressure @9 :Float32;
+  engineSpeed @10 :Float32;
+  unable @11 :Bool;
 }
 
 struct Ended {
@@ -54,6 +56,14 @@
   ageMs @7 :UInt32;
   patienceMs @8 :UInt32;
   started @9 :Bool;
+  expectedFirstMs @10 :UInt32;
+}
+
+struct Placed {
+  upstream @0 :Text;
+  parts @1 :List(Part);
+  engineSpeed @2 :Float32;
+  ageMs @3 :UInt32;
 }
 
 struct Datagram {
@@ -67,4 +77,5 @@
   ended @7 :List(Ended);
   held @8 :List(Held);
   active @9 :List(UInt32);
+  placed @10 :List(Placed);
 }
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -17,7 +17,8 @@
 from rosemaryseam.node.metrics import Metrics
 from rosemaryseam.router.books import PlacementBooks
 from rosemaryseam.router.callers import BodyMemory, CallerServer
-from rosemaryseam.router.dispatch import Dispatcher, DispatchPlacer
+from rosemaryseam.router.dispatch import DispatchPlacer
+from rosemaryseam.router.dispatcher import Dispatcher
 from rosemaryseam.router.feed import StateFeed
 from rosemaryseam.router.forwarder import Forwarder
 from rosemaryseam.router.mirror import Mirror, build_mirror
@@ -81,6 +82,7 @@
             self.books,
             self.dispatcher,
             self.registry,
+            self._rng.getrandbits(32),
         )
         self.peers = PeerLink(
             Address(cfg.ip, cfg.peer_port),
@@ -238,6 +240,7 @@
         usable = self.registry.all()
         self._pool.retain(entry.incarnation for entry in usable)
         self.books.retain(usable)
+        self._placer.upstreams_changed()
 
     def _on_other_item(self, item: Item) -> None:
         if item.key.startswith(HOSTS_PREFIX):
--- a/tests/test_experiments/test_loads.py
+++ b/tests/test_experiments/test_loads.py
@@ -16,7 +16,7 @@
 from rosemaryseam.experiments.run import POLICIES
 from rosemaryseam.experiments.scenarios import LEASING, MEDIATION
 from rosemaryseam.policy import engineplacement, engines
-from rosemaryseam.router import books
+from rosemaryseam.router import books, handover
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -156,3 +156,47 @@
 
 def test_the_same_seed_plays_the_same_day() -> None:
     assert play(CALM) == play(CALM)
+
+
+ROLLING = short(MEDIATION, length_s=16.0, bursts=(Burst('digest', 0.5, 14.0, 2.0),))
+
+
+def play_rolling() -> DayResult:
+    """Play a day on which all hosts restart in turn."""
+    return play(ROLLING, 'restarting')
+
+
+def test_a_rolling_restart_costs_little() -> None:
+    assert play_rolling().worth > play(ROLLING).worth - 0.03
+
+
+def adopt_as_own(view: engines.EngineView, *args: Any, started: bool) -> None:
+    """Stand in for a takeover that learns from requests of unknown history."""
+    flight, now = args
+    view.add(flight, now)
+    if started:
+        view.first_event(flight.key, now)
+
+
+def test_requests_taken_over_teach_nothing_of_their_engine(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    result = play_rolling()
+    monkeypatch.setattr(engines.EngineView, 'adopt', adopt_as_own)
+    assert play_rolling().worth < result.worth - 0.03
+
+
+def test_new_dispatchers_are_told_what_is_in_flight(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    result = play_rolling()
+    monkeypatch.setattr(handover.Handover, '_move', lambda *_: None)
+    assert play_rolling().worth < result.worth - 0.02
+
+
+def test_new_dispatchers_are_told_what_engines_hold(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    result = play_rolling()
+    monkeypatch.setattr(handover.Handover, '_recent', lambda *_: [])
+    assert play_rolling().read_again > 1.4 * result.read_again
--- a/tests/test_policy/test_engines.py
+++ b/tests/test_policy/test_engines.py
@@ -214,3 +214,25 @@
 
 TestEngineBooks = EngineBooks.TestCase
 TestEngineBooks.settings = settings(max_examples=60, stateful_step_count=40)
+
+
+@pytest.mark.parametrize('started', [False, True])
+def test_requests_of_unknown_history_teach_no_speed(started: bool) -> None:
+    view = EngineView(SIZE, TERMS)
+    entry = flight(1, 0.0)
+    view.adopt(entry, 4.0, started=started)
+    view.first_event(entry.key, 5.0)
+    assert view.speed == 1.0
+    assert view.streams == 1
+    assert view.backlog_s(5.0) == 0.0
+
+
+def test_a_speed_that_was_told_holds_until_another_is_learnt() -> None:
+    view = EngineView(SIZE, TERMS)
+    view.adopt_speed(2.0)
+    assert view.speed == 2.0
+    view.add(flight(1, 0.0), 0.0)
+    view.first_event(FlightKey('host', 1), 0.1)
+    learnt = view.speed
+    view.adopt_speed(4.0)
+    assert view.speed == learnt
--- a/tests/test_router/routers.py
+++ b/tests/test_router/routers.py
@@ -5,6 +5,7 @@
 import contextlib
 import itertools
 import json
+import random
 import socket as std_socket
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -34,6 +35,7 @@
 KEY = 'key-of-north'
 _NUMBERS = itertools.count(1)
 ANSWER_S = 5.0
+PORTS = (10_000, 32_000)
 
 ROUTES: dict[str, dict[str, Any]] = {
     'safe': {'repeat': 'whole', 'max_runs': 2, 'timeout_s': 1.0},
@@ -60,10 +62,16 @@
 
 
 def free_port() -> int:
-    """Return a port that nobody listens on."""
-    with std_socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return sock.getsockname()[1]
+    """Return a port that nobody listens on.
+
+    It lies below those that the system gives to outgoing connections, which would
+    otherwise take it before it is used.
+    """
+    while True:
+        port = random.randint(*PORTS)
+        with contextlib.suppress(OSError), std_socket.socket() as sock:
+            sock.bind(('127.0.0.1', port))
+            return port
 
 
 def configuration(version: int = 1, **changes: Any) -> bytes:
--- a/tests/test_router/test_dispatch.py
+++ b/tests/test_router/test_dispatch.py
@@ -10,7 +10,7 @@
 from routers import RunningFleet, RunningRouter
 
 from rosemaryseam.policy.slots import UPSTREAMS_PER_SLOT, SlotPlan
-from rosemaryseam.router.books import Held, Placement, Query
+from rosemaryseam.router.books import Held, Placed, Placement, Query, hashed_parts
 from rosemaryseam.router.datagrams import (
     Ask,
     Datagram,
@@ -19,6 +19,8 @@
     decode,
     encode,
 )
+from rosemaryseam.router.requests import Prompt, PromptPart
+from rosemaryseam.router.routes import EngineShape
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -42,8 +44,8 @@
     zone='a',
     excluded=('x', 'y'),
 )
-PLACEMENT = Placement(7, 'one', 5, 'two', 0.25, None, {'loss': 0.5})
-HELD = Held(9, 'one', 0, 100, 200, 300, 0.3, 1.5, 4.0, True)
+PLACEMENT = Placement(7, 'one', 5, 'two', 0.25, None, 1.5, {'loss': 0.5})
+HELD = Held(9, 'one', 0, 100, 200, 300, 0.3, 0.25, 1.5, 4.0, True)
 
 DATAGRAMS = [
     ('empty', Datagram('10.0.0.1', 1)),
@@ -62,7 +64,7 @@
             replies=(
                 Reply(
                     7,
-                    Placement(7, 'one', None, None, 0.25, 0.5, {}),
+                    Placement(7, 'one', None, None, 0.25, 0.5, 1.0, {}),
                     '',
                     0.0,
                     0.25,
@@ -71,6 +73,14 @@
         ),
     ),
     ('a refusal', Datagram('h', 1, replies=(Reply(7, None, 'busy', 0.75, 1.0),))),
+    (
+        'a host that cannot decide',
+        Datagram('h', 1, replies=(Reply(7, None, 'none', 0.0, 0.0, unable=True),)),
+    ),
+    (
+        'prompts',
+        Datagram('h', 1, placed=(Placed('one', ((2**63 + 5, 100),), 1.25, 2.5),)),
+    ),
     (
         'news',
         Datagram(
@@ -291,3 +301,57 @@
     assert second.router.metrics.value('upstream_failures', kind='NotSentError') == 0
     assert started <= 1
     assert len(two.requests) == 6
+
+
+def test_a_dispatcher_that_knows_no_upstream_is_passed_over(
+    fleet: RunningFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fleet.add('one', answer)
+    keeper = fleet.dispatcher()
+    monkeypatch.setattr(keeper.router.registry, 'usable', lambda _: ())
+    for host in others(fleet):
+        for _ in range(3):
+            assert host.call('safe').status == 200
+    assert dispatched(keeper) == 0
+
+
+def test_a_host_is_heard_whose_clock_went_back_before_its_restart(
+    fleet: RunningFleet,
+) -> None:
+    keeper, other = fleet.hosts[0].router.peers, fleet.hosts[1].cfg.ip
+    for incarnation in (9000, 5, 7):
+        keeper._take(other, Datagram(other, incarnation))
+        assert keeper._incarnations[other][-1] == incarnation
+    keeper._take(other, Datagram(other, 5))
+    assert keeper._incarnations[other][-1] == 7
+
+
+def test_a_new_dispatcher_learns_what_engines_hold(fleet: RunningFleet) -> None:
+    fleet.add('one', answer)
+    keeper = fleet.dispatcher()
+    host = others(fleet)[0]
+    names = {'X-Token-Counts': '30,10', 'X-Prompt-Parts': 'aa:20,bb:10'}
+    service = host.router.feed.table.services['work']
+    engine = EngineShape(4, 1000, 1, shares_cache=False)
+    for entry in fleet.hosts:
+        entry.router.feed.table.services['work'] = service._replace(engine=engine)
+    assert host.call('safe', headers=names).status == 200
+    keeper.router.request_stop()
+    stop = gevent.spawn(keeper.router.wait)
+    left = others(fleet)
+    successor = next(
+        entry for entry in left if entry.cfg.ip == successor_of(fleet, keeper)
+    )
+    parts = hashed_parts(
+        Prompt('', (PromptPart('aa', 20), PromptPart('bb', 10)), 30, 10, 10)
+    )
+    successor.wait(lambda: 'one' in successor.router.books.dump())
+    assert successor.router.books.cached_tokens('one', parts) == 30
+    stop.join(timeout=6.0)
+
+
+def successor_of(fleet: RunningFleet, keeper: RunningRouter) -> str:
+    """Return the address of the host that dispatches next."""
+    plan = keeper.router.dispatcher.plan('work')
+    ips = [host.cfg.ip for host in fleet.hosts if host is not keeper]
+    return plan.hosts(0, ips)[0]
