Learn no speed from the first events of requests taken over

Cause: a request taken over before its first event counted as read right after the last first event, which a new view dates at zero: one such event made an engine look eight times slower. Change: first events of adopted requests only move the time of the last one. Measured: tests/test_policy and tests/test_experiments pass (run by hand).

--- a/packages/policy/src/rosemaryseam/policy/engines.py
+++ b/packages/policy/src/rosemaryseam/policy/engines.py
@@ -94,6 +94,7 @@
         self._nominal_s = SPEED_PRIOR_S
         self._last_first_at = 0.0
         self._alone: set[FlightKey] = set()  # that found an engine without prefill work
+        self._adopted: set[FlightKey] = set()  # whose times teach nothing
         self.memory_tokens = 0  # of requests in flight, without shared parts
         self.output_tokens = 0  # expected of requests in flight
         self._occupied_s = FIRST_OCCUPIED_S  # mean time that a request has a slot
@@ -136,6 +137,7 @@
         """
         if flight.key in self._pending or flight.key in self._decoding:
             return
+        self._adopted.add(flight.key)
         self._put(flight, now)
         if started:
             self._decoding[flight.key] = self._pending.pop(flight.key)
@@ -185,6 +187,7 @@
         :param now: seconds on the monotonic clock
         """
         self._alone.discard(key)
+        self._adopted.discard(key)
         flight = self._pending.pop(key, None)
         if flight is not None:
             self._bound_backlog(now)
@@ -360,7 +363,9 @@
             self._alone.discard(flight.key)
             event = self.size.tokens_per_event * self._terms.step_s
             self._observe(now - flight.placed_at, nominal + event)
-        elif flight.placed_at <= self._last_first_at:
+        elif (
+            flight.key not in self._adopted and flight.placed_at <= self._last_first_at
+        ):
             self._observe(now - self._last_first_at, nominal)
         self._last_first_at = now
 
