Keep what upstreams need from being named by callers' Connection header

Cause: a header that a caller's Connection field names is dropped as one of the connection's own. A caller could so have the request id, the model, the token counts or the prompt's parts dropped, and an upstream run something else than was asked. Change: these headers and Host are end to end whatever Connection says. The scripted upstream reads headers as Latin-1 and joins those that come twice.

--- a/packages/router/src/rosemaryseam/router/headercodec.py
+++ b/packages/router/src/rosemaryseam/router/headercodec.py
@@ -96,6 +96,21 @@
         self._patience = _key(names.patience_ms)
         self._api_key = _key(names.api_key)
         self._last_event_id = _key(names.last_event_id)
+        # What upstreams must get as the caller sent it, whatever its Connection names.
+        self._end_to_end = {
+            b'host',
+            *(
+                _key(name)
+                for name in (
+                    names.request_id,
+                    names.model,
+                    names.token_counts,
+                    names.prompt_parts,
+                    names.length_hint,
+                    names.last_event_id,
+                )
+            ),
+        }
         self._dropped = CONNECTION_HEADERS | {
             _key(name)
             for name in (
@@ -178,7 +193,8 @@
 
     def _passed_on(self, headers: RawHeaders) -> RawHeaders:
         """Return what goes on to upstreams, the host first."""
-        dropped = self._dropped | named_by_connection(headers)
+        named = named_by_connection(headers) - self._end_to_end
+        dropped = self._dropped | named
         kept = [entry for entry in headers if entry[0].lower() not in dropped]
         return sorted(kept, key=lambda entry: entry[0].lower() != b'host')
 
--- a/packages/standins/src/rosemaryseam/standins/scripted.py
+++ b/packages/standins/src/rosemaryseam/standins/scripted.py
@@ -13,7 +13,7 @@
 from rosemaryseam.common.addresses import Address
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
 READ_BYTES = 65_536
 
@@ -173,7 +173,7 @@
             body += bytes(event.data)
         elif isinstance(event, h11.EndOfMessage):
             assert head is not None
-            headers = {key.decode(): value.decode() for key, value in head.headers}
+            headers = _joined(head.headers)
             return Seen(
                 head.method.decode(),
                 head.target.decode(),
@@ -190,3 +190,12 @@
     lines = [f'HTTP/1.1 {status} Status']
     lines += [f'{name}: {value}' for name, value in headers.items()]
     return ('\r\n'.join(lines) + '\r\n\r\n').encode()
+
+
+def _joined(headers: Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
+    """Return headers by name; values of one that comes twice are joined."""
+    fields: dict[str, str] = {}
+    for name, value in headers:
+        key, text = name.decode('latin-1'), value.decode('latin-1')
+        fields[key] = f'{fields[key]}, {text}' if key in fields else text
+    return fields
--- a/tests/test_platform/test_headers.py
+++ b/tests/test_platform/test_headers.py
@@ -101,6 +101,21 @@
     assert not names & {b'connection', b'keep-alive', b'te', b'x-other'}
 
 
+END_TO_END = [
+    b'Rosemaryseam-Attempt-Id',
+    b'Rosemaryseam-Model',
+    b'Rosemaryseam-Token-Counts',
+    b'Rosemaryseam-Prompt-Prefix',
+    b'Host',
+]
+
+
+@pytest.mark.parametrize('name', END_TO_END)
+def test_callers_cannot_have_what_upstreams_need_dropped(name: bytes) -> None:
+    headers = decode([(b'Connection', name)]).headers
+    assert name.lower() in {key.lower() for key, _ in headers}
+
+
 BAD = [
     ('two keys', (b'x-api-key', b'other')),
     ('a deadline in words', (b'Rosemaryseam-Deadline-Ms', b'soon')),
