Tell a request's story from the logs of several hosts

Cause: a refusal was logged by the host that answered it and, with an unrelated number, by the dispatcher that decided it; nothing put the logs of hosts together. Change: asks carry the caller's request id, and the dispatcher's line names it and who asked. Lines of sends tell the age of the table and of the last news of the upstream. 'rosemaryseam explain ID FILE ...' orders the lines of a request by time, beside what the hosts came to believe shortly before. Result code 84 for an id that no line names. The router tests' ports never come twice: one of five runs failed with an address in use, as two draws gave the same port.

--- a/packages/common/src/rosemaryseam/common/errors.py
+++ b/packages/common/src/rosemaryseam/common/errors.py
@@ -48,6 +48,7 @@
     KEY_VALUE_UNKNOWN_OUTCOME = 81
     HOST_UNREACHABLE = 82
     PEER_PROTOCOL = 83
+    NOT_IN_LOGS = 84
     INTERNAL = 99
 
 
--- a/packages/operator/src/rosemaryseam/operator/__main__.py
+++ b/packages/operator/src/rosemaryseam/operator/__main__.py
@@ -12,6 +12,7 @@
 from rosemaryseam.common.errors import ResultCode, RosemaryseamError
 from rosemaryseam.common.keyvalue import open_key_value_store
 from rosemaryseam.operator.commands import Commands, Result, check_catalogue
+from rosemaryseam.operator.explain import explain
 from rosemaryseam.operator.hosts import HostClient
 from rosemaryseam.operator.settings import load_operator_settings
 
@@ -33,6 +34,7 @@
   catalogue history             show the last changes
   status                        show the hosts
   dump HOST                     show the whole state of a host's process
+  explain ID FILE ...           tell a request's story from the logs of hosts
 
 example: rosemaryseam catalogue apply catalogue.yaml --base 41"""
 
@@ -74,6 +76,8 @@
             return _commands().status()
         case ['dump', host]:
             return _commands().dump(host)
+        case ['explain', request_id, path, *paths]:
+            return explain(request_id, [path, *paths])
     return None
 
 
--- a/packages/policy/src/rosemaryseam/policy/engines.py
+++ b/packages/policy/src/rosemaryseam/policy/engines.py
@@ -93,6 +93,7 @@
         self._took_s = SPEED_PRIOR_S
         self._nominal_s = SPEED_PRIOR_S
         self._last_first_at = 0.0
+        self._news_at = -math.inf  # of the last event that told of the engine
         self._alone: set[FlightKey] = set()  # that found an engine without prefill work
         self._adopted: set[FlightKey] = set()  # whose times teach nothing
         self.memory_tokens = 0  # of requests in flight, without shared parts
@@ -177,6 +178,7 @@
             return
         self._decoding[key] = flight
         self._first_at[key] = now
+        self._news_at = now
         self._learn_speed(flight, now)
         self._bound_backlog(now)
 
@@ -188,6 +190,7 @@
         """
         self._alone.discard(key)
         self._adopted.discard(key)
+        self._news_at = now
         flight = self._pending.pop(key, None)
         if flight is not None:
             self._bound_backlog(now)
@@ -234,6 +237,13 @@
             return max(0.0, now - due)
         return 0.0
 
+    def news_age_s(self, now: float) -> float:
+        """Return how old the last sign of the engine is, -1 when there was none.
+
+        :param now: seconds on the monotonic clock
+        """
+        return -1.0 if math.isinf(self._news_at) else now - self._news_at
+
     def slot_wait_s(self, rank: int) -> float:
         """Return how long a new request waits for a place in the batch.
 
--- a/packages/router/src/rosemaryseam/router/books.py
+++ b/packages/router/src/rosemaryseam/router/books.py
@@ -54,11 +54,12 @@
 class Query(NamedTuple):
     """A request that a host wants placed.
 
-    ``number`` is the host's own. Without a prompt ``parts`` is empty. ``excluded``
-    upstreams failed the request before.
+    ``number`` is the host's own, ``request_id`` the caller's, for the log. Without a
+    prompt ``parts`` is empty. ``excluded`` upstreams failed the request before.
     """
 
     number: int
+    request_id: str
     service: str
     route: str
     rank: int
@@ -220,15 +221,17 @@
         choice = choose_engine(request, candidates, self._uses, now)
         assert choice is not None
         if not is_worth_it(request, choice):
-            raise self._refusal(query, choice, candidates, now)
+            raise self._refusal(host, query, choice, candidates, now)
         view = self._records[choice.name].view
         backlog_ms = int(view.backlog_s(now) * 1000)
+        news_age_ms = int(view.news_age_s(now) * 1000)
         self._note(host, query, choice.name, choice, now)
         inputs = {
             'prefill_tokens': choice.prefill_tokens,
             'cached_tokens': choice.cached_tokens,
             'fetch_tokens': choice.fetch_tokens,
             'backlog_ms': backlog_ms,
+            'news_age_ms': news_age_ms,
             'expected_first_ms': int(choice.first_event_s * 1000),
             'loss': round(choice.loss, 3),
             'losses': _rounded(choice),
@@ -248,6 +251,7 @@
 
     def _refusal(
         self,
+        host: str,
         query: Query,
         choice: Choice,
         candidates: Iterable[Candidate],
@@ -258,7 +262,8 @@
         median = backlogs[len(backlogs) // 2]
         log_event(
             'request_not_worth_it',
-            number=query.number,
+            id=query.request_id,
+            asked_by=host,
             route=query.route,
             upstream=choice.name,
             loss=round(choice.loss, 2),
@@ -306,8 +311,10 @@
             return load + self._penalty(upstream.id, names, now)
 
         chosen = min(upstreams, key=loss)
+        view = self._records[chosen.id].view
         inputs: dict[str, object] = {
-            'upstream_requests': self._records[chosen.id].view.requests
+            'upstream_requests': view.requests,
+            'news_age_ms': int(view.news_age_s(now) * 1000),
         }
         self._note(host, query, chosen.id, None, now)
         limit = self._durations.limit_s(query.service, query.time_left_s)
--- a/packages/router/src/rosemaryseam/router/datagrams.py
+++ b/packages/router/src/rosemaryseam/router/datagrams.py
@@ -129,6 +129,7 @@
     rank = query.workspace_rank
     return {
         'number': query.number,
+        'requestId': query.request_id,
         'service': query.service,
         'slot': ask.slot,
         'route': query.route,
@@ -151,6 +152,7 @@
     rank = entry.workspaceRank
     query = Query(
         number=entry.number,
+        request_id=entry.requestId,
         service=entry.service,
         route=entry.route,
         rank=entry.rank,
--- a/packages/router/src/rosemaryseam/router/dispatch.py
+++ b/packages/router/src/rosemaryseam/router/dispatch.py
@@ -202,6 +202,7 @@
         prompt = order.request.prompt if order.service.engine is not None else None
         return Query(
             number=self._next_number(),
+            request_id=order.request.id,
             service=order.service.name,
             route=order.route.name,
             rank=order.rank,
--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -336,6 +336,7 @@
             id=job.request.id,
             route=job.route.name,
             version=job.version,
+            table_age_ms=int(self._feed.age_s() * 1000),
             upstream=upstream.id,
             attempt=attempts.arrivals,
             reused=conn.served,
--- a/packages/router/src/rosemaryseam/router/peerwire.capnp
+++ b/packages/router/src/rosemaryseam/router/peerwire.capnp
@@ -22,6 +22,7 @@
   bodyBytes @13 :UInt32;
   zone @14 :Text;
   excluded @15 :List(Text);
+  requestId @16 :Text;
 }
 
 struct Reply {
--- a/tests/test_router/routers.py
+++ b/tests/test_router/routers.py
@@ -35,7 +35,9 @@
 KEY = 'key-of-north'
 _NUMBERS = itertools.count(1)
 ANSWER_S = 5.0
-PORTS = (10_000, 32_000)
+FIRST_PORT, LAST_PORT = 10_000, 32_000
+_START = random.randint(FIRST_PORT, LAST_PORT)
+_PORTS = itertools.cycle([*range(_START, LAST_PORT), *range(FIRST_PORT, _START)])
 
 ROUTES: dict[str, dict[str, Any]] = {
     'safe': {'repeat': 'whole', 'max_runs': 2, 'timeout_s': 1.0},
@@ -62,16 +64,16 @@
 
 
 def free_port() -> int:
-    """Return a port that nobody listens on.
+    """Return a port that nobody listens on, another one each time.
 
     It lies below those that the system gives to outgoing connections, which would
     otherwise take it before it is used.
     """
-    while True:
-        port = random.randint(*PORTS)
+    for port in _PORTS:
         with contextlib.suppress(OSError), std_socket.socket() as sock:
-            sock.bind(('127.0.0.1', port))
+            sock.bind(('0.0.0.0', port))
             return port
+    raise AssertionError('the ports never end')
 
 
 def configuration(version: int = 1, **changes: Any) -> bytes:
--- a/tests/test_router/test_dispatch.py
+++ b/tests/test_router/test_dispatch.py
@@ -29,6 +29,7 @@
 
 QUERY = Query(
     number=7,
+    request_id='r-7',
     service='engines',
     route='digest',
     rank=2,
