--- a/tests/test_platform/test_state.py
+++ b/tests/test_platform/test_state.py
@@ -158,6 +158,9 @@
     ('an address that is a name', {'addr': 'host:80'}),
     ('no address', {'addr': None}),
     ('slots as text', {'slots': '64'}),
+    ('no version', {'version': None}),
+    ('a count that is text', {'seq': '4'}),
+    ('a warm-up that is text', {'coldLeftMs': 'long'}),
     ('a start that is text', {'born': 'yesterday'}),
     ('a start that is a fraction', {'born': 1.5}),
 ]
