--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -5,6 +5,7 @@
 import argparse
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import time
@@ -70,6 +71,7 @@
         '--keep', type=pathlib.Path, help='folder for settings and logs'
     )
     options = parser.parse_args()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # so that routers end too
     bad = 0
     for seed in range(options.first, options.first + options.seeds):
         folder = pathlib.Path(
