Check more of the soak's promises, also under keys taken away behind cuts

Change: callers use such keys now and then, a fault takes keys away behind cuts, and a cut counts while an undisturbed upstream is at work.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
 from records import IDEMPOTENT
@@ -20,6 +20,7 @@
 STEP_S = 0.3  # by which the busy machine may be late
 BUDGET_RATIO, BUDGET_SLACK, BUDGET_WINDOW_S = 0.2, 52, 10.0
 PROMISES = (408, 421, 429, 503)
+SPARED_SHARE = 0.7  # of a caller's time, after which a cut is not held against it
 SERVED_SHARE = 0.9  # after the last fault
 
 
@@ -94,18 +95,19 @@
 
 
 def _check_lost(history: History, entry: Sent, runs: list[Run]) -> Iterator[str]:
-    """A graceful stop alone cuts no request that an upstream would have answered."""
-    if entry.ended != 'cut' or not runs:
+    """A graceful stop alone cuts no request that an upstream was at work on."""
+    if (
+        entry.ended != 'cut'
+        or entry.ended_at - entry.at > SPARED_SHARE * entry.patience_s
+    ):
         return
     spans = history.disturbed(entry.router, entry.at - 3.0, entry.ended_at)
-    if any(span.kind not in ('term', 'store') for span in spans):
+    if any(span.kind != 'term' for span in spans):
         return
-    whole = [run for run in runs if run.began and run.answer]
-    if whole and whole[-1].ended_at is not None:
-        spared = entry.patience_s - (whole[-1].ended_at - entry.at)
-        if spared > STEP_S and whole[-1].ended_at < entry.ended_at:
-            upstream = whole[-1].upstream
-            yield f'{entry.id} ({entry.kind}) was cut though {upstream} answered'
+    for run in runs:
+        troubled = history.disturbed(run.upstream, entry.at - 1.0, entry.ended_at)
+        if run.began and not run.spoilt and not troubled:
+            yield f'{entry.id} ({entry.kind}) was cut while {run.upstream} ran it'
 
 
 def _check_left(history: History, entry: Sent, began: list[Run]) -> Iterator[str]:
@@ -151,10 +153,15 @@
     late = [entry for entry in history.sent if entry.at > calm_from]
     for router in sorted({entry.router for entry in history.sent}):
         own = [
-            entry for entry in late if entry.router == router and entry.ended != 'left'
+            entry
+            for entry in late
+            if entry.router == router
+            and entry.ended != 'left'
+            and entry.key not in history.revoked
         ]
         served = [entry for entry in own if entry.status == 200]
         if not own:
             yield f'{router} took no request after the last fault'
         elif len(served) < SERVED_SHARE * len(own):
-            yield f'{router} served {len(served)} of {len(own)} after the last fault'
+            others = Counter((entry.kind, entry.ended, entry.status) for entry in own)
+            yield f'{router} served {len(served)} of {len(own)} in the end: {others}'
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -73,13 +73,13 @@
         router.signal(world.rng.choice([signal.SIGHUP, signal.SIGUSR1]))
 
 
-def cut_store(world: World) -> None:
+def cut_store(world: World, seconds: float | None = None) -> None:
     """Cut one router or all of them off from the store."""
     chosen = world.rng.sample(
         world.routers, world.rng.choice([1, 1, len(world.routers)])
     )
     mode = world.rng.choice(['refuse', 'silent', 'mute', 'deaf', 'slow'])
-    seconds = world.rng.uniform(0.5, 7.0)
+    seconds = seconds or world.rng.uniform(0.5, 7.0)
     for router in chosen:
         world.note(router.name, 'store', seconds + SETTLE_S)
         router.proxy.set('open' if mode == 'slow' else mode, 0.3 * (mode == 'slow'))
@@ -88,6 +88,14 @@
         router.proxy.set('open')
 
 
+def revoke_behind_a_cut(world: World) -> None:
+    """Take a key away from routers that cannot learn of it."""
+    cut = gevent.spawn(cut_store, world, 9.0)
+    gevent.sleep(world.rng.uniform(0.2, 1.0))
+    world.revoke()
+    cut.join()
+
+
 def break_store_connections(world: World) -> None:
     """Reset or silence the connections to the store that are open."""
     for router in world.routers:
@@ -118,7 +126,9 @@
 
 def overload_upstream(world: World) -> None:
     """Let an upstream decline everything."""
-    upstream, _ = world.upstreams[world.pick_upstream()]
+    name = world.pick_upstream()
+    upstream, _ = world.upstreams[name]
+    world.note(name, 'overload', 3.0)
     upstream.declines = True
     gevent.sleep(world.rng.uniform(0.5, 2.0))
     upstream.declines = False
@@ -126,7 +136,9 @@
 
 def break_upstream_connections(world: World) -> None:
     """Reset, silence, delay or cut the way to an upstream."""
-    _, proxy = world.upstreams[world.pick_upstream()]
+    name = world.pick_upstream()
+    _, proxy = world.upstreams[name]
+    world.note(name, 'connections', 2 * SETTLE_S)
     action = world.rng.choice(['reset', 'silence', 'delay', 'deaf', 'mute'])
     if action == 'reset':
         proxy.reset_open()
@@ -144,6 +156,7 @@
     upstream, _ = world.upstreams[name]
     if _last_of_its_service(world, name):
         return
+    world.note(name, 'crash', SETTLE_S)
     address = world.remove_upstream(name)
     gevent.sleep(LAPSE_S)
     world.unregister(name)
@@ -167,6 +180,7 @@
     gevent.sleep(DRAIN_S + 2.5)
     world.unregister(name)
     gevent.sleep(0.5)
+    world.note(name, 'gone', SETTLE_S)
     if name in world.upstreams:
         world.remove_upstream(name)
 
@@ -187,6 +201,7 @@
     freeze,
     poke,
     cut_store,
+    revoke_behind_a_cut,
     break_store_connections,
     upset_store,
     spoil_upstream,
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -41,6 +41,7 @@
     expected: str
     workspace: str
     patience_ms: int
+    spoilt: bool = False
     answer: bytes = b''
     ended_at: float | None = None
 
--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -111,6 +111,7 @@
         spoil = ''
         if self._rng.random() < self.spoil_share:
             spoil = self._rng.choice(SPOILT)
+            run.spoilt = True
         if b'/stream/' in target or b'/once/' in target:
             self._stream(sock, run, fields, spoil)
             return
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -35,6 +35,7 @@
 )
 GRACE_S = 6.0
 RESTART_S = 0.3
+REVOKED_SHARE = 0.15  # of requests, whose key may have been taken away
 KEYS = tuple(f'key-{number}' for number in range(6))
 SERVICES = ('work', 'other')
 ROUTE_KINDS = {
@@ -172,7 +173,7 @@
                     f'{router.name}c{number}',
                     router.name,
                     (router.ip, FRONT_PORT),
-                    lambda: self.rng.choice(sorted(self.keys)),
+                    self._pick_key,
                     self.history,
                     random.Random(self.rng.random()),
                 )
@@ -193,6 +194,12 @@
             upstream.stop()
             proxy.stop()
 
+    def _pick_key(self) -> str:
+        """Return a key, now and then one that was taken away."""
+        if self.rng.random() < REVOKED_SHARE:
+            return self.rng.choice(KEYS)
+        return self.rng.choice(sorted(self.keys))
+
     def note(self, target: str, kind: str, for_s: float) -> None:
         """Record that something is disturbed from now on for a time."""
         now = time.monotonic()
