Expect first events as soon as engines make them; stay in slots of unknown pressure

Urgent requests so looked late everywhere, and 'late' decided instead of the pauses of streams. Hosts that had not asked a slot for a second took it for idle, moved sessions there and had their parts read again. Change: the first event's tokens take the time that tokens take; a session leaves its slot only for one known to be less pressed. Tests: both on their own, without network.

--- a/packages/policy/src/rosemaryseam/policy/engines.py
+++ b/packages/policy/src/rosemaryseam/policy/engines.py
@@ -270,13 +270,12 @@
         :param rank: of the request
         :param now: seconds on the monotonic clock
         """
-        chunk = self._chunk_s() * self.prefill_share(now)
         return (
             max(self.backlog_s(now), self.slot_wait_s(rank))
             + self.overdue_s(now)
             + self.prefill_s(prefill_tokens)
             + self._terms.network_s
-            + self.size.tokens_per_event * (self.step_s() + chunk)
+            + self.size.tokens_per_event * self.token_s(now)
         )
 
     def token_s(self, now: float) -> float:
--- a/packages/router/src/rosemaryseam/router/dispatch.py
+++ b/packages/router/src/rosemaryseam/router/dispatch.py
@@ -112,7 +112,7 @@
         ]
         if len(slots) > 1:
             first, second = (self._pressure(query.service, slot) for slot in slots[:2])
-            if first > second + PRESSURE_MARGIN:
+            if None not in (first, second) and first > second + PRESSURE_MARGIN:
                 slots[0], slots[1] = slots[1], slots[0]
         return slots or [0]
 
@@ -246,9 +246,10 @@
                 return upstream.address
         return None
 
-    def _pressure(self, service: str, slot: int) -> float:
+    def _pressure(self, service: str, slot: int) -> float | None:
+        """Return how pressed a slot is, or ``None`` when that is not known."""
         pressure, at = self._pressures.get((service, slot), (0.0, -math.inf))
-        return pressure if self._clock.monotonic() - at < PRESSURE_S else 0.0
+        return pressure if self._clock.monotonic() - at < PRESSURE_S else None
 
     # News.
 
--- a/tests/test_policy/test_engines.py
+++ b/tests/test_policy/test_engines.py
@@ -236,3 +236,25 @@
     learnt = view.speed
     view.adopt_speed(4.0)
     assert view.speed == learnt
+
+
+def half_busy_view(now: float) -> EngineView:
+    """Return an engine that lately spent half of its time on prefill, and is idle."""
+    view = EngineView(SIZE, TERMS)
+    for number in range(10):
+        at = now - 1.0 + number * 0.1
+        view.add(flight(number, at, prefill_tokens=2500), at)
+        view.first_event(FlightKey('host', number), at + 0.06)
+        view.end(FlightKey('host', number), at + 0.07)
+    return view
+
+
+def test_a_first_event_waits_for_as_much_prefill_as_there_is() -> None:
+    view = half_busy_view(10.0)
+    share = view.prefill_share(10.0)
+    assert 0.25 < share < 0.6
+    assert view.backlog_s(10.0) == 0.0
+    event_s = SIZE.tokens_per_event * TERMS.step_s
+    expected = event_s / (1.0 - share)  # prefill takes its share of the time
+    first = view.first_event_s(1, 0, 10.0) - view.prefill_s(1)
+    assert event_s < first < 1.5 * expected
--- a/tests/test_router/test_dispatch.py
+++ b/tests/test_router/test_dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -9,8 +10,18 @@
 import pytest
 from routers import RunningFleet, RunningRouter
 
+from rosemaryseam.common.addresses import Address
+from rosemaryseam.common.clock import ManualClock
+from rosemaryseam.node.metrics import Metrics
 from rosemaryseam.policy.slots import UPSTREAMS_PER_SLOT, SlotPlan
-from rosemaryseam.router.books import Held, Placed, Placement, Query, hashed_parts
+from rosemaryseam.router.books import (
+    Held,
+    Placed,
+    Placement,
+    PlacementBooks,
+    Query,
+    hashed_parts,
+)
 from rosemaryseam.router.datagrams import (
     Ask,
     Datagram,
@@ -19,8 +30,11 @@
     decode,
     encode,
 )
+from rosemaryseam.router.dispatch import DispatchPlacer
+from rosemaryseam.router.dispatcher import Dispatcher
 from rosemaryseam.router.requests import Prompt, PromptPart
 from rosemaryseam.router.routes import EngineShape
+from rosemaryseam.router.upstreams import Registration, Registry, Upstream
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -356,3 +370,33 @@
     plan = keeper.router.dispatcher.plan('work')
     ips = [host.cfg.ip for host in fleet.hosts if host is not keeper]
     return plan.hosts(0, ips)[0]
+
+
+PRESSURES = [
+    ('neither known', {}, False),
+    ('only the first known', {0: 1.0}, False),
+    ('the second is less pressed', {0: 0.9, 1: 0.1}, True),
+    ('about the same', {0: 0.6, 1: 0.5}, False),
+]
+
+
+@pytest.mark.parametrize(
+    ('name', 'pressures', 'moves'), PRESSURES, ids=[row[0] for row in PRESSURES]
+)
+def test_a_session_leaves_its_slot_only_for_one_known_to_be_less_pressed(
+    name: str, pressures: dict[int, float], moves: bool
+) -> None:
+    clock, registry = ManualClock(), Registry()
+    for number in range(2 * UPSTREAMS_PER_SLOT):
+        address = Address('10.0.0.1', 1000 + number)
+        upstream = Upstream(f'u-{number}', 1, 'engines', address, 'a', 4)
+        registry.put(Registration(upstream, leaving=False))
+    books = PlacementBooks(clock, lambda _: None, random.Random(1))
+    dispatcher = Dispatcher(books, registry, Metrics())
+    placer = DispatchPlacer('h', 'a', clock, Metrics(), books, dispatcher, registry)
+    plan = dispatcher.plan('engines')
+    order = plan.order(str(QUERY.parts[-2][0]))
+    for place, pressure in pressures.items():
+        placer._pressures['engines', order[place]] = (pressure, clock.monotonic())
+    slots = placer._slots(plan, QUERY)
+    assert slots[0] == (order[1] if moves else order[0])
