--- /dev/null
+++ b/tools/routerslopes.py
@@ -0,0 +1,172 @@
+"""Measures how the router's parts grow: python tools/routerslopes.py."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING
+
+from rosemaryseam.common.addresses import Address
+from rosemaryseam.experiments.events import Timeline
+from rosemaryseam.node.metrics import Metrics
+from rosemaryseam.policy.slots import UPSTREAMS_PER_SLOT, SlotPlan
+from rosemaryseam.router.books import PlacementBooks, Query
+from rosemaryseam.router.datagrams import Ask, Datagram, Ended, decode, encode
+from rosemaryseam.router.dispatch import DispatchPlacer
+from rosemaryseam.router.dispatcher import Dispatcher
+from rosemaryseam.router.hostlink import HostLink
+from rosemaryseam.router.routes import EngineShape, Service
+from rosemaryseam.router.upstreams import Registration, Registry, Upstream
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+HOSTS = (8, 75, 1100)
+UPSTREAMS = (12, 120, 1200, 10_000)
+SHAPE = EngineShape(64, 300_000, 5, shares_cache=True)
+SERVICE = Service('engines', '/health', 0, SHAPE)
+
+
+class KnownHosts(HostLink):
+    """Knows hosts and sends nothing."""
+
+    def __init__(self, count: int) -> None:
+        self._hosts = [
+            f'10.0.{number // 250}.{number % 250}' for number in range(count)
+        ]
+
+    def known_hosts(self) -> list[str]:
+        """Return all of them."""
+        return self._hosts
+
+    def ask(self, host: str, ask: object) -> None:
+        """Send nothing."""
+
+    def tell_started(self, host: str, number: int) -> None:
+        """Send nothing."""
+
+    def tell_ended(self, host: str, entry: object) -> None:
+        """Send nothing."""
+
+    def tell_held(self, host: str, held: object) -> None:
+        """Send nothing."""
+
+    def tell_placed(self, host: str, placed: object) -> None:
+        """Send nothing."""
+
+
+def seconds_of(function: Callable[[], object], least_s: float = 0.2) -> float:
+    """Return the mean time of a call."""
+    count = 0
+    started = time.perf_counter()
+    while time.perf_counter() - started < least_s or not count:
+        function()
+        count += 1
+    return (time.perf_counter() - started) / count
+
+
+def registry_of(count: int) -> Registry:
+    """Return a registry with some engines."""
+    registry = Registry()
+    entries = {}
+    for number in range(count):
+        address = Address('10.1.0.1', 1 + number % 60_000)
+        upstream = Upstream(f'i-{number:08x}', 1, 'engines', address, 'a', 64)
+        entries[upstream.id] = Registration(upstream, leaving=False)
+    registry.replace(entries, 0.0, after_outage=False)
+    return registry
+
+
+def query(number: int, rng: random.Random) -> Query:
+    """Return a long prompt of one of 300 sessions."""
+    session = rng.randrange(300)
+    parts = ((session % 4, 2500), (1000 + session, 3800), (10_000 + number, 2900))
+    return Query(
+        number, f'r-{number}', 'engines', 'digest', 2, None, parts, 9200, 50, 200, 1.2,
+        1.5, 5.0, 18_000, 'a', (),
+    )  # fmt: skip
+
+
+def measure_placement() -> None:
+    """Print the time of one placement in a slot with requests in flight."""
+    timeline, rng = Timeline(), random.Random(1)
+    registry = registry_of(UPSTREAMS_PER_SLOT)
+    books = PlacementBooks(timeline, lambda _: SERVICE, rng)
+    books.retain(registry.all())
+    names = [upstream.id for upstream in registry.all()]
+    numbers = iter(range(10**9))
+
+    def place() -> None:
+        number = next(numbers)
+        books.place('h', query(number, rng), names)
+        books.started('h', number)
+        if number >= 20 * len(names):
+            books.ended('h', number - 20 * len(names), 'done', 1.0)
+        timeline.run(timeline.monotonic() + 0.02)
+
+    for _ in range(500):
+        place()
+    print(f'placement among {len(names)} engines: {seconds_of(place) * 1e6:.0f} us')
+
+
+def measure_datagrams() -> None:
+    """Print sizes and times of an ask and of news."""
+    rng = random.Random(1)
+    for name, datagram in (
+        ('ask', Datagram('10.0.0.1', 1, asks=(Ask(3, query(7, rng)),))),
+        ('end', Datagram('10.0.0.1', 1, ended=(Ended(7, 'done', 0.5),))),
+        ('sync of 50', Datagram('10.0.0.1', 1, sync=True, active=tuple(range(50)))),
+    ):
+        data = encode(datagram)
+        writing = seconds_of(lambda datagram=datagram: encode(datagram))
+        reading = seconds_of(lambda data=data: decode(data))
+        print(
+            f'{name}: {len(data)} bytes, encode {writing * 1e6:.0f} us, '
+            f'decode {reading * 1e6:.0f} us'
+        )
+
+
+def measure_plans() -> None:
+    """Print the times of what depends on the fleet's size."""
+    for count in UPSTREAMS:
+        names = [f'i-{number:08x}' for number in range(count)]
+        took = seconds_of(lambda names=names: SlotPlan('engines', names), 0.05)
+        print(f'plan of {count} upstreams: {took * 1e3:.2f} ms')
+    plan = SlotPlan('engines', [f'i-{number:08x}' for number in range(120)])
+    for count in HOSTS:
+        hosts = KnownHosts(count).known_hosts()
+        took = seconds_of(lambda hosts=hosts: plan.hosts(3, hosts))
+        print(f'order of {count} hosts for a slot: {took * 1e6:.0f} us')
+
+
+def measure_changes() -> None:
+    """Print the time in which a host notes that another one came or went."""
+    for hosts, upstreams in ((8, 12), (75, 60), (1100, 10_000)):
+        timeline, metrics = Timeline(), Metrics()
+        registry = registry_of(upstreams)
+        books = PlacementBooks(timeline, lambda _: SERVICE, random.Random(1))
+        dispatcher = Dispatcher(books, registry, metrics)
+        placer = DispatchPlacer(
+            'h', 'a', timeline, metrics, books, dispatcher, registry
+        )
+        placer.connect(KnownHosts(hosts))
+        plan = dispatcher.plan('engines')
+        for slot in range(min(plan.count, 50)):  # those that a host used lately
+            placer.handover.assign(plan.members(slot), 'h')
+        took = seconds_of(placer.hosts_changed, 0.05)
+        print(
+            f'a host comes or goes, {hosts} hosts, {upstreams} upstreams: '
+            f'{took * 1e3:.1f} ms'
+        )
+
+
+def main() -> None:
+    """Measure everything."""
+    measure_placement()
+    measure_datagrams()
+    measure_plans()
+    measure_changes()
+
+
+if __name__ == '__main__':
+    main()
