--- a/packages/experiments/src/rosemaryseam/experiments/hosts.py
+++ b/packages/experiments/src/rosemaryseam/experiments/hosts.py
@@ -17,9 +17,9 @@
     from collections.abc import Sequence
 
     from rosemaryseam.experiments.events import Timeline
-    from rosemaryseam.router.books import Held, Placed
     from rosemaryseam.router.datagrams import Ask, Ended
     from rosemaryseam.router.placement import Order, Ticket
+    from rosemaryseam.router.queries import Held, Placed
     from rosemaryseam.router.routes import Service
     from rosemaryseam.router.upstreams import Registry, Upstream
 
--- a/packages/router/src/rosemaryseam/router/books.py
+++ b/packages/router/src/rosemaryseam/router/books.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-import functools
-from typing import TYPE_CHECKING, NamedTuple
-
-import xxhash
+from typing import TYPE_CHECKING
 
 from rosemaryseam.common.decisionlog import log_event
 from rosemaryseam.policy.durations import Durations
@@ -27,6 +24,7 @@
 from rosemaryseam.policy.outliers import Outliers
 from rosemaryseam.policy.prefixes import EngineCache, PartUses
 from rosemaryseam.router.placement import NoUpstreamError
+from rosemaryseam.router.queries import Held, Placement
 
 if TYPE_CHECKING:
     import random
@@ -34,7 +32,7 @@
 
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.policy.prefixes import Part
-    from rosemaryseam.router.requests import Prompt
+    from rosemaryseam.router.queries import Placed, Query
     from rosemaryseam.router.routes import Service
     from rosemaryseam.router.upstreams import Upstream
 
@@ -51,75 +49,6 @@
 MAX_URGENCY = 9
 
 
-class Query(NamedTuple):
-    """A request that a host wants placed.
-
-    ``number`` is the host's own, ``request_id`` the caller's, for the log. Without a
-    prompt ``parts`` is empty. ``excluded`` upstreams failed the request before.
-    """
-
-    number: int
-    request_id: str
-    service: str
-    route: str
-    rank: int
-    workspace_rank: int | None
-    parts: tuple[Part, ...]
-    prompt_tokens: int
-    output_tokens: int
-    most_output_tokens: int
-    pause_s: float | None
-    time_left_s: float
-    patience_s: float
-    body_bytes: int
-    zone: str
-    excluded: tuple[str, ...]
-
-
-class Placement(NamedTuple):
-    """Where a request goes.
-
-    ``urgency`` is the engine's order of admission. ``answer_limit_s`` is how long an
-    answer is awaited where no stream tells that the upstream lives. ``inputs`` is what
-    decided, for the log. ``engine_speed`` is how many times slower than its sheet
-    says the engine is believed to be.
-    """
-
-    number: int
-    upstream: str
-    urgency: int | None
-    fetch_from: str | None
-    expected_first_s: float
-    answer_limit_s: float | None
-    engine_speed: float
-    inputs: dict[str, object]
-
-
-class Placed(NamedTuple):
-    """A prompt that an engine read lately; ``engine_speed`` is how slow it then was."""
-
-    upstream: str
-    parts: tuple[Part, ...]
-    engine_speed: float
-    age_s: float
-
-
-class Held(NamedTuple):
-    """A request in flight that another dispatcher, or none, has placed."""
-
-    number: int
-    upstream: str
-    rank: int
-    prefill_tokens: int
-    memory_tokens: int
-    output_tokens: int
-    pause_s: float | None
-    expected_first_s: float
-    age_s: float
-    patience_s: float
-    started: bool
-
-
 class _Record:
     """All that is believed of one incarnation of an upstream."""
 
@@ -507,21 +436,6 @@
         return record
 
 
-def hashed_parts(prompt: Prompt) -> tuple[Part, ...]:
-    """Return a prompt's parts with digests that tell models apart.
-
-    :param prompt: the prompt
-    """
-    return tuple(
-        (_digest(prompt.model, part.digest), part.tokens) for part in prompt.parts
-    )
-
-
-@functools.lru_cache(maxsize=4096)
-def _digest(model: str, digest: str) -> int:
-    return xxhash.xxh3_64_intdigest(f'{model}\x00{digest}'.encode())
-
-
 def _size(upstream: Upstream, service: Service | None) -> EngineSize:
     engine = None if service is None else service.engine
     if engine is None:
--- a/packages/router/src/rosemaryseam/router/datagrams.py
+++ b/packages/router/src/rosemaryseam/router/datagrams.py
@@ -9,7 +9,7 @@
 import capnp
 
 from rosemaryseam.common.errors import PeerError
-from rosemaryseam.router.books import Held, Placed, Placement, Query
+from rosemaryseam.router.queries import Held, Placed, Placement, Query
 
 if TYPE_CHECKING:
     from rosemaryseam.policy.prefixes import Part
--- a/packages/router/src/rosemaryseam/router/dispatch.py
+++ b/packages/router/src/rosemaryseam/router/dispatch.py
@@ -9,10 +9,11 @@
 from gevent.event import AsyncResult
 
 from rosemaryseam.common.decisionlog import log_event
-from rosemaryseam.router.books import NO_UPSTREAM_RETRY_S, Query, hashed_parts
+from rosemaryseam.router.books import NO_UPSTREAM_RETRY_S
 from rosemaryseam.router.datagrams import Ask, Ended
 from rosemaryseam.router.handover import Handover
 from rosemaryseam.router.placement import NoUpstreamError, Order, Placer, Ticket
+from rosemaryseam.router.queries import Query, hashed_parts
 from rosemaryseam.router.tickets import DispatchTicket
 
 if TYPE_CHECKING:
@@ -22,10 +23,11 @@
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.node.metrics import Metrics
     from rosemaryseam.policy.slots import SlotPlan
-    from rosemaryseam.router.books import Placement, PlacementBooks
+    from rosemaryseam.router.books import PlacementBooks
     from rosemaryseam.router.datagrams import Reply
     from rosemaryseam.router.dispatcher import Dispatcher
     from rosemaryseam.router.hostlink import HostLink
+    from rosemaryseam.router.queries import Placement
     from rosemaryseam.router.upstreams import Registry, Upstream
 
 ASK_AGAIN_S = 0.02  # a datagram was lost; a dispatcher answers in 1 to 5 ms
--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import gevent
 
@@ -18,6 +18,7 @@
     SendError,
     SilentError,
 )
+from rosemaryseam.router.jobs import Attempts, Job, RefusalError
 from rosemaryseam.router.placement import NoUpstreamError, Order
 from rosemaryseam.router.relay import StreamRelay, relay_whole
 from rosemaryseam.router.requests import UpstreamCall
@@ -37,7 +38,7 @@
     from rosemaryseam.router.pool import ConnectionPool
     from rosemaryseam.router.reply import Reply
     from rosemaryseam.router.requests import AnswerHead, CallerRequest
-    from rosemaryseam.router.routes import Route, RoutingTable, Service, Workspace
+    from rosemaryseam.router.routes import Route, RoutingTable, Workspace
     from rosemaryseam.router.upstreams import Registry
 
 DEFAULT_PATIENCE_S = 30.0  # of a caller that names no deadline
@@ -49,52 +50,6 @@
 HTTP_ERROR = 500
 
 
-class Job(NamedTuple):
-    """A request that is allowed to run."""
-
-    request: CallerRequest
-    route: Route
-    service: Service
-    workspace: Workspace | None
-    version: int
-    expires: float
-
-    @property
-    def workspace_rank(self) -> int | None:
-        """The rank of the workspace, 0 first, when it has one."""
-        return None if self.workspace is None else self.workspace.rank
-
-
-class Attempts:
-    """What happened to a request so far."""
-
-    def __init__(self) -> None:
-        self.arrivals = 0  # times that an upstream got the request
-        self.runs = 0  # times that it may have run
-        self.excluded: frozenset[str] = frozenset()
-        self.failure: SendError | None = None
-        self.kept: tuple[AnswerHead, bytes] | None = None
-
-
-class RefusalError(Exception):
-    """A request that ends with an answer of the router's own."""
-
-    def __init__(
-        self,
-        status: int,
-        code: ResultCode,
-        message: str,
-        retry_after_s: float | None = None,
-        *,
-        close: bool = False,
-    ) -> None:
-        super().__init__(message)
-        self.status = status
-        self.code = code
-        self.retry_after_s = retry_after_s
-        self.close = close
-
-
 class Forwarder:
     """Answers requests by passing them to upstreams.
 
--- a/packages/router/src/rosemaryseam/router/handover.py
+++ b/packages/router/src/rosemaryseam/router/handover.py
@@ -7,8 +7,8 @@
 
 from rosemaryseam.common.decisionlog import log_event
 from rosemaryseam.policy.prefixes import READ_AGAIN_S
-from rosemaryseam.router.books import Placed
 from rosemaryseam.router.datagrams import Ended
+from rosemaryseam.router.queries import Placed
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
--- a/packages/router/src/rosemaryseam/router/hostlink.py
+++ b/packages/router/src/rosemaryseam/router/hostlink.py
@@ -8,8 +8,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from rosemaryseam.router.books import Held, Placed
     from rosemaryseam.router.datagrams import Ask, Ended
+    from rosemaryseam.router.queries import Held, Placed
 
 
 class HostLink(abc.ABC):
--- a/packages/router/src/rosemaryseam/router/peers.py
+++ b/packages/router/src/rosemaryseam/router/peers.py
@@ -28,10 +28,11 @@
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.common.rangestore import RangeStore
     from rosemaryseam.node.metrics import Metrics
-    from rosemaryseam.router.books import Held, Placed, PlacementBooks
+    from rosemaryseam.router.books import PlacementBooks
     from rosemaryseam.router.datagrams import Ask, Ended, Reply
     from rosemaryseam.router.dispatch import DispatchPlacer
     from rosemaryseam.router.dispatcher import Dispatcher
+    from rosemaryseam.router.queries import Held, Placed
 
 HOSTS_PREFIX = 'rosemaryseam/hosts/'
 LEASE_S = 600.0  # the store's longest: one renewal in minutes
--- a/packages/router/src/rosemaryseam/router/tickets.py
+++ b/packages/router/src/rosemaryseam/router/tickets.py
@@ -4,15 +4,15 @@
 
 from typing import TYPE_CHECKING
 
-from rosemaryseam.router.books import Held
 from rosemaryseam.router.datagrams import Ended
 from rosemaryseam.router.placement import Ticket
+from rosemaryseam.router.queries import Held
 
 if TYPE_CHECKING:
     from rosemaryseam.common.addresses import Address
     from rosemaryseam.common.clock import Clock
-    from rosemaryseam.router.books import Placement, Query
     from rosemaryseam.router.handover import Handover
+    from rosemaryseam.router.queries import Placement, Query
     from rosemaryseam.router.requests import AnswerHead
     from rosemaryseam.router.upstreams import Upstream
 
--- a/tests/test_router/test_books_cost.py
+++ b/tests/test_router/test_books_cost.py
@@ -15,7 +15,8 @@
 from rosemaryseam.common.addresses import Address
 from rosemaryseam.experiments.events import Timeline
 from rosemaryseam.policy.slots import UPSTREAMS_PER_SLOT
-from rosemaryseam.router.books import PlacementBooks, Query
+from rosemaryseam.router.books import PlacementBooks
+from rosemaryseam.router.queries import Query
 from rosemaryseam.router.routes import EngineShape, Service
 from rosemaryseam.router.upstreams import Upstream
 
--- a/tests/test_router/test_dispatch.py
+++ b/tests/test_router/test_dispatch.py
@@ -14,14 +14,7 @@
 from rosemaryseam.common.clock import ManualClock
 from rosemaryseam.node.metrics import Metrics
 from rosemaryseam.policy.slots import UPSTREAMS_PER_SLOT, SlotPlan
-from rosemaryseam.router.books import (
-    Held,
-    Placed,
-    Placement,
-    PlacementBooks,
-    Query,
-    hashed_parts,
-)
+from rosemaryseam.router.books import PlacementBooks
 from rosemaryseam.router.datagrams import (
     Ask,
     Datagram,
@@ -32,6 +25,7 @@
 )
 from rosemaryseam.router.dispatch import DispatchPlacer
 from rosemaryseam.router.dispatcher import Dispatcher
+from rosemaryseam.router.queries import Held, Placed, Placement, Query, hashed_parts
 from rosemaryseam.router.requests import Prompt, PromptPart
 from rosemaryseam.router.routes import EngineShape
 from rosemaryseam.router.upstreams import Registration, Registry, Upstream
--- a/tests/test_router/test_handover.py
+++ b/tests/test_router/test_handover.py
@@ -14,8 +14,8 @@
 from rosemaryseam.router.upstreams import Upstream
 
 if TYPE_CHECKING:
-    from rosemaryseam.router.books import Held, Placed
     from rosemaryseam.router.datagrams import Ask, Ended
+    from rosemaryseam.router.queries import Held, Placed
 
 PARTS = ((1, 100), (2, 50))
 
--- a/tools/routerslopes.py
+++ b/tools/routerslopes.py
@@ -10,11 +10,12 @@
 from rosemaryseam.experiments.events import Timeline
 from rosemaryseam.node.metrics import Metrics
 from rosemaryseam.policy.slots import UPSTREAMS_PER_SLOT, SlotPlan
-from rosemaryseam.router.books import PlacementBooks, Query
+from rosemaryseam.router.books import PlacementBooks
 from rosemaryseam.router.datagrams import Ask, Datagram, Ended, decode, encode
 from rosemaryseam.router.dispatch import DispatchPlacer
 from rosemaryseam.router.dispatcher import Dispatcher
 from rosemaryseam.router.hostlink import HostLink
+from rosemaryseam.router.queries import Query
 from rosemaryseam.router.routes import EngineShape, Service
 from rosemaryseam.router.upstreams import Registration, Registry, Upstream
 
