Move metrics to the common package; check that imports point one way

Cause: the router needed the whole node package, and the platform's hosts a copy of it, for one module. A test states which package may import which.

--- a/packages/experiments/src/rosemaryseam/experiments/hosts.py
+++ b/packages/experiments/src/rosemaryseam/experiments/hosts.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from rosemaryseam.node.metrics import Metrics
+from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.router.books import PlacementBooks
 from rosemaryseam.router.datagrams import Datagram
 from rosemaryseam.router.dispatch import DispatchPlacer
--- a/packages/node/src/rosemaryseam/node/admin.py
+++ b/packages/node/src/rosemaryseam/node/admin.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from rosemaryseam.node.metrics import Metrics
+    from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.node.replica import ReplicaTask
 
 MAX_CATALOGUE_BYTES = 1_000_000
--- a/packages/node/src/rosemaryseam/node/claims.py
+++ b/packages/node/src/rosemaryseam/node/claims.py
@@ -28,7 +28,7 @@
 
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.common.keyvalue import KeyValueStore, Stored
-    from rosemaryseam.node.metrics import Metrics
+    from rosemaryseam.common.metrics import Metrics
 
 CLAIM_PREFIX = 'rosemaryseam/claims'
 DUPLICATE_WAIT_S = 5.0
--- a/packages/node/src/rosemaryseam/node/dispatcher.py
+++ b/packages/node/src/rosemaryseam/node/dispatcher.py
@@ -28,8 +28,8 @@
 
     from rosemaryseam.common.catalogue import Catalogue
     from rosemaryseam.common.clock import Clock
+    from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.node.assignment import PartitionPlan
-    from rosemaryseam.node.metrics import Metrics
     from rosemaryseam.node.settings import Bounds, Timing
     from rosemaryseam.node.transport import Transport
 
--- a/packages/node/src/rosemaryseam/node/gateway/application.py
+++ b/packages/node/src/rosemaryseam/node/gateway/application.py
@@ -13,9 +13,9 @@
 from rosemaryseam.node.gateway.errors import ErrorHandler
 
 if TYPE_CHECKING:
+    from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.node.gateway.apps import AppResource
     from rosemaryseam.node.gateway.completions import CompletionResource, ModelResource
-    from rosemaryseam.node.metrics import Metrics
 
 APP_PATH = re.compile(r'/apps/(?P<pool>[^/]+)/(?P<path>.*)')
 
--- a/packages/node/src/rosemaryseam/node/gateway/calls.py
+++ b/packages/node/src/rosemaryseam/node/gateway/calls.py
@@ -21,9 +21,9 @@
 
     from rosemaryseam.common.catalogue import Upstream
     from rosemaryseam.common.clock import Clock
+    from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.node.gateway.admission import Admitted
     from rosemaryseam.node.grants import GrantTask
-    from rosemaryseam.node.metrics import Metrics
     from rosemaryseam.node.replica import ReplicaTask
     from rosemaryseam.node.settings import Timing
     from rosemaryseam.node.tickets import HeldGrant
--- a/packages/node/src/rosemaryseam/node/gateway/errors.py
+++ b/packages/node/src/rosemaryseam/node/gateway/errors.py
@@ -11,7 +11,7 @@
 from rosemaryseam.common.errors import RequestError, ResultCode, RosemaryseamError
 
 if TYPE_CHECKING:
-    from rosemaryseam.node.metrics import Metrics
+    from rosemaryseam.common.metrics import Metrics
 
 RETRY_HEADER = 'x-should-retry'
 
--- a/packages/node/src/rosemaryseam/node/grants.py
+++ b/packages/node/src/rosemaryseam/node/grants.py
@@ -37,8 +37,8 @@
     from collections.abc import Callable
 
     from rosemaryseam.common.clock import Clock
+    from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.node.assignment import PartitionPlan
-    from rosemaryseam.node.metrics import Metrics
     from rosemaryseam.node.settings import Timing
     from rosemaryseam.node.transport import Transport
 
--- a/packages/node/src/rosemaryseam/node/member.py
+++ b/packages/node/src/rosemaryseam/node/member.py
@@ -14,7 +14,7 @@
     from collections.abc import Callable, Sequence
 
     from rosemaryseam.common.clock import Clock
-    from rosemaryseam.node.metrics import Metrics
+    from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.node.settings import Timing
     from rosemaryseam.node.transport import Transport
 
--- a/packages/node/src/rosemaryseam/node/partition.py
+++ b/packages/node/src/rosemaryseam/node/partition.py
@@ -28,10 +28,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.node.assignment import Rules
     from rosemaryseam.node.member import View
     from rosemaryseam.node.messages import Holdings, Message, Release
-    from rosemaryseam.node.metrics import Metrics
     from rosemaryseam.node.settings import Bounds, Timing
 
 RENEW_SHARE = 0.25  # of a lease's time after which it is renewed
--- a/packages/node/src/rosemaryseam/node/pollers.py
+++ b/packages/node/src/rosemaryseam/node/pollers.py
@@ -14,9 +14,9 @@
 if TYPE_CHECKING:
     import random
 
+    from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.node.hostlist import HostList, Listed
     from rosemaryseam.node.loadreports import LoadReports
-    from rosemaryseam.node.metrics import Metrics
     from rosemaryseam.node.replica import ReplicaTask
 
 JITTER = 0.2  # share of an interval
--- a/packages/node/src/rosemaryseam/node/process.py
+++ b/packages/node/src/rosemaryseam/node/process.py
@@ -14,6 +14,7 @@
 from rosemaryseam.common.addresses import parse_address
 from rosemaryseam.common.errors import ResultCode, SettingsError
 from rosemaryseam.common.keyvalue import open_key_value_store
+from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.common.wsgi import HttpServer, ServerBounds
 from rosemaryseam.node import messages
 from rosemaryseam.node.admin import (
@@ -42,7 +43,6 @@
     SetState,
     View,
 )
-from rosemaryseam.node.metrics import Metrics
 from rosemaryseam.node.pollers import HostListPoller, LoadPoller
 from rosemaryseam.node.replica import ReplicaTask
 from rosemaryseam.node.transport import TcpTransport
--- a/packages/node/src/rosemaryseam/node/replica.py
+++ b/packages/node/src/rosemaryseam/node/replica.py
@@ -22,7 +22,7 @@
     from rosemaryseam.common.catalogue import Catalogue
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.common.keyvalue import KeyValueStore
-    from rosemaryseam.node.metrics import Metrics
+    from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.node.settings import Timing
     from rosemaryseam.node.transport import Transport
 
--- a/packages/node/src/rosemaryseam/node/tasks.py
+++ b/packages/node/src/rosemaryseam/node/tasks.py
@@ -13,7 +13,7 @@
     from collections.abc import Callable
 
     from rosemaryseam.common.clock import Clock
-    from rosemaryseam.node.metrics import Metrics
+    from rosemaryseam.common.metrics import Metrics
 
 
 class Task(abc.ABC):
--- a/packages/node/src/rosemaryseam/node/transport.py
+++ b/packages/node/src/rosemaryseam/node/transport.py
@@ -19,8 +19,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.node.messages import Message
-    from rosemaryseam.node.metrics import Metrics
 
 HEADER = struct.Struct('>I')
 MAX_FRAME_BYTES = 8_000_000
--- a/packages/router/src/rosemaryseam/router/callers.py
+++ b/packages/router/src/rosemaryseam/router/callers.py
@@ -26,7 +26,7 @@
 
     from rosemaryseam.common.addresses import Address
     from rosemaryseam.common.clock import Clock
-    from rosemaryseam.node.metrics import Metrics
+    from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.router.requests import RawHeaders
     from rosemaryseam.router.routes import CallerLimits
 
--- a/packages/router/src/rosemaryseam/router/dispatch.py
+++ b/packages/router/src/rosemaryseam/router/dispatch.py
@@ -21,7 +21,7 @@
 
     from rosemaryseam.common.addresses import Address
     from rosemaryseam.common.clock import Clock
-    from rosemaryseam.node.metrics import Metrics
+    from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.policy.slots import SlotPlan
     from rosemaryseam.router.books import PlacementBooks
     from rosemaryseam.router.datagrams import Reply
--- a/packages/router/src/rosemaryseam/router/dispatcher.py
+++ b/packages/router/src/rosemaryseam/router/dispatcher.py
@@ -10,7 +10,7 @@
 from rosemaryseam.router.placement import NoUpstreamError
 
 if TYPE_CHECKING:
-    from rosemaryseam.node.metrics import Metrics
+    from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.router.books import PlacementBooks
     from rosemaryseam.router.datagrams import Datagram
     from rosemaryseam.router.upstreams import Registry
--- a/packages/router/src/rosemaryseam/router/feed.py
+++ b/packages/router/src/rosemaryseam/router/feed.py
@@ -17,8 +17,8 @@
     from collections.abc import Callable, Iterable
 
     from rosemaryseam.common.clock import Clock
+    from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.common.rangestore import Item, Proof, RangeStore
-    from rosemaryseam.node.metrics import Metrics
     from rosemaryseam.router.codec import StateCodec
     from rosemaryseam.router.routes import RoutingTable
     from rosemaryseam.router.upstreams import Change, Registration, Registry
--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -29,7 +29,7 @@
     from collections.abc import Callable
 
     from rosemaryseam.common.clock import Clock
-    from rosemaryseam.node.metrics import Metrics
+    from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.policy.retrybudget import BudgetTerms
     from rosemaryseam.router.callers import Received
     from rosemaryseam.router.codec import HttpCodec
--- a/packages/router/src/rosemaryseam/router/peers.py
+++ b/packages/router/src/rosemaryseam/router/peers.py
@@ -26,8 +26,8 @@
 
     from rosemaryseam.common.addresses import Address
     from rosemaryseam.common.clock import Clock
+    from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.common.rangestore import RangeStore
-    from rosemaryseam.node.metrics import Metrics
     from rosemaryseam.router.books import PlacementBooks
     from rosemaryseam.router.datagrams import Ask, Ended, Reply
     from rosemaryseam.router.dispatch import DispatchPlacer
--- a/packages/router/src/rosemaryseam/router/pool.py
+++ b/packages/router/src/rosemaryseam/router/pool.py
@@ -10,7 +10,7 @@
     from collections.abc import Iterable
 
     from rosemaryseam.common.clock import Clock
-    from rosemaryseam.node.metrics import Metrics
+    from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.router.codec import HttpCodec
     from rosemaryseam.router.exchange import UpstreamConnection
     from rosemaryseam.router.upstreams import Upstream
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -13,8 +13,8 @@
 from rosemaryseam.common.addresses import Address
 from rosemaryseam.common.decisionlog import log_event
 from rosemaryseam.common.errors import ResultCode, SettingsError
+from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.common.wsgi import HttpServer, ServerBounds
-from rosemaryseam.node.metrics import Metrics
 from rosemaryseam.router.books import PlacementBooks
 from rosemaryseam.router.callers import BodyMemory, CallerServer
 from rosemaryseam.router.dispatch import DispatchPlacer
--- a/packages/router/src/rosemaryseam/router/relayedstore.py
+++ b/packages/router/src/rosemaryseam/router/relayedstore.py
@@ -25,7 +25,7 @@
     from collections.abc import Callable, Sequence
 
     from rosemaryseam.common.clock import Clock
-    from rosemaryseam.node.metrics import Metrics
+    from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.router.mirror import Mirror
 
 HOSTS_PER_READER = 25
--- a/packages/router/src/rosemaryseam/router/status.py
+++ b/packages/router/src/rosemaryseam/router/status.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from rosemaryseam.node.metrics import Metrics
+    from rosemaryseam.common.metrics import Metrics
 
 
 class ReadinessResource:
--- a/tests/test_node/fabric.py
+++ b/tests/test_node/fabric.py
@@ -11,12 +11,12 @@
 from catalogues import sample_catalogue
 from rosemaryseam.common.catalogue import Catalogue, load_catalogue
 from rosemaryseam.common.clock import ManualClock
+from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.node import messages
 from rosemaryseam.node.codec import Frame, decode_frame, encode_frame
 from rosemaryseam.node.dispatcher import CatalogueChanged, DispatcherTask
 from rosemaryseam.node.grants import GrantTask
 from rosemaryseam.node.member import STARTING, MemberTask, SetRevision, View
-from rosemaryseam.node.metrics import Metrics
 from rosemaryseam.node.process import task_of
 from rosemaryseam.node.settings import Bounds, Timing
 from rosemaryseam.node.tickets import HeldGrant, Outcome, Ticket
--- a/tests/test_node/test_grants.py
+++ b/tests/test_node/test_grants.py
@@ -8,6 +8,7 @@
 from fabric import small_catalogue
 
 from rosemaryseam.common.clock import ManualClock
+from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.node.dispatcher import CatalogueChanged
 from rosemaryseam.node.grants import GrantTask
 from rosemaryseam.node.member import LIVE, Peer, View
@@ -19,7 +20,6 @@
     Received,
     Takeover,
 )
-from rosemaryseam.node.metrics import Metrics
 from rosemaryseam.node.settings import Timing
 from rosemaryseam.node.tickets import Ticket
 from rosemaryseam.node.transport import Transport
--- a/tests/test_platform/test_boundary.py
+++ b/tests/test_platform/test_boundary.py
@@ -62,3 +62,23 @@
 def test_nothing_of_the_product_imports_the_adapter() -> None:
     for file in product_files():
         assert 'rosemaryseam.platform' not in file.read_text(), file
+
+
+INTERNAL_IMPORTS = {
+    'common': {'common'},
+    'policy': {'common', 'policy'},
+    'router': {'common', 'policy', 'router'},
+    'node': {'common', 'policy', 'node'},
+    'operator': {'common', 'operator'},
+    'standins': {'common', 'standins'},
+    'experiments': {'common', 'policy', 'router', 'experiments'},
+}
+IMPORT = re.compile(r'^\s*(?:from|import) rosemaryseam\.(\w+)', re.MULTILINE)
+
+
+@pytest.mark.parametrize('package', INTERNAL_IMPORTS)
+def test_imports_point_one_way(package: str) -> None:
+    allowed = INTERNAL_IMPORTS[package]
+    for file in (ROOT / 'packages' / package).rglob('*.py'):
+        imported = set(IMPORT.findall(file.read_text()))
+        assert imported <= allowed, (file, imported - allowed)
--- a/tests/test_router/test_beliefs.py
+++ b/tests/test_router/test_beliefs.py
@@ -22,6 +22,7 @@
 
 from rosemaryseam.common.clock import ManualClock
 from rosemaryseam.common.errors import PlatformError
+from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.common.rangestore import (
     Changes,
     HistoryLostError,
@@ -30,7 +31,6 @@
     RangeStore,
     Snapshot,
 )
-from rosemaryseam.node.metrics import Metrics
 from rosemaryseam.router.documentcodec import (
     CONFIGURATION_KEY,
     UPSTREAM_PREFIX,
--- a/tests/test_router/test_dispatch.py
+++ b/tests/test_router/test_dispatch.py
@@ -12,7 +12,7 @@
 
 from rosemaryseam.common.addresses import Address
 from rosemaryseam.common.clock import ManualClock
-from rosemaryseam.node.metrics import Metrics
+from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.policy.slots import UPSTREAMS_PER_SLOT, SlotPlan
 from rosemaryseam.router.books import PlacementBooks
 from rosemaryseam.router.datagrams import (
--- a/tests/test_router/test_feed.py
+++ b/tests/test_router/test_feed.py
@@ -10,6 +10,7 @@
 
 from rosemaryseam.common.clock import ManualClock
 from rosemaryseam.common.errors import PlatformError
+from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.common.rangestore import (
     Changes,
     HistoryLostError,
@@ -17,7 +18,6 @@
     RangeStore,
     Snapshot,
 )
-from rosemaryseam.node.metrics import Metrics
 from rosemaryseam.router.documentcodec import (
     CONFIGURATION_KEY,
     UPSTREAM_PREFIX,
--- a/tools/routerslopes.py
+++ b/tools/routerslopes.py
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING
 
 from rosemaryseam.common.addresses import Address
+from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.experiments.events import Timeline
-from rosemaryseam.node.metrics import Metrics
 from rosemaryseam.policy.slots import UPSTREAMS_PER_SLOT, SlotPlan
 from rosemaryseam.router.books import PlacementBooks
 from rosemaryseam.router.datagrams import Ask, Datagram, Ended, decode, encode
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -13,11 +13,11 @@
 from catalogues import sample_catalogue
 from rosemaryseam.common.catalogue import Catalogue, load_catalogue
 from rosemaryseam.common.clock import SystemClock
+from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.node import messages
 from rosemaryseam.node.assignment import Rules, assign_partitions, plan_partitions
 from rosemaryseam.node.codec import Frame, decode_frame, encode_frame
 from rosemaryseam.node.member import LIVE, MemberTask, Peer, View
-from rosemaryseam.node.metrics import Metrics
 from rosemaryseam.node.partition import Partition
 from rosemaryseam.node.settings import Bounds, Timing
 from rosemaryseam.node.transport import Transport
