One copy of the metrics and dump resources; test what a router shows

Cause: node and router each had both; nothing tested the router's metrics address. Change: rosemaryseam.common.inspection. The node's dump is now written like the router's: what JSON has no type for as text.

--- a/packages/node/src/rosemaryseam/node/admin.py
+++ b/packages/node/src/rosemaryseam/node/admin.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hmac
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import falcon
 
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from rosemaryseam.common.metrics import Metrics
+    from rosemaryseam.common.inspection import DumpResource, MetricsResource
     from rosemaryseam.node.replica import ReplicaTask
 
 MAX_CATALOGUE_BYTES = 1_000_000
@@ -39,29 +39,6 @@
         resp.media = {'ready': reason is None, 'reason': reason}
 
 
-class MetricsResource:
-    """``/metrics``, in the Prometheus text format."""
-
-    def __init__(self, metrics: Metrics) -> None:
-        self._metrics = metrics
-
-    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Show all counters and histograms."""
-        resp.content_type = 'text/plain; version=0.0.4'
-        resp.data = self._metrics.render()
-
-
-class DumpResource:
-    """``/dump``: the whole state of the process."""
-
-    def __init__(self, dump: Callable[[], dict[str, Any]]) -> None:
-        self._dump = dump
-
-    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Show the state as JSON."""
-        resp.media = self._dump()
-
-
 class CatalogueResource:
     """``/catalogue``: takes a revision that the service has accepted."""
 
--- a/packages/node/src/rosemaryseam/node/process.py
+++ b/packages/node/src/rosemaryseam/node/process.py
@@ -13,17 +13,12 @@
 
 from rosemaryseam.common.addresses import parse_address
 from rosemaryseam.common.errors import ResultCode, SettingsError
+from rosemaryseam.common.inspection import DumpResource, MetricsResource
 from rosemaryseam.common.keyvalue import open_key_value_store
 from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.common.wsgi import HttpServer, ServerBounds
 from rosemaryseam.node import messages
-from rosemaryseam.node.admin import (
-    CatalogueResource,
-    DumpResource,
-    HealthResource,
-    MetricsResource,
-    build_admin,
-)
+from rosemaryseam.node.admin import CatalogueResource, HealthResource, build_admin
 from rosemaryseam.node.claims import ClaimRegistry
 from rosemaryseam.node.dispatcher import CatalogueChanged, DispatcherTask
 from rosemaryseam.node.gateway.application import build_application
--- a/packages/router/src/rosemaryseam/router/status.py
+++ b/packages/router/src/rosemaryseam/router/status.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING, Any
 
 import falcon
 
+from rosemaryseam.common.inspection import DumpResource, MetricsResource
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -30,30 +31,6 @@
         resp.media = {'ready': reason is None, 'reason': reason}
 
 
-class MetricsResource:
-    """``/metrics``, in the Prometheus text format."""
-
-    def __init__(self, metrics: Metrics) -> None:
-        self._metrics = metrics
-
-    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Show all counters and histograms."""
-        resp.content_type = 'text/plain; version=0.0.4'
-        resp.data = self._metrics.render()
-
-
-class DumpResource:
-    """``/dump``: the whole state of the process."""
-
-    def __init__(self, dump: Callable[[], dict[str, Any]]) -> None:
-        self._dump = dump
-
-    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Show the state as JSON."""
-        resp.content_type = falcon.MEDIA_JSON
-        resp.data = json.dumps(self._dump(), default=str).encode()
-
-
 def build_readiness(reason: Callable[[], str | None]) -> falcon.App:
     """Return the application of the readiness address.
 
--- /dev/null
+++ b/tests/test_router/test_status.py
@@ -0,0 +1,40 @@
+"""What a router shows of itself: readiness, metrics and the dump."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from rosemaryseam.common.exchange import call
+
+if TYPE_CHECKING:
+    from routers import RunningRouter
+
+
+def test_metrics_count_requests_and_show_their_latency(router: RunningRouter) -> None:
+    router.add('one', lambda turn: turn.answer(200, b'x'))
+    assert router.call('safe').status == 200
+    assert router.call('nowhere').status == 404
+    answer = call(router.cfg.metrics, 'GET', '/metrics', timeout_s=1.0)
+    lines = answer.body.decode().splitlines()
+    assert answer.status == 200
+    assert 'rosemaryseam_requests_refused_total{status="404"} 1.0' in lines
+    assert 'rosemaryseam_request_seconds_count{route="safe"} 1.0' in lines
+    assert any('quantile="0.99"' in line for line in lines)
+
+
+def test_the_dump_shows_what_is_believed(router: RunningRouter) -> None:
+    router.add('one', lambda turn: turn.answer(200, b'x'))
+    answer = call(router.cfg.metrics, 'GET', '/dump', timeout_s=1.0)
+    state = json.loads(answer.body)
+    assert state['not_ready'] is None
+    assert state['version'] == 1
+    assert [entry['id'] for entry in state['upstreams']] == ['one']
+
+
+def test_a_stopping_router_is_not_ready(router: RunningRouter) -> None:
+    assert call(router.cfg.readiness, 'GET', '/any', timeout_s=1.0).status == 200
+    router.router.request_stop()
+    answer = call(router.cfg.readiness, 'GET', '/any', timeout_s=1.0)
+    assert answer.status == 503
+    assert json.loads(answer.body)['reason'] == 'stopping'
