Dispatch and read the store on hosts with capacity to spare

Cause: on the grown sites six or eight hosts of 75 or 67 have four times the processor and twenty times the link of the others, and hashing put most slots on small ones. Change: a host's entry in the store tells its capacity in cores, bound by its link; the hosts with at least half of the most dispatch and read for all, the others follow when none of them answers. Where all are alike nothing changes.

--- a/packages/experiments/src/rosemaryseam/experiments/hosts.py
+++ b/packages/experiments/src/rosemaryseam/experiments/hosts.py
@@ -89,9 +89,9 @@
         self._host = host
         self._hosts = hosts
 
-    def known_hosts(self) -> list[str]:
-        """Return the other hosts that run."""
-        return [name for name in self._hosts if name != self._host.name]
+    def known_hosts(self) -> dict[str, float]:
+        """Return the other hosts that run; all are alike."""
+        return {name: 1.0 for name in self._hosts if name != self._host.name}
 
     def ask(self, host: str, ask: Ask) -> None:
         """Ask a dispatcher and hand its answer back."""
--- a/packages/policy/src/rosemaryseam/policy/rendezvous.py
+++ b/packages/policy/src/rosemaryseam/policy/rendezvous.py
@@ -9,6 +9,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
+STRONG_SHARE = 0.5  # of the most capacity, from which on a place counts as strong
+
 
 class Candidate(NamedTuple):
     """A host that may be assigned a partition."""
@@ -26,6 +28,21 @@
     return sorted(names, key=lambda name: (-_score(key, name), name))
 
 
+def rank_by_capacity(key: str, capacities: Mapping[str, float]) -> list[str]:
+    """Return names in their order of preference, those with much capacity first.
+
+    Work that many others wait for goes to places that have it to spare. Where all are
+    about alike, this is :func:`rank`.
+
+    :param key: what is placed
+    :param capacities: of the places
+    """
+    most = max(capacities.values(), default=0.0)
+    strong = [name for name, own in capacities.items() if own >= most * STRONG_SHARE]
+    weak = capacities.keys() - set(strong)
+    return rank(key, strong) + rank(key, weak)
+
+
 def assign(
     partition: str, candidates: Iterable[Candidate], zones: Mapping[str, int]
 ) -> str | None:
--- a/packages/policy/src/rosemaryseam/policy/slots.py
+++ b/packages/policy/src/rosemaryseam/policy/slots.py
@@ -5,10 +5,10 @@
 import math
 from typing import TYPE_CHECKING
 
-from rosemaryseam.policy.rendezvous import rank
+from rosemaryseam.policy.rendezvous import rank, rank_by_capacity
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
 
 UPSTREAMS_PER_SLOT = 12  # one dispatcher weighs as many for each request
 
@@ -43,13 +43,13 @@
         names = {str(slot): slot for slot in range(self.count)}
         return [names[name] for name in rank(key, names)]
 
-    def hosts(self, slot: int, hosts: Sequence[str]) -> list[str]:
+    def hosts(self, slot: int, capacities: Mapping[str, float]) -> list[str]:
         """Return hosts in the order in which they dispatch a slot.
 
         :param slot: from 0 on
-        :param hosts: that run
+        :param capacities: of the hosts that run
         """
-        return rank(f'{self._service}#{slot}', hosts)
+        return rank_by_capacity(f'{self._service}#{slot}', capacities)
 
 
 def _divide(
--- a/packages/router/src/rosemaryseam/router/dispatch.py
+++ b/packages/router/src/rosemaryseam/router/dispatch.py
@@ -52,6 +52,7 @@
     :param dispatcher: this host's own
     :param registry: the usable upstreams
     :param first_number: from which requests are numbered; differs between processes
+    :param capacity: of this host, as other hosts know it
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         dispatcher: Dispatcher,
         registry: Registry,
         first_number: int = 0,
+        capacity: float = 1.0,
     ) -> None:
         self._host = host
         self._zone = zone
@@ -75,6 +77,7 @@
         self._link: HostLink | None = None
         self.handover = Handover(host, clock, books)
         self._numbers = first_number
+        self._capacity = capacity
         self._waiting: dict[int, AsyncResult] = {}
         self._suspects: dict[str, tuple[float, float]] = {}  # until, and how long
         self._pressures: dict[tuple[str, int], tuple[float, float]] = {}
@@ -190,14 +193,17 @@
         )
         self.handover.tell_ended(host, Ended(ask.query.number, 'cancelled', 0.0))
 
-    def _hosts(self) -> list[str]:
+    def _hosts(self) -> dict[str, float]:
         """Return the hosts that may dispatch now, this one included."""
         now = self._clock.monotonic()
-        known = self._link.known_hosts() if self._link is not None else ()
-        return [
-            self._host,
-            *(host for host in known if self._suspects.get(host, (0.0,))[0] <= now),
-        ]
+        known = self._link.known_hosts() if self._link is not None else {}
+        hosts = {
+            host: capacity
+            for host, capacity in known.items()
+            if self._suspects.get(host, (0.0,))[0] <= now
+        }
+        hosts[self._host] = self._capacity
+        return hosts
 
     def _query(self, order: Order) -> Query:
         now = self._clock.monotonic()
--- a/packages/router/src/rosemaryseam/router/hostlink.py
+++ b/packages/router/src/rosemaryseam/router/hostlink.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Mapping
 
     from rosemaryseam.router.datagrams import Ask, Ended
     from rosemaryseam.router.queries import Held, Placed
@@ -16,8 +16,8 @@
     """Sends messages that may be lost; nothing here waits."""
 
     @abc.abstractmethod
-    def known_hosts(self) -> Sequence[str]:
-        """Return the other hosts that may dispatch."""
+    def known_hosts(self) -> Mapping[str, float]:
+        """Return the other hosts that may dispatch, with their capacities."""
 
     @abc.abstractmethod
     def ask(self, host: str, ask: Ask) -> None:
--- a/packages/router/src/rosemaryseam/router/peers.py
+++ b/packages/router/src/rosemaryseam/router/peers.py
@@ -68,6 +68,7 @@
     :param placer: of this host
     :param dispatcher: of this host
     :param books: of this host
+    :param capacity: of this host, told to the others
     """
 
     def __init__(
@@ -80,8 +81,10 @@
         placer: DispatchPlacer,
         dispatcher: Dispatcher,
         books: PlacementBooks,
+        capacity: float = 1.0,
     ) -> None:
         self._address = address
+        self._capacity = capacity
         self._store = store
         self._clock = clock
         self._metrics = metrics
@@ -91,7 +94,7 @@
         self._books = books
         self._incarnation = rng.getrandbits(63)
         self._heard: dict[str, float] = {}
-        self._known: set[str] = set()
+        self._known: dict[str, float] = {}  # capacities
         self._leaving: set[str] = set()
         self._incarnations: dict[str, deque[int]] = {}  # the last one is in force
         self._outboxes: dict[str, _Outbox] = {}
@@ -120,9 +123,13 @@
         """Return how many hosts are known to run, this one included."""
         return 1 + len(self._known)
 
-    def known_hosts(self) -> list[str]:
-        """Return the other hosts that may dispatch."""
-        return [host for host in self._known if host not in self._leaving]
+    def known_hosts(self) -> dict[str, float]:
+        """Return the other hosts that may dispatch, with their capacities."""
+        return {
+            host: capacity
+            for host, capacity in self._known.items()
+            if host not in self._leaving
+        }
 
     def lease(self) -> int:
         """Return the lease of this host's entry, 0 while it has none."""
@@ -131,7 +138,7 @@
     def leave(self) -> None:
         """Tell the hosts and the store that this host stops."""
         data = encode(Datagram(self._address.ip, self._incarnation, leaving=True))
-        for host in self._known | set(self._heard):
+        for host in {*self._known, *self._heard}:
             self._transmit(host, data)
         try:
             self._store.write((), (HOSTS_PREFIX + self._address.ip,))
@@ -154,11 +161,11 @@
         if host == self._address.ip:
             return
         if value is None:
-            self._known.discard(host)
+            self._known.pop(host, None)
             log_event('peer_unregistered', peer=host)
         elif host not in self._known:
-            self._known.add(host)
-            log_event('peer_registered', peer=host)
+            self._known[host] = capacity = _read_capacity(host, value)
+            log_event('peer_registered', peer=host, capacity=capacity)
             self._send(host, Datagram(self._address.ip, self._incarnation))
         self._leaving.discard(host)
         self._placer.hosts_changed()
@@ -314,6 +321,16 @@
         if self._lease and self._store.renew_lease(self._lease):
             return
         self._lease = self._store.grant_lease(LEASE_S)
-        value = json.dumps({'port': self._address.port}).encode()
+        entry = {'port': self._address.port, 'capacity': self._capacity}
+        value = json.dumps(entry).encode()
         key = HOSTS_PREFIX + self._address.ip
         self._store.write((Write(key, value, self._lease),))
+
+
+def _read_capacity(host: str, value: bytes) -> float:
+    """Return the capacity in a host's entry, 0 when it cannot be read."""
+    try:
+        return float(json.loads(value)['capacity'])
+    except (ValueError, LookupError, TypeError) as exc:
+        log_warning('peer_entry_unreadable', peer=host, reason=repr(exc))
+        return 0.0
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -88,6 +88,7 @@
             self.dispatcher,
             self.registry,
             self._rng.getrandbits(32),
+            cfg.capacity,
         )
         self.peers = PeerLink(
             Address(cfg.ip, cfg.peer_port),
@@ -98,9 +99,12 @@
             self._placer,
             self.dispatcher,
             self.books,
+            cfg.capacity,
         )
         self._placer.connect(self.peers)
-        self.relayed = RelayedStore(store, cfg.ip, cfg.peer_port, clock, self.metrics)
+        self.relayed = RelayedStore(
+            store, cfg.ip, cfg.peer_port, clock, self.metrics, cfg.capacity
+        )
         self.relayed.known_hosts = self.peers.known_hosts
         self.contact = ContactChecker(
             store, clock, self.peers.lease, lambda: self.feed.heard_at
--- a/packages/router/src/rosemaryseam/router/relayedstore.py
+++ b/packages/router/src/rosemaryseam/router/relayedstore.py
@@ -18,11 +18,11 @@
     Snapshot,
     Write,
 )
-from rosemaryseam.policy.rendezvous import rank
+from rosemaryseam.policy.rendezvous import rank, rank_by_capacity
 from rosemaryseam.router.mirror import read_mirror, watch_mirror
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Mapping, Sequence
 
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.common.metrics import Metrics
@@ -52,10 +52,17 @@
     :param port: of the mirrors
     :param clock: the process's clock
     :param metrics: the process's counters
+    :param capacity: of this host, as other hosts know it
     """
 
     def __init__(
-        self, store: RangeStore, host: str, port: int, clock: Clock, metrics: Metrics
+        self,
+        store: RangeStore,
+        host: str,
+        port: int,
+        clock: Clock,
+        metrics: Metrics,
+        capacity: float = 1.0,
     ) -> None:
         self._store = store
         self._host = host
@@ -64,7 +71,8 @@
         self._metrics = metrics
         self._avoided: dict[str, float] = {}
         self._source: str | None = None
-        self.known_hosts: Callable[[], Sequence[str]] = tuple
+        self._capacity = capacity
+        self.known_hosts: Callable[[], Mapping[str, float]] = dict
 
     def read_range(self, prefix: str) -> Snapshot:
         """Return all items below a prefix."""
@@ -111,11 +119,11 @@
 
     def _readers(self) -> list[str]:
         """Return the readers to try, none when this host is to read by itself."""
-        hosts = [*self.known_hosts(), self._host]
+        hosts = {**self.known_hosts(), self._host: self._capacity}
         if len(hosts) < RELAYED_FROM_HOSTS:
             return []
         count = max(LEAST_READERS, math.ceil(len(hosts) / HOSTS_PER_READER))
-        chosen = rank('readers', hosts)[:count]
+        chosen = rank_by_capacity('readers', hosts)[:count]
         if self._host in chosen:
             return []
         now = self._clock.monotonic()
--- a/packages/router/src/rosemaryseam/router/settings.py
+++ b/packages/router/src/rosemaryseam/router/settings.py
@@ -8,13 +8,15 @@
     from rosemaryseam.common.addresses import Address
     from rosemaryseam.policy.retrybudget import BudgetTerms
 
+MBPS_PER_CORE = 20.0  # a host with less for each core is bound by its link
+
 
 class RouterSettings(NamedTuple):
     """Addresses and bounds of one host's router.
 
     ``key_age_s`` is how old the proof may be that a key is still valid. ``grace_s``
     is how long after SIGTERM the process is killed. ``peer_port`` is the same on all
-    hosts.
+    hosts. ``cores`` and ``link_mbps`` are what the process may use.
     """
 
     host: str
@@ -31,3 +33,10 @@
     grace_s: float
     key_age_s: float
     retry_terms: BudgetTerms
+    cores: float = 1.0
+    link_mbps: float = 1000.0
+
+    @property
+    def capacity(self) -> float:
+        """What the host has to spare for work that others wait for, in cores."""
+        return min(self.cores, self.link_mbps / MBPS_PER_CORE)
--- a/tests/test_router/routers.py
+++ b/tests/test_router/routers.py
@@ -183,9 +183,11 @@
     """Hosts on loopback addresses of their own, with one store.
 
     :param count: how many hosts
+    :param strong: numbers of those with four times the capacity of the others
     """
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, strong: tuple[int, ...] = ()) -> None:
+        self._strong = strong
         self.store = MemoryRangeStore(SystemClock())
         self.store.put(CONFIGURATION_KEY, configuration())
         self._port = free_port()
@@ -206,6 +208,7 @@
             readiness=Address(ip, free_port()),
             metrics=Address(ip, free_port()),
             peer_port=self._port,
+            cores=2.0 if number in self._strong else 0.5,
         )
 
     def knows_all(self, host: RunningRouter) -> bool:
@@ -223,7 +226,7 @@
         """Return the host that dispatches a service's first slot."""
         plan = self.hosts[0].router.dispatcher.plan(service)
         ips = [host.cfg.ip for host in self.hosts]
-        first = plan.hosts(0, ips)[0]
+        first = plan.hosts(0, dict.fromkeys(ips, 1.0))[0]
         return next(host for host in self.hosts if host.cfg.ip == first)
 
     def stop(self) -> None:
--- a/tests/test_router/test_dispatch.py
+++ b/tests/test_router/test_dispatch.py
@@ -141,7 +141,8 @@
     names = [f'u-{number}' for number in range(30)]
     plans = [SlotPlan('engines', names), SlotPlan('engines', names[::-1])]
     assert plans[0].members(1) == plans[1].members(1)
-    assert plans[0].hosts(1, ['a', 'b', 'c']) == plans[1].hosts(1, ['c', 'b', 'a'])
+    names = [dict.fromkeys(order, 1.0) for order in ('abc', 'cba')]
+    assert plans[0].hosts(1, names[0]) == plans[1].hosts(1, names[1])
 
 
 @pytest.fixture
@@ -363,7 +364,7 @@
     """Return the address of the host that dispatches next."""
     plan = keeper.router.dispatcher.plan('work')
     ips = [host.cfg.ip for host in fleet.hosts if host is not keeper]
-    return plan.hosts(0, ips)[0]
+    return plan.hosts(0, dict.fromkeys(ips, 1.0))[0]
 
 
 PRESSURES = [
@@ -394,3 +395,15 @@
         placer._pressures['engines', order[place]] = (pressure, clock.monotonic())
     slots = placer._slots(plan, QUERY)
     assert slots[0] == (order[1] if moves else order[0])
+
+
+def test_hosts_with_capacity_to_spare_dispatch() -> None:
+    fleet = RunningFleet(4, strong=(3,))
+    try:
+        fleet.add('one', answer)
+        for host in fleet.hosts:
+            assert host.call('safe').status == 200
+        counts = [dispatched(host) for host in fleet.hosts]
+        assert counts == [0, 0, 3, 0]  # its own request needs no ask
+    finally:
+        fleet.stop()
--- a/tests/test_router/test_handover.py
+++ b/tests/test_router/test_handover.py
@@ -28,8 +28,8 @@
         self.held: list[tuple[str, int]] = []
         self.ended: list[tuple[str, int]] = []
 
-    def known_hosts(self) -> list[str]:
-        return ['b', 'c']
+    def known_hosts(self) -> dict[str, float]:
+        return {'b': 1.0, 'c': 1.0}
 
     def ask(self, host: str, ask: Ask) -> None:
         raise AssertionError('nothing is asked here')
--- a/tools/routerslopes.py
+++ b/tools/routerslopes.py
@@ -32,11 +32,11 @@
     """Knows hosts and sends nothing."""
 
     def __init__(self, count: int) -> None:
-        self._hosts = [
-            f'10.0.{number // 250}.{number % 250}' for number in range(count)
-        ]
+        self._hosts = {
+            f'10.0.{number // 250}.{number % 250}': 1.0 for number in range(count)
+        }
 
-    def known_hosts(self) -> list[str]:
+    def known_hosts(self) -> dict[str, float]:
         """Return all of them."""
         return self._hosts
 
