Keep room for the largest prompts when requests are refused

A short prompt is in time behind a longer backlog than a large one, so short ones filled engines up to a point where a large one was always late. The model's report shows the largest and the large requests of each kind.

--- a/packages/experiments/src/rosemaryseam/experiments/report.py
+++ b/packages/experiments/src/rosemaryseam/experiments/report.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Iterator
 
     from rosemaryseam.experiments.fleet import Fleet, Outcome
 
@@ -15,10 +15,12 @@
 SIZE_FLOOR = 0.3
 OUTPUT_WORK = 10
 SIZE_MOST = 4.0
+LARGEST = 0.1  # of a kind's requests
+LARGE = 0.2  # of a kind's requests, those below the largest
 
 
 class KindRow(NamedTuple):
-    """One kind's requests."""
+    """One kind's requests, or those of one size among them."""
 
     name: str
     asked: int
@@ -30,9 +32,13 @@
 
 
 class DayResult(NamedTuple):
-    """A day's rows and its worth, less prices, as a share of what was asked."""
+    """A day's rows and its worth, less prices, as a share of what was asked.
+
+    ``rows`` are the kinds, ``sizes`` the largest and the large requests of each.
+    """
 
     rows: tuple[KindRow, ...]
+    sizes: tuple[KindRow, ...]
     worth: float
     served: float
     read_again: float
@@ -64,6 +70,11 @@
     worth = served - again - fetch_cost - refused_cost
     return DayResult(
         tuple(_row(name, group, means) for name, group in sorted(rows.items())),
+        tuple(
+            _row(f'{name}, {size}', part, means)
+            for name, group in sorted(rows.items())
+            for size, part in _sizes(group)
+        ),
         worth,
         served,
         again,
@@ -77,11 +88,11 @@
 
     :param result: of a day
     """
-    lines = ['kind       asked in target  late refused failed  worth']
+    lines = ['kind                    asked in target  late refused failed  worth']
     lines += [
-        f'{row.name:10s} {row.asked:5d} {row.in_target:9d} {row.late:5d} '
+        f'{row.name:22s} {row.asked:5d} {row.in_target:9d} {row.late:5d} '
         f'{row.refused:7d} {row.failed:6d}  {row.worth:.3f}'
-        for row in result.rows
+        for row in sorted(result.rows + result.sizes)
     ]
     lines.append(
         f'worth {result.worth:.3f} = served {result.served:.3f} - read again '
@@ -91,6 +102,16 @@
     return '\n'.join(lines)
 
 
+def _sizes(group: list[Outcome]) -> Iterator[tuple[str, list[Outcome]]]:
+    """Yield the largest and the large ones of a kind's requests."""
+    ordered = sorted(group, key=_work, reverse=True)
+    largest = round(len(group) * LARGEST)
+    large = largest + round(len(group) * LARGE)
+    if largest:
+        yield 'largest', ordered[:largest]
+        yield 'large', ordered[largest:large]
+
+
 def _row(name: str, group: list[Outcome], means: dict[str, float]) -> KindRow:
     counts = {
         result: sum(1 for outcome in group if outcome.result == result)
--- a/packages/policy/src/rosemaryseam/policy/engineplacement.py
+++ b/packages/policy/src/rosemaryseam/policy/engineplacement.py
@@ -16,7 +16,9 @@
 RANK_VALUES = (5.0, 1.5, 1.5)  # worth of a request in target, by rank
 SIZE_FLOOR = 0.3  # of the worth that does not depend on the size
 SIZE_MOST = 4.0
-REFUSAL_LOSSES = (math.inf, 6.0, 1.0)  # in worths of a request, by rank
+REFUSAL_LOSSES = (math.inf, 6.0, 0.85)  # in worths of a request, by rank
+LARGE_ALLOWANCE = 0.6  # of that, borne in addition for each mean size beyond one
+LARGE_MOST = 3.0  # mean sizes; no more is borne for larger ones
 LATE_LOSS = 0.9  # share of its worth that a late answer loses
 READ_AGAIN_PER_TOKEN = 0.00024  # price of prefilling a part that an engine holds
 FETCH_PER_TOKEN = 0.00003  # price of copying a cached token between engines
@@ -43,7 +45,8 @@
 class PlacementRequest(NamedTuple):
     """A request to place on an engine.
 
-    ``size`` is its work relative to the mean of its route, 1 for an ordinary one.
+    ``size`` is its work relative to the mean of its route, 1 for an ordinary one;
+    ``room_tokens`` is by how much its prompt is shorter than its route's largest are.
     ``time_left_s`` is up to the target for the first event, ``patience_s`` up to the
     time at which the caller gives up. ``prompt_tokens`` counts the whole prompt,
     ``body_bytes`` what crosses the network.
@@ -51,6 +54,7 @@
 
     rank: int
     size: float
+    room_tokens: int
     parts: tuple[Part, ...]
     prompt_tokens: int
     output_tokens: int
@@ -94,11 +98,16 @@
 
 
 class Choice(NamedTuple):
-    """An engine with what decided for it; ``loss`` is the sum of ``losses``."""
+    """An engine with what decided for it; ``loss`` is the sum of ``losses``.
+
+    ``room_loss`` is what its lateness would cost more if its prompt were among the
+    largest of its route.
+    """
 
     name: str
     loss: float
     losses: Losses
+    room_loss: float
     prefill_tokens: int
     cached_tokens: int
     fetch_from: str | None
@@ -126,11 +135,18 @@
 def is_worth_it(request: PlacementRequest, choice: Choice) -> bool:
     """Return whether placing a request does more good than harm.
 
+    Requests are refused before engines are so busy that the largest of their route
+    would come late, and more is borne for large ones: short ones would otherwise take
+    all of the time that is left, and callers with long prompts get nothing.
+
     :param request: the request
     :param choice: the best engine for it
     """
     rank = min(request.rank, len(REFUSAL_LOSSES) - 1)
-    return choice.loss <= REFUSAL_LOSSES[rank] * value_of(request.rank, request.size)
+    beyond = max(0.0, min(LARGE_MOST, request.size) - 1.0)
+    share = REFUSAL_LOSSES[rank] * (1.0 + LARGE_ALLOWANCE * beyond)
+    limit = share * value_of(request.rank, request.size)
+    return choice.loss + choice.room_loss <= limit
 
 
 def choose_engine(
@@ -206,8 +222,17 @@
         other=other,
     )
     source = holder.name if holder is not None and fetched else None
+    room = first + view.prefill_s(request.room_tokens)
     return Choice(
-        candidate.name, sum(losses), losses, prefill, cached, source, fetched, first
+        candidate.name,
+        sum(losses),
+        losses,
+        _lateness_loss(request, room) - losses.late,
+        prefill,
+        cached,
+        source,
+        fetched,
+        first,
     )
 
 
--- a/packages/router/src/rosemaryseam/router/books.py
+++ b/packages/router/src/rosemaryseam/router/books.py
@@ -40,6 +40,8 @@
 LEAST_RETRY_S = 0.4  # engines' backlogs last for about that long
 OUTPUT_WORK = 10  # a generated token counts like so many prompt tokens
 SIZE_WEIGHT = 0.02  # of one request in the mean size of its route
+LARGEST = 0.1  # of a route's prompts, for whose lateness there must be room
+LARGEST_STEP = 0.05  # by which one prompt moves their least length
 PAUSED_LOSS = 50.0  # an upstream that does not answer, while others do
 FAILURE_LOSS = 4.0  # for an upstream that always fails
 OTHER_ZONE_LOSS = 0.3  # of a request's slot, for app runners
@@ -60,17 +62,43 @@
 
 
 class _RouteSizes:
-    """The mean work of each route's requests, in tokens."""
+    """The mean work of each route's requests and how long its largest prompts are."""
 
     def __init__(self) -> None:
         self._means: dict[str, float] = {}
+        self._largest: dict[str, float] = {}
 
-    def relative(self, query: Query) -> float:
-        """Return a request's work relative to its route's mean, and learn from it."""
-        work = query.prompt_tokens + OUTPUT_WORK * query.most_output_tokens
-        mean = self._means.get(query.route, float(work))
+    def learn(self, query: Query) -> None:
+        """Take a request into account.
+
+        :param query: the request
+        """
+        work = _work(query)
+        mean = self._means.get(query.route, work)
         self._means[query.route] = mean + SIZE_WEIGHT * (work - mean)
-        return work / mean if mean else 1.0
+        largest = self._largest.get(query.route, float(query.prompt_tokens))
+        share = 1.0 - LARGEST if query.prompt_tokens > largest else -LARGEST
+        self._largest[query.route] = largest * (1.0 + LARGEST_STEP * share)
+
+    def relative(self, query: Query) -> float:
+        """Return a request's work relative to its route's mean.
+
+        :param query: the request
+        """
+        mean = self._means.get(query.route, 0.0)
+        return _work(query) / mean if mean else 1.0
+
+    def room_tokens(self, query: Query) -> int:
+        """Return by how many tokens a prompt is shorter than its route's largest.
+
+        :param query: the request
+        """
+        largest = self._largest.get(query.route, 0.0)
+        return max(0, int(largest) - query.prompt_tokens)
+
+
+def _work(query: Query) -> float:
+    return float(query.prompt_tokens + OUTPUT_WORK * query.most_output_tokens)
 
 
 class PlacementBooks:
@@ -136,9 +164,11 @@
         self, host: str, query: Query, upstreams: Sequence[Upstream]
     ) -> Placement:
         now = self._clock.monotonic()
+        self._sizes.learn(query)
         request = PlacementRequest(
             rank=query.rank,
             size=self._sizes.relative(query),
+            room_tokens=self._sizes.room_tokens(query),
             parts=query.parts,
             prompt_tokens=query.prompt_tokens,
             output_tokens=query.output_tokens,
--- a/tests/test_experiments/test_loads.py
+++ b/tests/test_experiments/test_loads.py
@@ -49,6 +49,7 @@
 LONG_PROMPTS = short(LEASING, bursts=DIGEST_BURST)
 OVERLOAD = short(MEDIATION, bursts=(Burst('digest', 0.5, 9.0, 2.6),), load=1.2)
 BUSY = short(MEDIATION, bursts=(Burst('digest', 0.5, 9.0, 2.2),))
+CROWDED = short(GROWN, bursts=(Burst('digest', 0.5, 9.0, 1.6),), load=1.3)
 AFTER_A_CRASH = short(
     LEASING,
     bursts=(Burst('copy', 1.0, 3.0, 2.0), Burst('digest', 5.0, 5.0, 2.2)),
@@ -213,6 +214,7 @@
     length_s=8.0,
     kinds=tuple(kind._replace(per_s=kind.per_s / 4) for kind in GROWN.kinds),
     bursts=(Burst('digest', 0.5, 7.0, 1.8),),
+    load=1.5,
 )
 
 
@@ -222,7 +224,34 @@
     result = play(SMALL_SLOTS)
     assert row(result, 'digest').refused > 0
     assert row(result, 'ask').refused == 0
-    monkeypatch.setattr(engineplacement, 'REFUSAL_LOSSES', (math.inf, 2.0, 1.0))
+    monkeypatch.setattr(engineplacement, 'REFUSAL_LOSSES', (math.inf, 2.0, 0.85))
     without = play(SMALL_SLOTS)
     assert row(without, 'ask').refused > 0
     assert row(without, 'ask').worth < row(result, 'ask').worth
+
+
+CROWDS = [('leasing, long prompts', LONG_PROMPTS), ('grown, crowded', CROWDED)]
+
+
+@pytest.mark.parametrize(
+    ('name', 'scenario'), CROWDS, ids=[entry[0] for entry in CROWDS]
+)
+def test_the_largest_prompts_keep_their_share_of_a_crowd(
+    name: str, scenario: Scenario, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Short prompts take what is left of an engine's time, unless room is kept."""
+    kept = _share_of_largest(play(scenario))
+    monkeypatch.setattr(engineplacement, 'LARGE_ALLOWANCE', 0.0)
+    monkeypatch.setattr(books, 'LARGEST_STEP', 0.0)
+    assert kept > 0.7
+    assert kept > _share_of_largest(play(scenario)) + 0.05
+
+
+def _share_of_largest(result: DayResult) -> float:
+    """Return how often the largest digests are answered against all digests."""
+    largest = next(entry for entry in result.sizes if entry.name == 'digest, largest')
+    return _answered(largest) / _answered(row(result, 'digest'))
+
+
+def _answered(entry: KindRow) -> float:
+    return (entry.in_target + entry.late) / entry.asked
--- a/tests/test_policy/test_engineplacement.py
+++ b/tests/test_policy/test_engineplacement.py
@@ -28,6 +28,7 @@
     entry = PlacementRequest(
         rank=2,
         size=1.0,
+        room_tokens=0,
         parts=DIGEST,
         prompt_tokens=9200,
         output_tokens=50,
@@ -162,6 +163,10 @@
 WORTH = [
     ('idle', request(), 0, True),
     ('some load', request(), 6, True),
+    ('nearly no time left', request(), 8, True),
+    ('no room for the largest', request(room_tokens=10_000), 8, False),
+    ('too little time left', request(), 9, False),
+    ('too little time left, but large', request(size=2.5), 9, True),
     ('a backlog past the target', request(), 30, False),
     ('the most urgent, whatever the load', urgent(), 30, True),
 ]
