Bear more for sizes of prompts that fall behind

Change: dispatchers learn which prompts are the largest tenth of a route and which the fifth below, and how often each band is placed. While a band is placed less than 0.8 times as often as all, each of its requests raises what is borne for it by a tenth, up to eight times; else it falls back to one. Refusals log the size and the allowance.

Test: test_sizes.py; test_loads.py plays crowds with and without both mechanisms.

--- a/packages/policy/src/rosemaryseam/policy/engineplacement.py
+++ b/packages/policy/src/rosemaryseam/policy/engineplacement.py
@@ -46,7 +46,8 @@
     """A request to place on an engine.
 
     ``size`` is its work relative to the mean of its route, 1 for an ordinary one;
-    ``room_tokens`` is by how much its prompt is shorter than its route's largest are.
+    ``room_tokens`` is by how much its prompt is shorter than its route's largest are,
+    ``allowance`` how much more loss is borne before it is refused, mostly 1.
     ``time_left_s`` is up to the target for the first event, ``patience_s`` up to the
     time at which the caller gives up. ``prompt_tokens`` counts the whole prompt,
     ``body_bytes`` what crosses the network.
@@ -55,6 +56,7 @@
     rank: int
     size: float
     room_tokens: int
+    allowance: float
     parts: tuple[Part, ...]
     prompt_tokens: int
     output_tokens: int
@@ -145,7 +147,7 @@
     rank = min(request.rank, len(REFUSAL_LOSSES) - 1)
     beyond = max(0.0, min(LARGE_MOST, request.size) - 1.0)
     share = REFUSAL_LOSSES[rank] * (1.0 + LARGE_ALLOWANCE * beyond)
-    limit = share * value_of(request.rank, request.size)
+    limit = request.allowance * share * value_of(request.rank, request.size)
     return choice.loss + choice.room_loss <= limit
 
 
--- /dev/null
+++ b/packages/policy/src/rosemaryseam/policy/sizes.py
@@ -0,0 +1,100 @@
+"""The sizes of a route's requests, and which sizes are refused too often."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+SIZE_WEIGHT = 0.02  # of one request in the mean size of its route
+LARGEST = 0.1  # of a route's prompts
+LARGE = 0.3  # of a route's prompts, the largest included
+LENGTH_STEP = 0.03  # by which one prompt moves the least length of a band
+SHARE_WEIGHT = 0.05  # of one request in how often a band is placed
+FAIR_SHARE = 0.8  # of how often all of a route's requests are placed
+ALLOWANCE_STEP = 0.1  # by which one request moves what is borne for its band
+MOST_ALLOWANCE = 8.0
+
+BANDS = (LARGEST, LARGE)  # the rest is a band of its own
+
+
+class Size(NamedTuple):
+    """A request's size.
+
+    ``relative`` is its work against the mean of its route, ``room_tokens`` by how much
+    its prompt is shorter than the largest of its route, ``band`` 0 for the largest.
+    """
+
+    relative: float
+    room_tokens: int
+    band: int
+
+
+class _Route:
+    def __init__(self, prompt_tokens: int, work: float) -> None:
+        self.mean = work
+        self.lengths = [float(prompt_tokens)] * len(BANDS)
+        self.placed = 1.0
+        self.placed_by_band = [1.0] * len(BANDS)
+        self.allowances = [1.0] * len(BANDS)
+
+
+class RouteSizes:
+    """Learns each route's sizes, and bears more for those that fall behind."""
+
+    def __init__(self) -> None:
+        self._routes: dict[str, _Route] = {}
+
+    def learn(self, route: str, prompt_tokens: int, work: float) -> Size:
+        """Take a request into account and return its size.
+
+        :param route: name of its route
+        :param prompt_tokens: length of its prompt
+        :param work: tokens that it takes, answers weighed
+        """
+        known = self._routes.get(route)
+        if known is None:
+            known = self._routes[route] = _Route(prompt_tokens, work)
+        band = _band(known, prompt_tokens)
+        known.mean += SIZE_WEIGHT * (work - known.mean)
+        for index, share in enumerate(BANDS):
+            longer = prompt_tokens > known.lengths[index]
+            step = LENGTH_STEP * (1.0 - share if longer else -share)
+            known.lengths[index] *= 1.0 + step
+        room = max(0, int(known.lengths[0]) - prompt_tokens)
+        relative = work / known.mean if known.mean else 1.0
+        return Size(relative, room, band)
+
+    def allowance(self, route: str, size: Size) -> float:
+        """Return how much more loss is borne for a request, 1 for an ordinary one.
+
+        :param route: name of its route
+        :param size: as learnt
+        """
+        if size.band == len(BANDS):
+            return 1.0
+        return self._routes[route].allowances[size.band]
+
+    def record(self, route: str, size: Size, *, placed: bool) -> None:
+        """Note whether a request was placed or refused.
+
+        :param route: name of its route
+        :param size: as learnt
+        :param placed: whether it was placed
+        """
+        known = self._routes[route]
+        known.placed += SHARE_WEIGHT * (placed - known.placed)
+        if size.band == len(BANDS):
+            return
+        share = known.placed_by_band[size.band]
+        share += SHARE_WEIGHT * (placed - share)
+        known.placed_by_band[size.band] = share
+        behind = share < known.placed * FAIR_SHARE
+        factor = 1.0 + ALLOWANCE_STEP if behind else 1.0 / (1.0 + ALLOWANCE_STEP)
+        allowance = known.allowances[size.band] * factor
+        known.allowances[size.band] = min(MOST_ALLOWANCE, max(1.0, allowance))
+
+
+def _band(known: _Route, prompt_tokens: int) -> int:
+    for band, length in enumerate(known.lengths):
+        if prompt_tokens > length:
+            return band
+    return len(BANDS)
--- a/packages/router/src/rosemaryseam/router/books.py
+++ b/packages/router/src/rosemaryseam/router/books.py
@@ -23,6 +23,7 @@
 )
 from rosemaryseam.policy.outliers import Outliers
 from rosemaryseam.policy.prefixes import EngineCache, PartUses
+from rosemaryseam.policy.sizes import RouteSizes
 from rosemaryseam.router.placement import NoUpstreamError
 from rosemaryseam.router.queries import Held, Placement
 
@@ -39,9 +40,6 @@
 NO_UPSTREAM_RETRY_S = 0.5
 LEAST_RETRY_S = 0.4  # engines' backlogs last for about that long
 OUTPUT_WORK = 10  # a generated token counts like so many prompt tokens
-SIZE_WEIGHT = 0.02  # of one request in the mean size of its route
-LARGEST = 0.1  # of a route's prompts, for whose lateness there must be room
-LARGEST_STEP = 0.05  # by which one prompt moves their least length
 PAUSED_LOSS = 50.0  # an upstream that does not answer, while others do
 FAILURE_LOSS = 4.0  # for an upstream that always fails
 OTHER_ZONE_LOSS = 0.3  # of a request's slot, for app runners
@@ -61,46 +59,6 @@
         self.cache = EngineCache(size.cache_tokens)
 
 
-class _RouteSizes:
-    """The mean work of each route's requests and how long its largest prompts are."""
-
-    def __init__(self) -> None:
-        self._means: dict[str, float] = {}
-        self._largest: dict[str, float] = {}
-
-    def learn(self, query: Query) -> None:
-        """Take a request into account.
-
-        :param query: the request
-        """
-        work = _work(query)
-        mean = self._means.get(query.route, work)
-        self._means[query.route] = mean + SIZE_WEIGHT * (work - mean)
-        largest = self._largest.get(query.route, float(query.prompt_tokens))
-        share = 1.0 - LARGEST if query.prompt_tokens > largest else -LARGEST
-        self._largest[query.route] = largest * (1.0 + LARGEST_STEP * share)
-
-    def relative(self, query: Query) -> float:
-        """Return a request's work relative to its route's mean.
-
-        :param query: the request
-        """
-        mean = self._means.get(query.route, 0.0)
-        return _work(query) / mean if mean else 1.0
-
-    def room_tokens(self, query: Query) -> int:
-        """Return by how many tokens a prompt is shorter than its route's largest.
-
-        :param query: the request
-        """
-        largest = self._largest.get(query.route, 0.0)
-        return max(0, int(largest) - query.prompt_tokens)
-
-
-def _work(query: Query) -> float:
-    return float(query.prompt_tokens + OUTPUT_WORK * query.most_output_tokens)
-
-
 class PlacementBooks:
     """Requests in flight by upstream, and what their outcomes taught.
 
@@ -123,7 +81,7 @@
         self._flights: dict[str, dict[int, str]] = {}
         self._uses = PartUses()
         self._outliers = Outliers()
-        self._sizes = _RouteSizes()
+        self._sizes = RouteSizes()
         self._durations = Durations()
 
     # Placement.
@@ -164,11 +122,13 @@
         self, host: str, query: Query, upstreams: Sequence[Upstream]
     ) -> Placement:
         now = self._clock.monotonic()
-        self._sizes.learn(query)
+        work = float(query.prompt_tokens + OUTPUT_WORK * query.most_output_tokens)
+        size = self._sizes.learn(query.route, query.prompt_tokens, work)
         request = PlacementRequest(
             rank=query.rank,
-            size=self._sizes.relative(query),
-            room_tokens=self._sizes.room_tokens(query),
+            size=size.relative,
+            room_tokens=size.room_tokens,
+            allowance=self._sizes.allowance(query.route, size),
             parts=query.parts,
             prompt_tokens=query.prompt_tokens,
             output_tokens=query.output_tokens,
@@ -180,8 +140,10 @@
         candidates = list(self._candidates(query, upstreams, now))
         choice = choose_engine(request, candidates, self._uses, now)
         assert choice is not None
-        if not is_worth_it(request, choice):
-            raise self._refusal(host, query, choice, candidates, now)
+        placed = is_worth_it(request, choice)
+        self._sizes.record(query.route, size, placed=placed)
+        if not placed:
+            raise self._refusal(host, query, request, choice, candidates, now)
         view = self._records[choice.name].view
         backlog_ms = int(view.backlog_s(now) * 1000)
         news_age_ms = int(view.news_age_s(now) * 1000)
@@ -213,6 +175,7 @@
         self,
         host: str,
         query: Query,
+        request: PlacementRequest,
         choice: Choice,
         candidates: Iterable[Candidate],
         now: float,
@@ -226,7 +189,10 @@
             asked_by=host,
             route=query.route,
             upstream=choice.name,
+            size=round(request.size, 2),
+            allowance=round(request.allowance, 2),
             loss=round(choice.loss, 2),
+            room_loss=round(choice.room_loss, 2),
             losses=_rounded(choice),
             expected_first_ms=int(choice.first_event_s * 1000),
             least_backlog_ms=int(backlogs[0] * 1000),
--- a/tests/test_experiments/test_loads.py
+++ b/tests/test_experiments/test_loads.py
@@ -16,7 +16,7 @@
 from rosemaryseam.experiments.report import DayResult, KindRow, summarise
 from rosemaryseam.experiments.run import POLICIES
 from rosemaryseam.experiments.scenarios import GROWN, LEASING, MEDIATION
-from rosemaryseam.policy import engineplacement, engines
+from rosemaryseam.policy import engineplacement, engines, sizes
 from rosemaryseam.router import books, handover
 
 if TYPE_CHECKING:
@@ -242,7 +242,8 @@
     """Short prompts take what is left of an engine's time, unless room is kept."""
     kept = _share_of_largest(play(scenario))
     monkeypatch.setattr(engineplacement, 'LARGE_ALLOWANCE', 0.0)
-    monkeypatch.setattr(books, 'LARGEST_STEP', 0.0)
+    monkeypatch.setattr(sizes, 'LENGTH_STEP', 0.0)
+    monkeypatch.setattr(sizes, 'ALLOWANCE_STEP', 0.0)
     assert kept > 0.7
     assert kept > _share_of_largest(play(scenario)) + 0.05
 
--- a/tests/test_policy/test_engineplacement.py
+++ b/tests/test_policy/test_engineplacement.py
@@ -29,6 +29,7 @@
         rank=2,
         size=1.0,
         room_tokens=0,
+        allowance=1.0,
         parts=DIGEST,
         prompt_tokens=9200,
         output_tokens=50,
@@ -167,6 +168,7 @@
     ('no room for the largest', request(room_tokens=10_000), 8, False),
     ('too little time left', request(), 9, False),
     ('too little time left, but large', request(size=2.5), 9, True),
+    ('too little time left, but behind', request(allowance=3.0), 9, True),
     ('a backlog past the target', request(), 30, False),
     ('the most urgent, whatever the load', urgent(), 30, True),
 ]
--- /dev/null
+++ b/tests/test_policy/test_sizes.py
@@ -0,0 +1,80 @@
+"""The pattern: one size of a route's prompts is refused more often than the rest."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from rosemaryseam.policy.sizes import (
+    BANDS,
+    FAIR_SHARE,
+    MOST_ALLOWANCE,
+    RouteSizes,
+    Size,
+)
+
+ROUTE = 'digest'
+REST = len(BANDS)
+
+
+def learnt(sizes: RouteSizes, count: int = 1000) -> list[Size]:
+    """Return the sizes of prompts of 1,000 to 11,000 tokens, all as likely."""
+    rng = random.Random(3)
+    lengths = [rng.randrange(1000, 11_000) for _ in range(count)]
+    return [sizes.learn(ROUTE, length, float(length)) for length in lengths]
+
+
+def test_bands_hold_their_shares() -> None:
+    seen = learnt(RouteSizes())[200:]
+    shares = [sum(size.band == band for size in seen) / len(seen) for band in (0, 1, 2)]
+    assert shares == pytest.approx([0.1, 0.2, 0.7], abs=0.04)
+
+
+def test_room_is_up_to_the_largest() -> None:
+    sizes = RouteSizes()
+    learnt(sizes)
+    assert sizes.learn(ROUTE, 1000, 1000.0).room_tokens == pytest.approx(9000, abs=1500)
+    assert sizes.learn(ROUTE, 10_900, 10_900.0).room_tokens == 0
+    assert sizes.learn(ROUTE, 6000, 6000.0).relative == pytest.approx(1.0, abs=0.1)
+
+
+ALLOWANCES = [
+    ('all are placed', 1.0, 1.0, 1.0, 1.0),
+    ('all are refused alike', 0.3, 0.3, 1.0, 3.0),
+    ('the largest are refused more often', 0.9, 0.2, 2.0, MOST_ALLOWANCE),
+    ('the largest are never placed', 0.9, 0.0, MOST_ALLOWANCE, MOST_ALLOWANCE),
+]
+
+
+@pytest.mark.parametrize(
+    ('name', 'rest', 'largest', 'least', 'most'),
+    ALLOWANCES,
+    ids=[row[0] for row in ALLOWANCES],
+)
+def test_more_is_borne_for_sizes_that_fall_behind(
+    name: str, rest: float, largest: float, least: float, most: float
+) -> None:
+    sizes = RouteSizes()
+    rng = random.Random(5)
+    seen = learnt(sizes, 2000)
+    for size in seen:
+        share = largest if size.band == 0 else rest
+        sizes.record(ROUTE, size, placed=rng.random() < share)
+    assert least <= sizes.allowance(ROUTE, Size(3.0, 0, 0)) <= most
+    assert sizes.allowance(ROUTE, Size(1.0, 5000, REST)) == 1.0
+
+
+def test_the_largest_get_a_fair_share_of_scarce_places() -> None:
+    sizes = RouteSizes()
+    rng = random.Random(7)
+    placed = [[0, 0] for _ in range(REST + 1)]
+    for size in learnt(sizes, 3000):
+        # Without an allowance one in ten of the largest is worth it, of others six.
+        worth = 0.1 if size.band == 0 else 0.6
+        is_placed = rng.random() < worth * sizes.allowance(ROUTE, size)
+        sizes.record(ROUTE, size, placed=is_placed)
+        placed[size.band][0] += is_placed
+        placed[size.band][1] += 1
+    largest, _, rest = (count / asked for count, asked in placed)
+    assert largest > rest * (FAIR_SHARE - 0.15)
