--- a/packages/policy/src/rosemaryseam/policy/sizes.py
+++ b/packages/policy/src/rosemaryseam/policy/sizes.py
@@ -9,9 +9,9 @@
 LARGE = 0.3  # of a route's prompts, the largest included
 LENGTH_STEP = 0.03  # by which one prompt moves the least length of a band
 SHARE_WEIGHT = 0.05  # of one request in how often a band is placed
-FAIR_SHARE = 0.8  # of how often all of a route's requests are placed
+FAIR_SHARE = 0.6  # of how often all of a route's requests are placed
 ALLOWANCE_STEP = 0.1  # by which one request moves what is borne for its band
-MOST_ALLOWANCE = 8.0
+MOST_ALLOWANCE = 4.0
 
 BANDS = (LARGEST, LARGE)  # the rest is a band of its own
 
