--- a/packages/policy/src/rosemaryseam/policy/sizes.py
+++ b/packages/policy/src/rosemaryseam/policy/sizes.py
@@ -4,7 +4,8 @@
 
 from typing import NamedTuple
 
-SIZE_WEIGHT = 0.02  # of one request in the mean size of its route
+SIZE_WEIGHT = 0.02  # of one request in the mean size of its route, once it is known
+LEAST_REQUESTS = 20  # of a route, before which each of them counts as ordinary
 LARGEST = 0.1  # of a route's prompts
 LARGE = 0.3  # of a route's prompts, the largest included
 LENGTH_STEP = 0.03  # by which one prompt moves the least length of a band
@@ -30,6 +31,7 @@
 
 class _Route:
     def __init__(self, prompt_tokens: int, work: float) -> None:
+        self.requests = 0
         self.mean = work
         self.lengths = [float(prompt_tokens)] * len(BANDS)
         self.placed = 1.0
@@ -54,11 +56,14 @@
         if known is None:
             known = self._routes[route] = _Route(prompt_tokens, work)
         band = _band(known, prompt_tokens)
-        known.mean += SIZE_WEIGHT * (work - known.mean)
+        known.requests += 1
+        known.mean += max(SIZE_WEIGHT, 1.0 / known.requests) * (work - known.mean)
         for index, share in enumerate(BANDS):
             longer = prompt_tokens > known.lengths[index]
-            step = LENGTH_STEP * (1.0 - share if longer else -share)
-            known.lengths[index] *= 1.0 + step
+            step = max(LENGTH_STEP, 1.0 / known.requests)
+            known.lengths[index] *= 1.0 + step * (1.0 - share if longer else -share)
+        if known.requests < LEAST_REQUESTS:
+            return Size(1.0, 0, len(BANDS))
         room = max(0, int(known.lengths[0]) - prompt_tokens)
         relative = work / known.mean if known.mean else 1.0
         return Size(relative, room, band)
