--- a/packages/common/src/rosemaryseam/common/rangestore.py
+++ b/packages/common/src/rosemaryseam/common/rangestore.py
@@ -15,10 +15,32 @@
     """Raised when the store has dropped the changes since the requested revision."""
 
 
+class EraChangedError(HistoryLostError):
+    """Raised when the store was restored from a copy since the requested revision."""
+
+
 class RefusedError(PlatformError):
     """Raised when the store refused a call; nothing was changed."""
 
 
+class StorePosition(NamedTuple):
+    """A revision of the store within an era; positions are ordered.
+
+    A new era begins when the store is restored from an older copy. It loses what was
+    written since that copy, and gives out the same revisions and lease ids again.
+    """
+
+    era: int
+    revision: int
+
+
+class Lease(NamedTuple):
+    """A lease and the era in which it was granted; the id is unique only there."""
+
+    id: int
+    era: int
+
+
 class Item(NamedTuple):
     """A key and its value at a revision; the value of a deleted key is ``None``."""
 
@@ -43,21 +65,21 @@
 class Snapshot(NamedTuple):
     """The items below a prefix.
 
-    ``revision`` is the store's revision when the first page was read, so that a watch
+    ``position`` is the store's position when the first page was read, so that a watch
     from there misses no change. ``freshness`` is ``None`` for an answer of the store
     itself.
     """
 
     items: tuple[Item, ...]
-    revision: int
+    position: StorePosition
     freshness: Freshness | None = None
 
 
 class Changes(NamedTuple):
-    """The changes of keys below a prefix up to a revision."""
+    """The changes of keys below a prefix up to a position."""
 
     items: tuple[Item, ...]
-    revision: int
+    position: StorePosition
     freshness: Freshness | None = None
 
 
@@ -81,35 +103,38 @@
         """
 
     @abc.abstractmethod
-    def watch_range(self, prefix: str, after: int, wait_s: float) -> Changes:
+    def watch_range(self, prefix: str, after: StorePosition, wait_s: float) -> Changes:
         """Wait for changes below a prefix.
 
         :param prefix: prefix of the keys
-        :param after: the revision up to which changes are known
+        :param after: the position up to which changes are known
         :param wait_s: seconds for which the store holds the call when nothing changes
-        :raises HistoryLostError: the store has dropped the changes since that revision
+        :raises HistoryLostError: the store has dropped the changes since then
+        :raises EraChangedError: the store was restored since then
         :raises PlatformError: the store did not answer, or refused
         """
 
     @abc.abstractmethod
-    def grant_lease(self, ttl_s: float) -> int:
-        """Create a lease and return its id.
+    def grant_lease(self, ttl_s: float) -> Lease:
+        """Create a lease.
 
         :param ttl_s: seconds after which the lease expires without renewal
         :raises PlatformError: the store did not answer, or refused
         """
 
     @abc.abstractmethod
-    def renew_lease(self, lease: int) -> bool:
-        """Renew a lease and return whether it was still valid.
+    def renew_lease(self, lease: Lease) -> bool:
+        """Renew a lease and return whether it was still valid in its era.
 
-        :param lease: id of the lease
+        :param lease: lease to renew
         :raises PlatformError: the store did not answer, or refused
         """
 
     @abc.abstractmethod
-    def write(self, writes: Sequence[Write], removals: Sequence[str] = ()) -> int:
-        """Write and remove keys atomically and return the revision.
+    def write(
+        self, writes: Sequence[Write], removals: Sequence[str] = ()
+    ) -> StorePosition:
+        """Write and remove keys atomically and return the position of the change.
 
         :param writes: values to write
         :param removals: keys to remove
--- a/packages/router/src/rosemaryseam/router/feed.py
+++ b/packages/router/src/rosemaryseam/router/feed.py
@@ -9,7 +9,7 @@
 
 from rosemaryseam.common.decisionlog import log_event, log_warning
 from rosemaryseam.common.errors import CatalogueError, PlatformError
-from rosemaryseam.common.rangestore import HistoryLostError
+from rosemaryseam.common.rangestore import Changes, EraChangedError, HistoryLostError
 from rosemaryseam.router.mirror import Mirror
 
 if TYPE_CHECKING:
@@ -18,7 +18,13 @@
 
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.common.metrics import Metrics
-    from rosemaryseam.common.rangestore import Freshness, Item, RangeStore
+    from rosemaryseam.common.rangestore import (
+        Freshness,
+        Item,
+        RangeStore,
+        Snapshot,
+        StorePosition,
+    )
     from rosemaryseam.router.codec import StateCodec
     from rosemaryseam.router.routes import RoutingTable
     from rosemaryseam.router.upstreams import Registration, Registry, UpstreamChange
@@ -43,6 +49,18 @@
     failures: int
 
 
+class OtherItems(NamedTuple):
+    """Items that are neither configuration nor upstream.
+
+    ``complete`` is set if all current ones are included, ``restored`` if the store was
+    restored from a copy, so that live hosts may be missing for a moment.
+    """
+
+    items: tuple[Item, ...]
+    complete: bool = False
+    restored: bool = False
+
+
 class StateFeed:
     """Applies the store's changes to the routing table and the upstream registry.
 
@@ -53,7 +71,8 @@
     :param metrics: counters of the process
     :param rng: source of the retry delays' jitter
     :param on_changes: called with the upstreams that changed
-    :param on_other_item: called with items that are neither configuration nor upstream
+    :param on_other_items: called with items that are neither configuration nor upstream
+    :param on_restored: called when the store was restored from a copy
     :param mirror: copy of the items, served to other hosts
     """
 
@@ -66,8 +85,9 @@
         metrics: Metrics,
         rng: random.Random,
         on_changes: Callable[[Iterable[UpstreamChange]], None],
-        on_other_item: Callable[[Item], None],
+        on_other_items: Callable[[OtherItems], None],
         mirror: Mirror | None = None,
+        on_restored: Callable[[], None] = lambda: None,
     ) -> None:
         self._store = store
         self._codec = codec
@@ -76,9 +96,13 @@
         self._metrics = metrics
         self._rng = rng
         self._on_changes = on_changes
-        self._on_other_item = on_other_item
+        self._on_other_items = on_other_items
+        self._on_restored = on_restored
         self._mirror = mirror or Mirror(self.staleness_s, lambda: 0.0)
-        self._revision: int | None = None
+        self._position: StorePosition | None = None
+        self._era: int | None = None
+        self._restored_at = -math.inf
+        self._configuration: Item | None = None  # the one in force
         self._unreadable: dict[str, bytes] = {}
         self.table: RoutingTable | None = None
         # When the store last answered this host, or the reader that relayed the answer.
@@ -89,6 +113,10 @@
         """Return the seconds since the table was last known to be the newest."""
         return self._clock.monotonic() - self.status.confirmed_at
 
+    def era(self) -> int:
+        """Return the era of the store that this host follows."""
+        return self._era or 0
+
     def run(self) -> None:
         """Follow the store indefinitely."""
         while True:
@@ -98,13 +126,21 @@
         """Make one call to the store and apply the result."""
         started = self._clock.monotonic()
         try:
-            if self._revision is None:
+            if self._position is None:
                 self._load(started)
             else:
-                self._watch(started)
-        except HistoryLostError:
-            log_warning('store_history_lost', revision=self._revision)
-            self._revision = None
+                self._watch(self._position, started)
+        except HistoryLostError as exc:
+            position = self._position
+            log_warning(
+                'store_history_lost',
+                reason=exc.message,
+                era=position.era if position else None,
+                revision=position.revision if position else None,
+            )
+            self._position = None
+            if position is None:
+                self._record_failure(exc)
         except PlatformError as exc:
             self._record_failure(exc)
 
@@ -114,33 +150,58 @@
 
     def _load(self, started: float) -> None:
         snapshot = self._store.read_range(self._codec.root)
+        restored = self._check_era(snapshot)
         entries: dict[str, Registration] = {}
+        others = []
         for item in snapshot.items:
             self._apply_configuration(item)
             entry = self._decode_registration(item)
             if entry is not None:
                 entries[entry.upstream.id] = entry
             elif not self._is_known_kind(item.key):
-                self._on_other_item(item)
+                others.append(item)
         changes = self._registry.replace(
-            entries, self._clock.monotonic(), after_outage=self._is_after_outage()
+            entries,
+            self._clock.monotonic(),
+            after_outage=self._is_after_outage(),
+            restored=restored,
         )
         self._publish(changes)
-        self._revision = snapshot.revision
-        self._mirror.load(snapshot)
+        self._on_other_items(OtherItems(tuple(others), True, restored))
+        self._position = snapshot.position
+        self._mirror.load(snapshot._replace(items=self._mirrored(snapshot.items)))
         self._record_answer(
             _confirmed_at(started, snapshot.freshness), snapshot.freshness
         )
+        if restored:
+            self._on_restored()
+
+    def _check_era(self, snapshot: Snapshot) -> bool:
+        """Return whether the store was restored since the last snapshot."""
+        era, previous = snapshot.position.era, self._era
+        if previous is not None and era < previous:
+            raise EraChangedError('the answer is of an era that has ended')
+        self._era = era
+        if previous is None or era == previous:
+            return False
+        self._restored_at = self._clock.monotonic()
+        log_warning(
+            'store_restored',
+            era=era,
+            previous=previous,
+            revision=snapshot.position.revision,
+        )
+        return True
 
-    def _watch(self, started: float) -> None:
-        assert self._revision is not None
+    def _watch(self, position: StorePosition, started: float) -> None:
         wait_s = self._watch_timeout_s()
-        changes = self._store.watch_range(self._codec.root, self._revision, wait_s)
+        changes = self._store.watch_range(self._codec.root, position, wait_s)
         now = self._clock.monotonic()
-        for item in changes.items:
-            self._apply_item(item, now)
-        self._revision = changes.revision
-        self._mirror.extend(changes)
+        others = [item for item in changes.items if self._apply_item(item, now)]
+        if others:
+            self._on_other_items(OtherItems(tuple(others)))
+        self._position = changes.position
+        self._mirror.extend(Changes(self._mirrored(changes.items), changes.position))
         confirmed = _confirmed_at(started, changes.freshness)
         if changes.freshness is None and not changes.items:
             confirmed = min(now, started + wait_s)
@@ -153,13 +214,26 @@
         """
         return min(WATCH_S, max(MIN_WATCH_S, TARGET_STALENESS_S - self.staleness_s()))
 
-    def _apply_item(self, item: Item, now: float) -> None:
+    def _mirrored(self, items: tuple[Item, ...]) -> tuple[Item, ...]:
+        """Return items for the mirror, with the configuration that is in force.
+
+        A store that was restored has an older one until the operator writes again.
+        """
+        if self._configuration is None:
+            return items
+        return tuple(
+            item._replace(value=self._configuration.value)
+            if self._codec.is_configuration(item.key)
+            else item
+            for item in items
+        )
+
+    def _apply_item(self, item: Item, now: float) -> bool:
+        """Apply a change; return whether it is of a kind that the feed doesn't know."""
         self._apply_configuration(item)
         upstream_id = self._codec.upstream_id(item.key)
         if upstream_id is None:
-            if not self._is_known_kind(item.key):
-                self._on_other_item(item)
-            return
+            return not self._is_known_kind(item.key)
         if item.value is None:
             after_outage = self._is_after_outage()
             changes = self._registry.remove(upstream_id, now, after_outage=after_outage)
@@ -167,6 +241,7 @@
             entry = self._decode_registration(item)
             changes = [] if entry is None else self._registry.put(entry)
         self._publish(changes)
+        return False
 
     def _is_known_kind(self, key: str) -> bool:
         if self._codec.is_configuration(key):
@@ -194,6 +269,7 @@
             routes=len(table.routes),
         )
         self.table = table
+        self._configuration = item
 
     def _decode_registration(self, item: Item) -> Registration | None:
         upstream_id = self._codec.upstream_id(item.key)
@@ -220,9 +296,10 @@
             self._on_changes(changes)
 
     def _is_after_outage(self) -> bool:
-        failed_at = self.status.failed_at
         now = self._clock.monotonic()
-        return failed_at is not None and now < failed_at + OUTAGE_RECOVERY_S
+        failed_at = self.status.failed_at
+        latest = max(self._restored_at, -math.inf if failed_at is None else failed_at)
+        return now < latest + OUTAGE_RECOVERY_S
 
     def _record_answer(self, confirmed_at: float, freshness: Freshness | None) -> None:
         if self.status.failures:
--- a/packages/router/src/rosemaryseam/router/mirror.py
+++ b/packages/router/src/rosemaryseam/router/mirror.py
@@ -8,7 +8,8 @@
 import time
 import zlib
 from collections import deque
-from typing import TYPE_CHECKING, Any
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import falcon
 from gevent.event import Event
@@ -17,21 +18,27 @@
 from rosemaryseam.common.exchange import call
 from rosemaryseam.common.rangestore import (
     Changes,
+    EraChangedError,
     Freshness,
     HistoryLostError,
     Item,
     RefusedError,
     Snapshot,
+    StorePosition,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from rosemaryseam.common.addresses import Address
+    from rosemaryseam.common.exchange import Answer
+
+_Answer = TypeVar('_Answer', Snapshot, Changes)
 
 MAX_KEPT_CHANGES = 4096  # latest changes, for watches that start at an older revision
 MAX_WAIT_MS = 30_000  # longest wait of one watch for a change
 PATH = '/mirror'
+ERA_HEADER = 'X-Mirror-Era'  # era of a mirror that lacks the requested changes
 
 
 class Mirror:
@@ -51,22 +58,23 @@
         self._changes: deque[Item] = deque(maxlen=MAX_KEPT_CHANGES)
         self._compacted_revision = 0  # changes up to this revision are dropped
         self._changed = Event()
-        self.revision = 0
+        self.position = StorePosition(0, 0)
 
     def load(self, snapshot: Snapshot) -> None:
-        """Replace all items by those of a snapshot.
+        """Replace all items by those of a snapshot, also when it is of another era.
 
-        :param snapshot: all items at a revision
+        :param snapshot: all items at a position
         """
         self._items = {item.key: item for item in snapshot.items}
         self._changes.clear()
-        self._compacted_revision = self.revision = snapshot.revision
+        self.position = snapshot.position
+        self._compacted_revision = snapshot.position.revision
         self._notify()
 
     def extend(self, changes: Changes) -> None:
         """Apply changes.
 
-        :param changes: changes since the mirror's revision
+        :param changes: changes since the mirror's position, of the same era
         """
         for item in changes.items:
             if len(self._changes) == MAX_KEPT_CHANGES:
@@ -76,7 +84,7 @@
                 self._items.pop(item.key, None)
             else:
                 self._items[item.key] = item
-        self.revision = max(self.revision, changes.revision)
+        self.position = max(self.position, changes.position)
         if changes.items:
             self._notify()
 
@@ -84,28 +92,30 @@
         """Return all items."""
         self.last_read_at = time.monotonic()
         freshness = Freshness(self._staleness_s(), 0.0, self._since_contact_s())
-        return Snapshot(tuple(self._items.values()), self.revision, freshness)
+        return Snapshot(tuple(self._items.values()), self.position, freshness)
 
-    def wait(self, after: int, wait_s: float) -> Changes:
-        """Return the changes after a revision, as soon as there are any.
+    def wait(self, after: StorePosition, wait_s: float) -> Changes:
+        """Return the changes after a position, as soon as there are any.
 
-        :param after: the revision up to which changes are known
+        :param after: the position up to which changes are known
         :param wait_s: timeout in seconds when there are none
         :raises HistoryLostError: the mirror doesn't hold the changes since then
         """
         started = self.last_read_at = time.monotonic()
-        self._check_revision(after)
-        if not self._changes_after(after):
+        self._check_position(after)
+        if not self._changes_after(after.revision):
             self._changed.wait(wait_s)
-            self._check_revision(after)
+            self._check_position(after)
         held_s = time.monotonic() - started
         freshness = Freshness(self._staleness_s(), held_s, self._since_contact_s())
-        return Changes(tuple(self._changes_after(after)), self.revision, freshness)
+        items = tuple(self._changes_after(after.revision))
+        return Changes(items, self.position, freshness)
 
-    def _check_revision(self, revision: int) -> None:
-        if not self._compacted_revision <= revision <= self.revision:
+    def _check_position(self, position: StorePosition) -> None:
+        oldest = StorePosition(self.position.era, self._compacted_revision)
+        if not oldest <= position <= self.position:
             raise HistoryLostError(
-                'revision is outside the range that the mirror holds'
+                'position is outside the range that the mirror holds'
             )
 
     def _changes_after(self, revision: int) -> list[Item]:
@@ -126,18 +136,21 @@
         self._mirror = mirror
 
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Send all items, or the changes after a revision."""
-        if not self._mirror.revision:
+        """Send all items, or the changes after a position."""
+        if not self._mirror.position.revision:
             raise falcon.HTTPServiceUnavailable()
         after = req.get_param_as_int('after')
         try:
             if after is None:
                 answer: Snapshot | Changes = self._mirror.snapshot()
             else:
+                era = req.get_param_as_int('era') or 0
                 wait_ms = req.get_param_as_int('wait_ms', max_value=MAX_WAIT_MS) or 0
-                answer = self._mirror.wait(after, wait_ms / 1000)
+                position = StorePosition(era, after)
+                answer = self._mirror.wait(position, wait_ms / 1000)
         except HistoryLostError:
-            raise falcon.HTTPGone() from None
+            headers = {ERA_HEADER: str(self._mirror.position.era)}
+            raise falcon.HTTPGone(headers=headers) from None
         resp.content_type = falcon.MEDIA_JSON
         resp.data = zlib.compress(json.dumps(_encode(answer)).encode(), 1)
 
@@ -160,40 +173,56 @@
     :raises PlatformError: the host did not answer, or has no items yet
     """
     data = _get(address, PATH, timeout_s)
-    return Snapshot(_decode_items(data), data['revision'], _decode_freshness(data))
+    return _decode(address, data, Snapshot)
 
 
 def watch_mirror(
-    address: Address, after: int, wait_s: float, timeout_s: float
+    address: Address, after: StorePosition, wait_s: float, timeout_s: float
 ) -> Changes:
     """Wait for changes at another host's mirror.
 
     :param address: address of the mirror's server
-    :param after: the revision up to which changes are known
+    :param after: the position up to which changes are known
     :param wait_s: seconds for which the host holds the call when nothing changes
     :param timeout_s: deadline of the call in seconds, added to ``wait_s``
     :raises HistoryLostError: the mirror doesn't hold the changes since then
+    :raises EraChangedError: the mirror is of a later era
     :raises PlatformError: the host did not answer
     """
-    path = f'{PATH}?after={after}&wait_ms={int(wait_s * 1000)}'
-    data = _get(address, path, wait_s + timeout_s)
-    return Changes(_decode_items(data), data['revision'], _decode_freshness(data))
+    path = f'{PATH}?era={after.era}&after={after.revision}&wait_ms={int(wait_s * 1000)}'
+    data = _get(address, path, wait_s + timeout_s, after.era)
+    changes = _decode(address, data, Changes)
+    if changes.position < after:
+        raise PlatformError(f'mirror at {address}: answered from an earlier position')
+    return changes
 
 
-def _get(address: Address, path: str, timeout_s: float) -> dict[str, Any]:
+def _get(
+    address: Address, path: str, timeout_s: float, era: int | None = None
+) -> dict[str, Any]:
     try:
         answer = call(address, 'GET', path, timeout_s=timeout_s)
-        if answer.status == 410:
-            raise HistoryLostError(
-                'revision is outside the range that the mirror holds'
-            )
-        if answer.status != 200:
+        if answer.status == HTTPStatus.GONE:
+            raise _history_lost(answer, era)
+        if answer.status != HTTPStatus.OK:
             raise RefusedError(f'mirror answered with HTTP status {answer.status}')
         return json.loads(zlib.decompress(answer.body))
     except (OSError, ValueError, zlib.error) as exc:
         raise PlatformError(f'mirror at {address}: {exc}') from exc
 
 
+def _history_lost(answer: Answer, era: int | None) -> HistoryLostError:
+    """Return the error for an answer of a mirror that lacks the requested changes."""
+    eras = [
+        int(value)
+        for name, value in answer.headers
+        if name.lower() == ERA_HEADER.lower()
+    ]
+    if era is not None and eras and eras[0] > era:
+        return EraChangedError('the mirror is of a later era')
+    return HistoryLostError('position is outside the range that the mirror holds')
+
+
 def _encode(answer: Snapshot | Changes) -> dict[str, Any]:
     assert answer.freshness is not None
     return {
@@ -207,13 +236,22 @@
             }
             for item in answer.items
         ],
-        'revision': answer.revision,
+        'era': answer.position.era,
+        'revision': answer.position.revision,
         'age_s': answer.freshness.staleness_s,
         'held_s': answer.freshness.held_s,
         'silent_s': answer.freshness.since_contact_s,
     }
 
 
+def _decode(address: Address, data: Any, kind: type[_Answer]) -> _Answer:
+    try:
+        position = StorePosition(int(data['era']), int(data['revision']))
+        return kind(_decode_items(data), position, _decode_freshness(data))
+    except (LookupError, TypeError, ValueError) as exc:
+        raise PlatformError(f'mirror at {address}: unreadable: {exc!r}') from exc
+
+
 def _decode_items(data: dict[str, Any]) -> tuple[Item, ...]:
     return tuple(
         Item(
@@ -226,4 +264,6 @@
 
 
 def _decode_freshness(data: dict[str, Any]) -> Freshness:
-    return Freshness(data['age_s'], data['held_s'], data['silent_s'])
+    return Freshness(
+        float(data['age_s']), float(data['held_s']), float(data['silent_s'])
+    )
--- a/packages/router/src/rosemaryseam/router/peers.py
+++ b/packages/router/src/rosemaryseam/router/peers.py
@@ -8,11 +8,12 @@
 
 import gevent
 from gevent import socket
+from gevent.event import Event
 from gevent.hub import get_hub
 
 from rosemaryseam.common.decisionlog import log_event, log_warning
 from rosemaryseam.common.errors import PeerError, PlatformError
-from rosemaryseam.common.rangestore import Write
+from rosemaryseam.common.rangestore import EraChangedError, Write
 from rosemaryseam.router.datagrams import (
     MAX_DATAGRAM_BYTES,
     Datagram,
@@ -23,14 +24,16 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Collection
 
     from rosemaryseam.common.addresses import Address
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.common.metrics import Metrics
-    from rosemaryseam.common.rangestore import RangeStore
+    from rosemaryseam.common.rangestore import Lease, RangeStore
     from rosemaryseam.router.datagrams import DispatchRequest, EndedRequest, Reply
     from rosemaryseam.router.dispatch import DispatchPlacer
     from rosemaryseam.router.dispatcher import Dispatcher
+    from rosemaryseam.router.feed import OtherItems
     from rosemaryseam.router.queries import InFlightReport, PlacedPrompt
     from rosemaryseam.router.upstreamtracker import UpstreamTracker
 
@@ -38,6 +41,8 @@
 LEASE_TTL_S = 600.0  # the store's maximum; allows renewals minutes apart
 LEASE_RENEWAL_S = 240.0  # between two renewals, before jitter
 REGISTRATION_RETRY_S = 1.0  # after a failed registration or renewal
+RESTORED_ENTRY_SPREAD_S = 1.0  # within which the hosts write lost entries again
+RESTORED_ENTRY_GRACE_S = 5.0  # until a host without entry is dropped
 SYNC_INTERVAL_S = 1.0  # between two lists of in-flight requests to a dispatcher
 PEER_TIMEOUT_S = 3.0  # requests of a host that is silent for longer are dropped
 RECEIVE_RETRY_S = 0.05  # after a socket error
@@ -103,7 +108,10 @@
         self._outboxes: dict[str, _Outbox] = {}
         self._flushing = False
         self._closed = False
-        self._lease = 0
+        self._lease: Lease | None = None
+        self._registration_lost = Event()
+        self._missing: dict[str, float] = {}  # hosts without entry, until when kept
+        self._stopping = False
         self._receive_sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         # Callbacks of the event loop send the datagrams and must not block.
         self._send_sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -134,12 +142,19 @@
             if host not in self._leaving
         }
 
-    def lease(self) -> int:
-        """Return the id of the lease on this host's entry, 0 while there is none."""
+    def lease(self) -> Lease | None:
+        """Return the lease on this host's entry, or ``None`` while there is none."""
         return self._lease
 
+    def renew_registration(self) -> None:
+        """Register this host again, because the store lost its entry or its lease."""
+        if not self._stopping:
+            self._lease = None
+            self._registration_lost.set()
+
     def leave(self) -> None:
         """Announce to the other hosts that this one stops, and remove its entry."""
+        self._stopping = True
         data = encode(Datagram(self._address.ip, self._incarnation, leaving=True))
         for host in {*self._capacities, *self._last_received_at}:
             self._transmit(host, data)
@@ -154,24 +169,65 @@
         self._receive_sock.close()
         self._send_sock.close()
 
-    def apply_host_entry(self, key: str, value: bytes | None) -> None:
-        """Apply a change of a host's entry in the store.
+    def apply_host_entries(self, others: OtherItems) -> None:
+        """Apply the hosts' entries in the store, or changes of them.
 
-        :param key: key of the entry
-        :param value: new value of the entry, ``None`` when it was removed
+        :param others: items of the store, among them the hosts' entries
         """
-        host = key.removeprefix(HOSTS_PREFIX)
-        if host == self._address.ip:
-            return
+        values = {
+            item.key.removeprefix(HOSTS_PREFIX): item.value
+            for item in others.items
+            if item.key.startswith(HOSTS_PREFIX)
+        }
+        before = dict(self._capacities)
+        if others.complete:
+            self._note_missing_hosts(values.keys(), restored=others.restored)
+        own = values.pop(self._address.ip, b'')
+        if own is None and self._lease is not None:
+            log_warning('own_entry_lost', lease=self._lease.id)
+            self.renew_registration()
+        for host, value in values.items():
+            self._apply_host_entry(host, value)
+        if self._capacities != before:
+            self._placer.hosts_changed()
+
+    def _note_missing_hosts(self, present: Collection[str], *, restored: bool) -> None:
+        """Drop the hosts that a complete list lacks.
+
+        A host that is missing because the store was restored registers again soon.
+        """
+        grace_s = RESTORED_ENTRY_GRACE_S if restored else 0.0
+        until = self._clock.monotonic() + grace_s
+        for host in self._capacities:
+            if host not in present:
+                self._missing.setdefault(host, until)
+        if not restored:
+            self._drop_missing_hosts()
+
+    def _drop_missing_hosts(self) -> None:
+        """Drop the hosts that did not register again in time and are not heard."""
+        now = self._clock.monotonic()
+        for host in [host for host, until in self._missing.items() if until <= now]:
+            if host not in self._last_received_at:
+                self._drop_host(host)
+
+    def _apply_host_entry(self, host: str, value: bytes | None) -> None:
+        self._missing.pop(host, None)
+        was_leaving = host in self._leaving
+        self._leaving.discard(host)
         if value is None:
-            self._capacities.pop(host, None)
-            log_event('peer_unregistered', peer=host)
+            self._drop_host(host)
         elif host not in self._capacities:
             self._capacities[host] = capacity = _read_capacity(host, value)
             log_event('peer_registered', peer=host, capacity=capacity)
             self._send(host, Datagram(self._address.ip, self._incarnation))
-        self._leaving.discard(host)
-        self._placer.hosts_changed()
+        elif was_leaving:
+            self._placer.hosts_changed()
+
+    def _drop_host(self, host: str) -> None:
+        self._missing.pop(host, None)
+        if self._capacities.pop(host, None) is not None:
+            log_event('peer_unregistered', peer=host)
 
     # Sending.
 
@@ -251,6 +307,10 @@
                 host for host, at in self._last_received_at.items() if at < oldest
             ]:
                 self._forget_peer(host, 'silent')
+            count = len(self._capacities)
+            self._drop_missing_hosts()
+            if len(self._capacities) != count:
+                self._placer.hosts_changed()
 
     def _send(self, host: str, datagram: Datagram) -> None:
         self._transmit(host, encode(datagram))
@@ -319,23 +379,31 @@
     # Registration.
 
     def _keep_registered(self) -> None:
-        while True:
+        while not self._stopping:
+            self._registration_lost.clear()
             try:
                 self._register()
                 wait = LEASE_RENEWAL_S
             except PlatformError as exc:
                 log_warning('cannot_register', reason=exc.message)
                 wait = REGISTRATION_RETRY_S
-            gevent.sleep(wait * self._rng.uniform(0.8, 1.2))
+            if self._registration_lost.wait(wait * self._rng.uniform(0.8, 1.2)):
+                # All hosts lose their entries together when the store is restored.
+                gevent.sleep(self._rng.uniform(0.0, RESTORED_ENTRY_SPREAD_S))
 
     def _register(self) -> None:
-        if self._lease and self._store.renew_lease(self._lease):
+        if self._lease is not None and self._store.renew_lease(self._lease):
             return
-        self._lease = self._store.grant_lease(LEASE_TTL_S)
+        self._lease = None
+        lease = self._store.grant_lease(LEASE_TTL_S)
         entry = {'port': self._address.port, 'capacity': self._capacity}
         value = json.dumps(entry).encode()
         key = HOSTS_PREFIX + self._address.ip
-        self._store.write((Write(key, value, self._lease),))
+        position = self._store.write((Write(key, value, lease.id),))
+        if position.era != lease.era:
+            raise EraChangedError('the store was restored during the registration')
+        self._lease = lease
+        log_event('registered', lease=lease.id, era=lease.era)
 
 
 def _read_capacity(host: str, value: bytes) -> float:
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -21,7 +21,7 @@
 from rosemaryseam.router.feed import StateFeed
 from rosemaryseam.router.forwarder import Forwarder
 from rosemaryseam.router.mirror import Mirror, build_mirror_app
-from rosemaryseam.router.peers import HOSTS_PREFIX, PeerLink
+from rosemaryseam.router.peers import PeerLink
 from rosemaryseam.router.pool import ConnectionPool
 from rosemaryseam.router.relayedstore import RelayedStore, StoreProber
 from rosemaryseam.router.routes import CallerLimits
@@ -34,7 +34,7 @@
     from collections.abc import Callable, Iterable
 
     from rosemaryseam.common.clock import Clock
-    from rosemaryseam.common.rangestore import Item, RangeStore
+    from rosemaryseam.common.rangestore import RangeStore
     from rosemaryseam.router.codec import HttpCodec, StateCodec
     from rosemaryseam.router.routes import Service
     from rosemaryseam.router.settings import RouterSettings
@@ -107,7 +107,12 @@
         )
         self.relayed_store.known_hosts = self.peers.known_hosts
         self.store_prober = StoreProber(
-            store, clock, self.peers.lease, lambda: self.feed.last_contact_at
+            store,
+            clock,
+            self.peers.lease,
+            lambda: self.feed.last_contact_at,
+            lambda: self.feed.era(),
+            self.peers.renew_registration,
         )
         self.mirror = Mirror(
             lambda: self.feed.staleness_s(), self.store_prober.since_contact_s
@@ -120,8 +125,9 @@
             self.metrics,
             self._rng,
             self._on_upstream_changes,
-            self._on_other_item,
+            self.peers.apply_host_entries,
             self.mirror,
+            self.peers.renew_registration,
         )
         self._forwarder = Forwarder(
             self.feed,
@@ -259,10 +265,6 @@
         self.tracker.retain_upstreams(usable)
         self._placer.upstreams_changed()
 
-    def _on_other_item(self, item: Item) -> None:
-        if item.key.startswith(HOSTS_PREFIX):
-            self.peers.apply_host_entry(item.key, item.value)
-
     def _start_peers(self) -> None:
         self._background += self.peers.start()
 
--- a/packages/router/src/rosemaryseam/router/relayedstore.py
+++ b/packages/router/src/rosemaryseam/router/relayedstore.py
@@ -13,9 +13,12 @@
 from rosemaryseam.common.errors import PlatformError
 from rosemaryseam.common.rangestore import (
     Changes,
+    EraChangedError,
     HistoryLostError,
+    Lease,
     RangeStore,
     Snapshot,
+    StorePosition,
     Write,
 )
 from rosemaryseam.policy.rendezvous import rank_by_capacity, rank_by_hash
@@ -72,6 +75,7 @@
         self._metrics = metrics
         self._avoided_until: dict[str, float] = {}
         self._current_reader: str | None = None
+        self._era = 0  # the latest era known to this host
         self._capacity = capacity
         self.known_hosts: Callable[[], Mapping[str, float]] = dict
 
@@ -86,9 +90,11 @@
             if self._is_fresh(reader, snapshot):
                 return snapshot
         self._switch_reader(None)
-        return self._store.read_range(prefix)
+        snapshot = self._store.read_range(prefix)
+        self._era = max(self._era, snapshot.position.era)
+        return snapshot
 
-    def watch_range(self, prefix: str, after: int, wait_s: float) -> Changes:
+    def watch_range(self, prefix: str, after: StorePosition, wait_s: float) -> Changes:
         """Wait for changes below a prefix."""
         for reader in self._readers_to_try():
             address = Address(reader, self._port)
@@ -96,6 +102,8 @@
                 changes = watch_mirror(
                     address, after, min(wait_s, WATCH_S), READ_TIMEOUT_S
                 )
+            except EraChangedError:
+                raise  # this host needs a new snapshot, which the reader has
             except HistoryLostError:
                 # The reader may lag behind this host, which then needs no new snapshot.
                 self._avoid(reader, 'does not hold the changes since this revision')
@@ -108,16 +116,18 @@
         self._switch_reader(None)
         return self._store.watch_range(prefix, after, wait_s)
 
-    def grant_lease(self, ttl_s: float) -> int:
+    def grant_lease(self, ttl_s: float) -> Lease:
         """Return a new lease."""
         return self._store.grant_lease(ttl_s)
 
-    def renew_lease(self, lease: int) -> bool:
+    def renew_lease(self, lease: Lease) -> bool:
         """Renew a lease and return whether it still held."""
         return self._store.renew_lease(lease)
 
-    def write(self, writes: Sequence[Write], removals: Sequence[str] = ()) -> int:
-        """Write and remove keys atomically and return the revision."""
+    def write(
+        self, writes: Sequence[Write], removals: Sequence[str] = ()
+    ) -> StorePosition:
+        """Write and remove keys atomically and return the position of the change."""
         return self._store.write(writes, removals)
 
     def _readers_to_try(self) -> list[str]:
@@ -137,6 +147,10 @@
     def _is_fresh(self, reader: str, answer: Snapshot | Changes) -> bool:
         """Return whether an answer is fresh, and avoid its reader if it is not."""
         assert answer.freshness is not None
+        if answer.position.era < self._era:
+            self._avoid(reader, 'has not noticed that the store was restored')
+            return False
+        self._era = answer.position.era
         fresh = answer.freshness
         if (
             fresh.staleness_s > MAX_STALENESS_S
@@ -169,21 +183,27 @@
 
     :param store: client of the store itself
     :param clock: clock of the process
-    :param lease: returns this host's lease, 0 while it has none
+    :param lease: returns this host's lease, or ``None`` while it has none
     :param last_contact_at: returns the monotonic time of the feed's last store contact
+    :param era: returns the era that the feed follows
+    :param on_lease_lost: called when the store no longer has the lease
     """
 
     def __init__(
         self,
         store: RangeStore,
         clock: Clock,
-        lease: Callable[[], int],
+        lease: Callable[[], Lease | None],
         last_contact_at: Callable[[], float],
+        era: Callable[[], int],
+        on_lease_lost: Callable[[], None],
     ) -> None:
         self._store = store
         self._clock = clock
         self._lease = lease
         self._last_contact_at = last_contact_at
+        self._era = era
+        self._on_lease_lost = on_lease_lost
         self._probed_at = -math.inf
 
     def since_contact_s(self) -> float:
@@ -199,14 +219,19 @@
         while True:
             gevent.sleep(PROBE_INTERVAL_S)
             in_use = time.monotonic() - mirror.last_read_at < MIRROR_IN_USE_S
-            if in_use and self._lease():
-                self._probe()
+            lease = self._lease()
+            if in_use and lease is not None:
+                self._probe(lease)
 
-    def _probe(self) -> None:
+    def _probe(self, lease: Lease) -> None:
         started = self._clock.monotonic()
         try:
-            self._store.renew_lease(self._lease())
+            valid = self._store.renew_lease(lease)
         except PlatformError as exc:
             log_event('store_touch_failed', reason=exc.message)
-        else:
+            return
+        if not valid:
+            log_event('lease_lost', lease=lease.id, era=lease.era)
+            self._on_lease_lost()
+        elif lease.era == self._era():
             self._probed_at = started
--- a/packages/router/src/rosemaryseam/router/upstreams.py
+++ b/packages/router/src/rosemaryseam/router/upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -10,6 +11,8 @@
     from rosemaryseam.common.addresses import Address
 
 LAPSE_GRACE_S = 1.5  # for lapsed entries; owners write them again within about 2 s
+MAX_KEPT_REMOVALS = 4096  # latest removed entries, which a restored store may hold
+RESTORED_HOLD_S = 6.0  # by then the store drops the entries of upstreams that left
 
 
 class Upstream(NamedTuple):
@@ -48,12 +51,16 @@
     An incarnation that left cannot return. An entry that was removed may return, since
     entries also lapse while their owners cannot reach the store. Entries that are
     missing after a store outage stay usable for :data:`LAPSE_GRACE_S`, because their
-    owners may write them again.
+    owners may write them again. When the store was restored from a copy, an entry that
+    had been removed before is held back for :data:`RESTORED_HOLD_S`, unless its owner
+    writes it again.
     """
 
     def __init__(self) -> None:
         self._entries: dict[str, Registration] = {}
         self._left: set[tuple[str, int]] = set()
+        self._removed: OrderedDict[tuple[str, int], None] = OrderedDict()
+        self._held_back: dict[str, tuple[Registration, float]] = {}
         self._lapsed: dict[str, float] = {}
         self._by_service: dict[str, tuple[Upstream, ...]] = {}
 
@@ -83,13 +90,20 @@
         now: float,
         *,
         after_outage: bool,
+        restored: bool = False,
     ) -> list[UpstreamChange]:
         """Apply a complete snapshot of the registry.
 
         :param entries: entries by upstream id
         :param now: seconds on the monotonic clock
         :param after_outage: whether missing entries may have lapsed in a store outage
+        :param restored: whether the store was restored from a copy
         """
+        if restored:
+            self._hold_back(entries, now)
+        entries = {
+            key: entry for key, entry in entries.items() if key not in self._held_back
+        }
         changes = []
         for missing in [key for key in self._entries if key not in entries]:
             if after_outage:
@@ -106,6 +120,7 @@
 
         :param entry: current entry of the registry
         """
+        self._held_back.pop(entry.upstream.id, None)
         changes = self._accept(entry)
         self._index()
         return changes
@@ -119,6 +134,7 @@
         :param now: seconds on the monotonic clock
         :param after_outage: whether the entry may have lapsed in a store outage
         """
+        self._held_back.pop(key, None)
         if after_outage and key in self._entries:
             self._lapsed.setdefault(key, now + LAPSE_GRACE_S)
             return []
@@ -127,7 +143,7 @@
         return changes
 
     def expire(self, now: float) -> list[UpstreamChange]:
-        """Drop the lapsed entries that were not written again in time.
+        """Drop lapsed entries, and accept entries that were held back long enough.
 
         :param now: seconds on the monotonic clock
         """
@@ -135,7 +151,10 @@
         changes = []
         for key in due:
             changes += self._drop(key, 'lapsed')
-        if due:
+        held = [key for key, (_, until) in self._held_back.items() if until <= now]
+        for key in held:
+            changes += self._accept(self._held_back.pop(key)[0])
+        if due or held:
             self._index()
         return changes
 
@@ -154,9 +173,19 @@
         self._index()
         return changes
 
+    def _hold_back(self, entries: Mapping[str, Registration], now: float) -> None:
+        """Hold back the entries of incarnations that were removed before."""
+        until = now + RESTORED_HOLD_S
+        self._held_back = {
+            key: (entry, until)
+            for key, entry in entries.items()
+            if entry.upstream.incarnation in self._removed
+        }
+
     def _accept(self, entry: Registration) -> list[UpstreamChange]:
         upstream = entry.upstream
         self._lapsed.pop(upstream.id, None)
+        self._removed.pop(upstream.incarnation, None)
         known = self._entries.get(upstream.id)
         if known is not None and known.upstream.born > upstream.born:
             return []
@@ -172,7 +201,12 @@
     def _drop(self, key: str, reason: str) -> list[UpstreamChange]:
         self._lapsed.pop(key, None)
         entry = self._entries.pop(key, None)
-        if entry is None or entry.leaving:
+        if entry is None:
+            return []
+        self._removed[entry.upstream.incarnation] = None
+        if len(self._removed) > MAX_KEPT_REMOVALS:
+            self._removed.popitem(last=False)
+        if entry.leaving:
             return []
         return [UpstreamChange(entry.upstream, reason)]
 
--- a/packages/standins/src/rosemaryseam/standins/rangestore.py
+++ b/packages/standins/src/rosemaryseam/standins/rangestore.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import gevent
 from gevent.event import Event
@@ -11,11 +11,14 @@
 from rosemaryseam.common.errors import PlatformError, UnknownOutcomeError
 from rosemaryseam.common.rangestore import (
     Changes,
+    EraChangedError,
     HistoryLostError,
     Item,
+    Lease,
     RangeStore,
     RefusedError,
     Snapshot,
+    StorePosition,
     Write,
 )
 
@@ -27,6 +30,16 @@
 SILENT_DELAY_S = 0.2  # delay before a silent store raises the error of a timeout
 
 
+class StoreCopy(NamedTuple):
+    """The state of a store at a moment, from which it can be restored."""
+
+    items: dict[str, Item]
+    leases: dict[int, tuple[float, float]]
+    lease_by_key: dict[str, int]
+    history: tuple[Item, ...]
+    revision: int
+
+
 class MemoryRangeStore(RangeStore):
     """Keeps items in memory and simulates faults that a test sets.
 
@@ -41,6 +54,7 @@
         self._history: list[Item] = []
         self._changed = Event()
         self.revision = 1
+        self.era = 0  # rises when the store is restored
         self.oldest_revision = 1  # earlier history is compacted
         self.mode = 'up'  # or 'refuse', 'silent', 'lose'
         self.calls: Counter[str] = Counter()
@@ -71,6 +85,36 @@
         self._history.clear()
         self._wake_watches()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the state, from which the store can be restored."""
+        return StoreCopy(
+            dict(self._items),
+            dict(self._leases),
+            dict(self._lease_by_key),
+            tuple(self._history),
+            self.revision,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy; all that was written since is lost.
+
+        Revisions and lease ids of the lost writes are given out again.
+
+        :param copy: earlier state of this store
+        """
+        self._items = dict(copy.items)
+        self._leases = dict(copy.leases)
+        self._lease_by_key = dict(copy.lease_by_key)
+        self._history = list(copy.history)
+        self.revision = copy.revision
+        self.era += 1
+        self._wake_watches()
+
+    @property
+    def position(self) -> StorePosition:
+        """The era and the latest revision."""
+        return StorePosition(self.era, self.revision)
+
     def set_mode(self, mode: str) -> None:
         """Set the fault, also for pending watches.
 
@@ -88,46 +132,50 @@
         items = [
             item for key, item in sorted(self._items.items()) if key.startswith(prefix)
         ]
-        return Snapshot(tuple(items), self.revision)
+        return Snapshot(tuple(items), self.position)
 
-    def watch_range(self, prefix: str, after: int, wait_s: float) -> Changes:
+    def watch_range(self, prefix: str, after: StorePosition, wait_s: float) -> Changes:
         """Wait for changes of keys with a prefix."""
         self._begin_call('watch')
         deadline = self._clock.monotonic() + wait_s
         while True:
-            if after + 1 < self.oldest_revision:
+            if after.era != self.era:
+                raise EraChangedError('the store was restored')
+            if not self.oldest_revision <= after.revision + 1 <= self.revision + 1:
                 raise HistoryLostError('history lost')
             changes = [
                 item
                 for item in self._history
-                if item.revision > after and item.key.startswith(prefix)
+                if item.revision > after.revision and item.key.startswith(prefix)
             ]
             left = deadline - self._clock.monotonic()
             if changes or left <= 0:
-                return Changes(tuple(changes), self.revision)
+                return Changes(tuple(changes), self.position)
             self._changed.wait(left)
             if self.mode != 'up':
                 self._begin_call('watch')
 
-    def grant_lease(self, ttl_s: float) -> int:
-        """Grant a lease and return its id."""
+    def grant_lease(self, ttl_s: float) -> Lease:
+        """Grant a lease."""
         self._begin_call('lease')
         self.revision += 1
         self._leases[self.revision] = (ttl_s, self._clock.monotonic() + ttl_s)
-        return self.revision
+        return Lease(self.revision, self.era)
 
-    def renew_lease(self, lease: int) -> bool:
-        """Renew a lease and return whether it was still valid."""
+    def renew_lease(self, lease: Lease) -> bool:
+        """Renew a lease and return whether it was still valid in its era."""
         self._begin_call('lease')
         self._expire_leases()
-        if lease not in self._leases:
+        if lease.id not in self._leases:
             return False
-        ttl_s = self._leases[lease][0]
-        self._leases[lease] = (ttl_s, self._clock.monotonic() + ttl_s)
-        return True
-
-    def write(self, writes: Sequence[Write], removals: Sequence[str] = ()) -> int:
-        """Write and remove keys atomically and return the revision."""
+        ttl_s = self._leases[lease.id][0]
+        self._leases[lease.id] = (ttl_s, self._clock.monotonic() + ttl_s)
+        return lease.era == self.era
+
+    def write(
+        self, writes: Sequence[Write], removals: Sequence[str] = ()
+    ) -> StorePosition:
+        """Write and remove keys atomically and return the position of the change."""
         if self.mode == 'refuse':
             raise RefusedError('refused')
         if self.mode == 'silent':
@@ -141,7 +189,7 @@
             self.delete(key)
         if self.mode == 'lose':
             raise UnknownOutcomeError('the answer was lost')
-        return self.revision
+        return self.position
 
     def _begin_call(self, kind: str) -> None:
         self.calls[kind] += 1
--- a/tests/test_platform/storeserver.py
+++ b/tests/test_platform/storeserver.py
@@ -10,11 +10,34 @@
 
 from rosemaryseam.common.addresses import Address
 from rosemaryseam.common.clock import SystemClock
-from rosemaryseam.common.rangestore import HistoryLostError, Item, Write
+from rosemaryseam.common.rangestore import (
+    HistoryLostError,
+    Item,
+    Lease,
+    StorePosition,
+    Write,
+)
 from rosemaryseam.common.wsgi import HttpServer, ServerTimeouts
 from rosemaryseam.standins.rangestore import MemoryRangeStore
 
 
+class _EraHeader:
+    """Adds the header with the store's era to all answers."""
+
+    def __init__(self, store: MemoryRangeStore) -> None:
+        self._store = store
+
+    def process_response(
+        self,
+        req: falcon.Request,
+        resp: falcon.Response,
+        resource: object,
+        req_succeeded: bool,
+    ) -> None:
+        """Add the header."""
+        resp.set_header('Store-Era', str(self._store.era))
+
+
 class StoreServer:
     """Serves an in-memory store and injects faults.
 
@@ -28,7 +51,7 @@
         self.store = MemoryRangeStore(SystemClock())
         self.fault: int | str | None = None
         self._page = page
-        application = falcon.App()
+        application = falcon.App(middleware=[_EraHeader(self.store)])
         application.add_route('/-/kv-range', self, suffix='range')
         application.add_route('/-/kv-watch', self, suffix='watch')
         application.add_route('/-/kv-txn', self, suffix='txn')
@@ -61,14 +84,15 @@
         self._inject_fault()
         wait_s = req.get_param_as_int('waitMs') / 1000
         try:
+            after = StorePosition(self.store.era, req.get_param_as_int('after'))
             changes = self.store.watch_range(
-                req.get_param('pathPrefix') or '', req.get_param_as_int('after'), wait_s
+                req.get_param('pathPrefix') or '', after, wait_s
             )
         except HistoryLostError:
             raise falcon.HTTPGone() from None
         resp.media = {
             'events': [_encode_item(item) for item in changes.items],
-            'asOf': changes.revision,
+            'asOf': changes.position.revision,
         }
 
     def on_post_txn(self, req: falcon.Request, resp: falcon.Response) -> None:
@@ -79,23 +103,23 @@
             Write(entry['key'], base64.b64decode(entry['value']), entry['lease'])
             for entry in body['writes']
         ]
-        revision = self.store.write(writes, body['remove'])
+        position = self.store.write(writes, body['remove'])
         self._inject_fault_after_write()
-        resp.media = {'revision': revision}
+        resp.media = {'revision': position.revision}
 
     def on_post_lease(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Grant a lease."""
         self._inject_fault()
         ttl_ms = req.get_media()['ttlMs']
         lease = self.store.grant_lease(ttl_ms / 1000)
-        resp.media = {'lease': lease, 'ttlMs': ttl_ms}
+        resp.media = {'lease': lease.id, 'ttlMs': ttl_ms}
 
     def on_post_keep(
         self, req: falcon.Request, resp: falcon.Response, lease: int
     ) -> None:
         """Renew a lease."""
         self._inject_fault()
-        if not self.store.renew_lease(lease):
+        if not self.store.renew_lease(Lease(lease, self.store.era)):
             raise falcon.HTTPNotFound()
         resp.media = {'ttlMs': 1000}
 
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -9,7 +9,14 @@
 from storeserver import StoreServer
 
 from rosemaryseam.common.errors import PlatformError, UnknownOutcomeError
-from rosemaryseam.common.rangestore import HistoryLostError, RefusedError, Write
+from rosemaryseam.common.exchange import Answer
+from rosemaryseam.common.rangestore import (
+    EraChangedError,
+    HistoryLostError,
+    RefusedError,
+    StorePosition,
+    Write,
+)
 from rosemaryseam.platform.store import PlatformStore
 
 if TYPE_CHECKING:
@@ -40,23 +47,24 @@
     assert [item.value for item in snapshot.items] == [
         bytes([number, 255]) for number in range(8)
     ]
-    assert snapshot.revision == server.store.revision
+    assert snapshot.position == server.store.position
 
 
 def test_watch_returns_changes_and_removals(
     server: StoreServer, client: PlatformStore
 ) -> None:
-    revision = server.store.put('a/1', b'one')
+    server.store.put('a/1', b'one')
+    start = server.store.position
     gevent.spawn_later(0.05, server.store.put, 'a/2', b'two')
-    first = client.watch_range('', revision, 2.0)
+    first = client.watch_range('', start, 2.0)
     server.store.delete('a/1')
-    second = client.watch_range('', first.revision, 2.0)
+    second = client.watch_range('', first.position, 2.0)
     assert [(item.key, item.value) for item in first.items] == [('a/2', b'two')]
     assert [(item.key, item.value) for item in second.items] == [('a/1', None)]
 
 
 def test_watch_without_changes_ends(server: StoreServer, client: PlatformStore) -> None:
-    changes = client.watch_range('', server.store.revision, 0.1)
+    changes = client.watch_range('', server.store.position, 0.1)
     assert changes.items == ()
 
 
@@ -64,20 +72,74 @@
     server.store.put('a/1', b'one')
     server.store.compact_history()
     with pytest.raises(HistoryLostError):
-        client.watch_range('', 1, 0.1)
+        client.watch_range('', StorePosition(0, 1), 0.1)
 
 
 def test_leases_are_renewed_and_keys_written(
     server: StoreServer, client: PlatformStore
 ) -> None:
     lease = client.grant_lease(10.0)
-    client.write((Write('x/1', b'one', lease),))
+    client.write((Write('x/1', b'one', lease.id),))
     assert client.renew_lease(lease)
-    assert not client.renew_lease(lease + 1)
+    assert not client.renew_lease(lease._replace(id=lease.id + 1))
     client.write((), ('x/1',))
     assert client.read_range('x/').items == ()
 
 
+def test_a_watch_of_a_restored_store_reports_the_new_era(
+    server: StoreServer, client: PlatformStore
+) -> None:
+    copy = server.store.copy()
+    server.store.put('a/1', b'lost')
+    watched = client.read_range('').position
+    server.store.restore(copy)
+    server.store.put('a/1', b'other')  # gets the revision of the lost write
+    with pytest.raises(EraChangedError):
+        client.watch_range('', watched, 0.1)
+    assert client.read_range('').position == StorePosition(1, watched.revision)
+
+
+def test_a_lease_of_an_earlier_era_is_not_valid(
+    server: StoreServer, client: PlatformStore
+) -> None:
+    copy = server.store.copy()
+    lost = client.grant_lease(10.0)
+    server.store.restore(copy)
+    others = client.grant_lease(10.0)
+    assert others.id == lost.id
+    assert not client.renew_lease(lost)
+    assert client.renew_lease(others)
+
+
+UNREADABLE_ANSWERS = [
+    b'',
+    b'[]',
+    b'{}',
+    b'{"asOf": "x", "items": [], "events": []}',
+    b'{"asOf": 3, "items": 7, "events": 7}',
+    b'{"asOf": 3, "items": [7], "events": [7]}',
+    b'{"asOf": 3, "items": [{}], "events": [{}]}',
+    b'{"asOf": 3, "items": [{"key": "a", "revision": "x"}], "events": [null]}',
+    b'\xff',
+]
+
+
+@pytest.mark.parametrize('body', UNREADABLE_ANSWERS)
+def test_unreadable_answers_are_reported(
+    body: bytes, client: PlatformStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    answer = Answer(200, (('Store-Era', '1'),), body)
+    monkeypatch.setattr('rosemaryseam.platform.store.call', lambda *_, **__: answer)
+    with pytest.raises(PlatformError):
+        client.read_range('')
+    with pytest.raises(PlatformError):
+        client.watch_range('', StorePosition(1, 2), 0.1)
+    with pytest.raises(PlatformError):
+        client.grant_lease(1.0)
+    with pytest.raises(PlatformError):
+        client.write(())
+
+
 READ_FAULTS = [(503, RefusedError), (429, RefusedError), ('silent', PlatformError)]
 
 
@@ -89,7 +151,7 @@
     with pytest.raises(error):
         client.read_range('')
     with pytest.raises(error):
-        client.watch_range('', 1, 0.1)
+        client.watch_range('', StorePosition(0, 1), 0.1)
 
 
 WRITE_FAULTS = [
--- a/tests/test_router/routers.py
+++ b/tests/test_router/routers.py
@@ -192,12 +192,20 @@
 
     :param count: number of hosts
     :param large_hosts: numbers of the hosts with four times the capacity of the others
+    :param store: store with a configuration, or ``None`` for a new one
     """
 
-    def __init__(self, count: int, large_hosts: tuple[int, ...] = ()) -> None:
+    def __init__(
+        self,
+        count: int,
+        large_hosts: tuple[int, ...] = (),
+        store: MemoryRangeStore | None = None,
+    ) -> None:
         self._large_hosts = large_hosts
-        self.store = MemoryRangeStore(SystemClock())
-        self.store.put(CONFIGURATION_KEY, configuration())
+        if store is None:
+            store = MemoryRangeStore(SystemClock())
+            store.put(CONFIGURATION_KEY, configuration())
+        self.store = store
         self._port = free_port()
         self.hosts = [self.make_host(number) for number in range(1, count + 1)]
         for host in self.hosts:
--- a/tests/test_router/test_feed.py
+++ b/tests/test_router/test_feed.py
@@ -15,8 +15,10 @@
     Changes,
     HistoryLostError,
     Item,
+    Lease,
     RangeStore,
     Snapshot,
+    StorePosition,
 )
 from rosemaryseam.router.documentcodec import (
     CONFIGURATION_KEY,
@@ -29,6 +31,11 @@
 ENTRY = b'{service: work, address: "10.0.0.1:80", zone: a, slots: 4, born: 1}'
 
 
+def at(revision: int, era: int = 0) -> StorePosition:
+    """Return a position of the store."""
+    return StorePosition(era, revision)
+
+
 class ScriptedStore(RangeStore):
     """Returns scripted answers, each after some seconds.
 
@@ -51,21 +58,21 @@
         """Return the next answer."""
         return self._next()
 
-    def watch_range(self, prefix: str, after: int, wait_s: float) -> Changes:
+    def watch_range(self, prefix: str, after: StorePosition, wait_s: float) -> Changes:
         """Return the next answer."""
         return self._next()
 
-    def grant_lease(self, ttl_s: float) -> int:
+    def grant_lease(self, ttl_s: float) -> Lease:
         """Do nothing."""
-        return 1
+        return Lease(1, 0)
 
-    def renew_lease(self, lease: int) -> bool:
+    def renew_lease(self, lease: Lease) -> bool:
         """Do nothing."""
         return True
 
-    def write(self, writes: Any, removals: Any = ()) -> int:
+    def write(self, writes: Any, removals: Any = ()) -> StorePosition:
         """Do nothing."""
-        return 1
+        return at(1)
 
 
 def configuration_item(version: int, revision: int) -> Item:
@@ -101,23 +108,23 @@
 
 
 FAILURE = PlatformError('no answer')
-INITIAL_SNAPSHOT = (0.01, Snapshot((configuration_item(1, 1), upstream_item(2)), 2))
+INITIAL_SNAPSHOT = (0.01, Snapshot((configuration_item(1, 1), upstream_item(2)), at(2)))
 
 STALENESS = [
     ('a snapshot', [INITIAL_SNAPSHOT], 0.01),
     (
         'an empty watch confirms its whole wait',
-        [INITIAL_SNAPSHOT, (WATCH_S, Changes((), 2))],
+        [INITIAL_SNAPSHOT, (WATCH_S, Changes((), at(2)))],
         0.0,
     ),
     (
         'a slow empty watch confirms no more than its wait',
-        [INITIAL_SNAPSHOT, (WATCH_S + 0.5, Changes((), 2))],
+        [INITIAL_SNAPSHOT, (WATCH_S + 0.5, Changes((), at(2)))],
         0.5,
     ),
     (
         'a watch that returned early confirms its start',
-        [INITIAL_SNAPSHOT, (1.5, Changes((configuration_item(2, 3),), 3))],
+        [INITIAL_SNAPSHOT, (1.5, Changes((configuration_item(2, 3),), at(3)))],
         1.5,
     ),
     ('a failed call confirms nothing', [INITIAL_SNAPSHOT, (1.0, FAILURE)], 1.1),
@@ -138,22 +145,22 @@
     ('the first', [INITIAL_SNAPSHOT], 1),
     (
         'a newer one',
-        [INITIAL_SNAPSHOT, (0.1, Changes((configuration_item(3, 4),), 4))],
+        [INITIAL_SNAPSHOT, (0.1, Changes((configuration_item(3, 4),), at(4)))],
         3,
     ),
     (
         'an older one is ignored',
-        [INITIAL_SNAPSHOT, (0.1, Changes((configuration_item(0, 4),), 4))],
+        [INITIAL_SNAPSHOT, (0.1, Changes((configuration_item(0, 4),), at(4)))],
         1,
     ),
     (
         'an unreadable one is ignored',
-        [INITIAL_SNAPSHOT, (0.1, Changes((Item(CONFIGURATION_KEY, b'{', 4),), 4))],
+        [INITIAL_SNAPSHOT, (0.1, Changes((Item(CONFIGURATION_KEY, b'{', 4),), at(4)))],
         1,
     ),
     (
         'a removed one stays in force',
-        [INITIAL_SNAPSHOT, (0.1, Changes((Item(CONFIGURATION_KEY, None, 4),), 4))],
+        [INITIAL_SNAPSHOT, (0.1, Changes((Item(CONFIGURATION_KEY, None, 4),), at(4)))],
         1,
     ),
     (
@@ -161,7 +168,7 @@
         [
             INITIAL_SNAPSHOT,
             (0.1, HistoryLostError('gone')),
-            (0.1, Snapshot((configuration_item(9, 9), upstream_item(2)), 9)),
+            (0.1, Snapshot((configuration_item(9, 9), upstream_item(2)), at(9))),
         ],
         9,
     ),
@@ -183,12 +190,12 @@
     ('registered', [INITIAL_SNAPSHOT], True),
     (
         'removed',
-        [INITIAL_SNAPSHOT, (0.1, Changes((upstream_item(3, None),), 3))],
+        [INITIAL_SNAPSHOT, (0.1, Changes((upstream_item(3, None),), at(3)))],
         False,
     ),
     (
         'an unreadable registration is ignored',
-        [INITIAL_SNAPSHOT, (0.1, Changes((upstream_item(3, b'\xff'),), 3))],
+        [INITIAL_SNAPSHOT, (0.1, Changes((upstream_item(3, b'\xff'),), at(3)))],
         True,
     ),
     (
@@ -196,7 +203,7 @@
         [
             INITIAL_SNAPSHOT,
             (1.0, FAILURE),
-            (0.1, Changes((upstream_item(3, None),), 3)),
+            (0.1, Changes((upstream_item(3, None),), at(3))),
         ],
         True,
     ),
@@ -219,7 +226,7 @@
     answers = [
         INITIAL_SNAPSHOT,
         (1.0, FAILURE),
-        (0.1, Changes((upstream_item(3, None),), 3)),
+        (0.1, Changes((upstream_item(3, None),), at(3))),
     ]
     feed, registry, clock = build_feed(answers, monkeypatch)
     clock.advance(1.6)
--- a/tests/test_router/test_feed_model.py
+++ b/tests/test_router/test_feed_model.py
@@ -25,11 +25,14 @@
 from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.common.rangestore import (
     Changes,
+    EraChangedError,
     Freshness,
     HistoryLostError,
     Item,
+    Lease,
     RangeStore,
     Snapshot,
+    StorePosition,
 )
 from rosemaryseam.router.documentcodec import (
     CONFIGURATION_KEY,
@@ -37,7 +40,7 @@
     DocumentStateCodec,
 )
 from rosemaryseam.router.feed import StateFeed
-from rosemaryseam.router.upstreams import Registry
+from rosemaryseam.router.upstreams import RESTORED_HOLD_S, Registry
 
 MAX_KEY_STALENESS_S = 5.0
 KEYS = ('k0', 'k1', 'k2', 'k3')
@@ -53,12 +56,15 @@
         self.items: dict[str, Item] = {}
         self.changes: list[Item] = []
         self.revision = 1
+        self.era = 0
         self.compacted_revision = 1
         self.removed_at: dict[str, float] = {}  # by key that the configuration lacks
         self.version = 0
         self.keys: set[str] = set()
+        self.lost: dict[str, Item | None] = {}  # not written again since a restore
 
     def put(self, key: str, value: bytes | None) -> None:
+        self.lost.pop(key, None)
         self.revision += 1
         item = Item(key, value, self.revision)
         self.changes.append(item)
@@ -84,13 +90,46 @@
         self.put(CONFIGURATION_KEY, json.dumps(document).encode())
 
     def snapshot(self, freshness: Freshness | None = None) -> Snapshot:
-        return Snapshot(tuple(self.items.values()), self.revision, freshness)
-
-    def since(self, after: int, freshness: Freshness | None = None) -> Changes:
-        if after < self.compacted_revision:
+        return Snapshot(tuple(self.items.values()), self.position, freshness)
+
+    @property
+    def position(self) -> StorePosition:
+        return StorePosition(self.era, self.revision)
+
+    def since(
+        self, after: StorePosition, freshness: Freshness | None = None
+    ) -> Changes:
+        if after.era != self.era:
+            raise EraChangedError('restored')
+        if after.revision < self.compacted_revision:
             raise HistoryLostError('dropped')
-        items = tuple(item for item in self.changes if item.revision > after)
-        return Changes(items, self.revision, freshness)
+        items = tuple(item for item in self.changes if item.revision > after.revision)
+        return Changes(items, self.position, freshness)
+
+    def restore(self, copied: int, *, rewritten: bool) -> None:
+        """Go back to an earlier revision; owners may have written again already."""
+        latest = dict(self.items)
+        lost = {item.key for item in self.changes if item.revision > copied}
+        self.changes = [item for item in self.changes if item.revision <= copied]
+        self.items = {item.key: item for item in self.changes}
+        self.items = {
+            key: item for key, item in self.items.items() if item.value is not None
+        }
+        self.revision = copied
+        self.compacted_revision = min(self.compacted_revision, copied)
+        self.era += 1
+        self.lost = {key: latest.get(key) for key in sorted(lost)}
+        if rewritten:
+            self.write_again()
+
+    def write_again(self) -> None:
+        """Write the lost values of operators and upstreams again."""
+        lost, self.lost = self.lost, {}
+        for key, item in lost.items():
+            if item is not None:
+                self.put(key, item.value)
+            elif key in self.items:
+                self.put(key, None)
 
 
 class FaultyStore(RangeStore):
@@ -113,7 +152,7 @@
             return snapshot._replace(freshness=Freshness(age, 0.0, age))
         return self._answer(self.model.snapshot)
 
-    def watch_range(self, prefix: str, after: int, wait_s: float) -> Changes:
+    def watch_range(self, prefix: str, after: StorePosition, wait_s: float) -> Changes:
         if self.fault == 'relayed' and self.relayed is not None:
             return self._relayed_changes(after)
         changes = self._answer(lambda: self.model.since(after))
@@ -135,26 +174,29 @@
         self.model.clock.advance(self.delay_s)
         return answer
 
-    def _relayed_changes(self, after: int) -> Changes:
+    def _relayed_changes(self, after: StorePosition) -> Changes:
         snapshot, at = self.relayed
-        if not self.model.compacted_revision <= after <= snapshot.revision:
+        newest = snapshot.position
+        if newest.era != self.model.era or after.era != newest.era:
+            raise HistoryLostError('the mirror is of another era')
+        if not self.model.compacted_revision <= after.revision <= newest.revision:
             raise HistoryLostError('the mirror does not reach this revision')
         age = self.model.clock.monotonic() - at
         items = tuple(
             item
             for item in self.model.changes
-            if after < item.revision <= snapshot.revision
+            if after.revision < item.revision <= newest.revision
         )
-        return Changes(items, snapshot.revision, Freshness(age, 0.0, age))
+        return Changes(items, newest, Freshness(age, 0.0, age))
 
-    def grant_lease(self, ttl_s: float) -> int:
-        return 1
+    def grant_lease(self, ttl_s: float) -> Lease:
+        return Lease(1, 0)
 
-    def renew_lease(self, lease: int) -> bool:
+    def renew_lease(self, lease: Lease) -> bool:
         return True
 
-    def write(self, writes: object, removals: object = ()) -> int:
-        return 1
+    def write(self, writes: object, removals: object = ()) -> StorePosition:
+        return self.model.position
 
 
 class FeedMachine(RuleBasedStateMachine):
@@ -179,6 +221,7 @@
         self.highest_version = 0
         self.left: set[tuple[str, int]] = set()  # incarnations seen as leaving
         self.born = dict.fromkeys(UPSTREAMS, 1)
+        self.restored = False
 
     @initialize()
     def start(self) -> None:
@@ -229,6 +272,24 @@
     def drop_history(self) -> None:
         self.model.compacted_revision = self.model.revision
 
+    @rule(back=st.integers(1, 6), rewritten=st.booleans())
+    def restore_store(self, back: int, rewritten: bool) -> None:
+        # The configuration is older than any copy.
+        first = min(
+            item.revision
+            for item in self.model.changes
+            if item.key == CONFIGURATION_KEY
+        )
+        copied = max(first, self.model.revision - back)
+        self.model.restore(copied, rewritten=rewritten)
+        self.restored = True
+        if not rewritten:
+            self.clock.advance(0.5)
+
+    @rule()
+    def write_again(self) -> None:
+        self.model.write_again()
+
     @rule()
     def refresh_relayed_snapshot(self) -> None:
         self.store.relayed = (self.model.snapshot(), self.clock.monotonic())
@@ -266,10 +327,13 @@
     @precondition(lambda self: self.store.fault == 'none' and not self.store.delay_s)
     @rule()
     def catch_up(self) -> None:
+        self.model.write_again()
         for _ in range(3):
             self.step_feed()
-        self.clock.advance(2.0)
+        self.clock.advance(RESTORED_HOLD_S if self.restored else 2.0)
         self.feed.expire()
+        self.restored = False
+        self.left |= self.registry._left
         assert self.feed.table is not None
         assert self.feed.table.version == self.model.version
         assert {entry.id for entry in self.registry.all()} == self.expected_upstreams()
@@ -310,6 +374,8 @@
 
     @invariant()
     def incarnations_that_left_stay_unusable(self) -> None:
+        # One watch may bring that an upstream leaves and a later entry of it.
+        self.left |= self.registry._left
         for entry in self.registry._entries.values():
             if entry.leaving:
                 self.left.add(entry.upstream.incarnation)
--- a/tests/test_router/test_mirror.py
+++ b/tests/test_router/test_mirror.py
@@ -14,6 +14,7 @@
     HistoryLostError,
     Item,
     Snapshot,
+    StorePosition,
 )
 from rosemaryseam.router import relayedstore
 from rosemaryseam.router.documentcodec import CONFIGURATION_KEY
@@ -28,12 +29,17 @@
     return Item(f'k/{number}', value, number)
 
 
+def at(revision: int, era: int = 1) -> StorePosition:
+    """Return a position of the store."""
+    return StorePosition(era, revision)
+
+
 def build_mirror(*changes: Item) -> Mirror:
     """Return a mirror that loaded one item at revision 10 and then some changes."""
     mirror = Mirror(lambda: 0.5, lambda: 0.1)
-    mirror.load(Snapshot((item(9),), 10))
+    mirror.load(Snapshot((item(9),), at(10)))
     for change in changes:
-        mirror.extend(Changes((change,), change.revision))
+        mirror.extend(Changes((change,), at(change.revision)))
     return mirror
 
 
@@ -51,7 +57,7 @@
 def test_wait_returns_changes_after_revision(
     name: str, changes: list[Item], after: int, expected: list[int]
 ) -> None:
-    answer = build_mirror(*changes).wait(after, 0.01)
+    answer = build_mirror(*changes).wait(at(after), 0.01)
     assert [change.revision for change in answer.items] == expected
     assert answer.freshness.staleness_s == 0.5
 
@@ -64,15 +70,15 @@
 )
 def test_wait_outside_kept_revisions(name: str, after: int) -> None:
     with pytest.raises(HistoryLostError):
-        build_mirror(item(11)).wait(after, 0.01)
+        build_mirror(item(11)).wait(at(after), 0.01)
 
 
 def test_dropped_changes_raise_history_lost() -> None:
     changes = [item(number) for number in range(11, 11 + MAX_KEPT_CHANGES + 5)]
     mirror = build_mirror(*changes)
     with pytest.raises(HistoryLostError):
-        mirror.wait(12, 0.01)
-    assert len(mirror.wait(20, 0.01).items) == MAX_KEPT_CHANGES + 5 - 10
+        mirror.wait(at(12), 0.01)
+    assert len(mirror.wait(at(20), 0.01).items) == MAX_KEPT_CHANGES + 5 - 10
 
 
 def test_snapshot_omits_removed_items() -> None:
