Keep a host alive through endless, malformed and unexpected input

Change: receivers yield after reads that fill their buffer, answers after 64 parts, datagrams after 32. Skipped heads and answers, failures' bodies, heads and bodies of exchanges and a refused caller's bytes are bounded. Streams are checked for stalls while bytes arrive. Repeated work survives errors, with a log line and a counter.

Upstreams that announce in any head that they leave get no new request from this host, whatever the store says, and their dispatcher is told. An upstream that asks for a pause with a 503 gets none until it is over; when all do, the caller is told at once when the first one wants requests.

--- a/packages/common/src/rosemaryseam/common/exchange.py
+++ b/packages/common/src/rosemaryseam/common/exchange.py
@@ -10,12 +10,16 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
+from rosemaryseam.common.fairness import FairReceiver
+
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
 
     from rosemaryseam.common.addresses import Address
 
 READ_BYTES = 65_536
+MAX_HEAD_BYTES = 262_144  # and what follows in the same read
+MAX_ANSWER_BYTES = 16_777_216  # of one answer, head and body
 
 TRANSPORT_ERRORS = (OSError, gevent.Timeout, HTTPParseError, ValueError)
 
@@ -87,7 +91,10 @@
         """
         head = self._build_request(method, path, body=body, headers=headers)
         self._sock.sendall(head.encode('latin-1') + body)
-        return _Response(self._sock, method=method, block_size=READ_BYTES)
+        receiver = FairReceiver(self._sock, MAX_HEAD_BYTES)
+        response = _Response(receiver, method=method, block_size=READ_BYTES)
+        receiver.max_bytes = MAX_ANSWER_BYTES
+        return response
 
     def half_close(self) -> None:
         """Shut down the sending side, so that the server abandons its answer.
--- /dev/null
+++ b/packages/common/src/rosemaryseam/common/fairness.py
@@ -0,0 +1,73 @@
+"""Receiving and repeating work in a way that leaves turns to other greenlets."""
+
+from __future__ import annotations
+
+import traceback
+from typing import TYPE_CHECKING, Any
+
+import gevent
+
+from rosemaryseam.common.decisionlog import log_warning
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from rosemaryseam.common.metrics import Metrics
+
+RECEIVES_PER_TURN = 8  # before other greenlets get a turn
+ERROR_PAUSE_S = 0.2  # after an unexpected error in repeated work
+LOGGED_TRACE_FRAMES = 3  # innermost frames of the traceback
+
+
+class FairReceiver:
+    """Receives from a gevent socket and yields to other greenlets regularly.
+
+    A receive that finds bytes ready does not switch greenlets. A peer that sends
+    without end would stop all other greenlets, and no timeout would fire.
+
+    :param sock: socket to receive from
+    :param max_bytes: total number of bytes to receive, ``None`` without a limit
+    """
+
+    def __init__(self, sock: Any, max_bytes: int | None = None) -> None:
+        self._sock = sock
+        self.max_bytes = max_bytes
+        self._received = 0
+        self._receives = 0
+
+    def recv(self, size: int) -> bytes:
+        """Receive up to a number of bytes.
+
+        :param size: maximum number of bytes
+        :raises OSError: the socket failed, or the limit was exceeded
+        """
+        data = self._sock.recv(size)
+        self._receives += 1
+        # A read that filled its buffer suggests that more bytes are ready.
+        if len(data) == size or self._receives % RECEIVES_PER_TURN == 0:
+            gevent.sleep(0)
+        self._received += len(data)
+        if self.max_bytes is not None and self._received > self.max_bytes:
+            raise OSError(f'more than {self.max_bytes} bytes received')
+        return data
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._sock.close()
+
+
+def run_repeatedly(name: str, step: Callable[[], None], metrics: Metrics) -> None:
+    """Run a step again and again; an unexpected error ends only the current step.
+
+    :param name: name of the work in the log
+    :param step: one step of the work
+    :param metrics: counters of the process
+    """
+    while True:
+        try:
+            step()
+        except Exception as exc:
+            metrics.count('internal_errors')
+            trace = traceback.format_exc(limit=-LOGGED_TRACE_FRAMES)
+            log_warning('internal_error', work=name, error=repr(exc), trace=trace)
+            gevent.sleep(ERROR_PAUSE_S)
--- a/packages/router/src/rosemaryseam/router/admission.py
+++ b/packages/router/src/rosemaryseam/router/admission.py
@@ -41,6 +41,7 @@
         self.failure: SendError | None = None
         # The last 5xx answer, which is relayed if no further attempt is made.
         self.error_answer: tuple[AnswerHead, bytes] | None = None
+        self.retry_after_s: float | None = None  # when no upstream wants requests now
 
 
 class RefusalError(Exception):
--- a/packages/router/src/rosemaryseam/router/callers.py
+++ b/packages/router/src/rosemaryseam/router/callers.py
@@ -17,6 +17,7 @@
 
 from rosemaryseam.common.decisionlog import log_event, log_warning
 from rosemaryseam.common.errors import ResultCode
+from rosemaryseam.common.fairness import FairReceiver
 from rosemaryseam.router.codec import RequestHead
 from rosemaryseam.router.earlylisten import LISTEN_BACKLOG
 from rosemaryseam.router.reply import CallerGoneError, Reply
@@ -32,6 +33,8 @@
 
 READ_BYTES = 65_536
 MAX_READ_AHEAD_BYTES = 65_536  # of pipelined requests, kept while one is answered
+LINGER_S = 1.0  # for which bytes of a refused caller are discarded
+MAX_LINGER_BYTES = 8_388_608  # of discarded bytes
 SEND_TIMEOUT_S = 10.0  # for sending one part of an answer to a slow caller
 LOGGED_TRACE_FRAMES = 3  # innermost frames of an internal error's traceback
 _EV_READ = 1  # event mask of libev
@@ -199,6 +202,7 @@
         self._server = server
         self._limits = server.limits()
         self._http = h11.Connection(h11.SERVER, self._limits.head_bytes)
+        self._receiver = FairReceiver(sock)
         self._read_ahead = bytearray()
         self._eof = False
         self.is_idle = True
@@ -248,10 +252,11 @@
 
     def lingering_close(self) -> None:
         """Shut down the sending side and discard what the caller still sends."""
-        with contextlib.suppress(OSError):
+        receiver = FairReceiver(self._sock, MAX_LINGER_BYTES)
+        with contextlib.suppress(OSError), gevent.Timeout(LINGER_S, False):
             self._sock.shutdown(std_socket.SHUT_WR)
-            self._sock.settimeout(1.0)
-            while self._sock.recv(READ_BYTES):
+            self._sock.settimeout(LINGER_S)
+            while receiver.recv(READ_BYTES):
                 pass
 
     def _answer(self, received: ReceivedRequest, reply: ConnectionReply) -> None:
@@ -348,7 +353,7 @@
 
     def _receive(self, wait_s: float) -> None:
         self._sock.settimeout(wait_s)
-        data = self._sock.recv(READ_BYTES)
+        data = self._receiver.recv(READ_BYTES)
         self._http.receive_data(data)
 
     def _read_body(self, head: RequestHead) -> bytes:
--- a/packages/router/src/rosemaryseam/router/datagrams.py
+++ b/packages/router/src/rosemaryseam/router/datagrams.py
@@ -4,6 +4,7 @@
 
 import json
 import pathlib
+import zlib
 from typing import TYPE_CHECKING, NamedTuple
 
 import capnp
@@ -16,6 +17,8 @@
 
 MAX_DATAGRAM_BYTES = 60_000
 MAX_TRAVERSAL_WORDS = 65_536
+MAX_MESSAGE_BYTES = 8 * MAX_TRAVERSAL_WORDS  # of a datagram after decompression
+COMPRESSION_LEVEL = 1  # the fastest
 UNSET = -1  # encodes an absent number
 
 capnp.remove_import_hook()
@@ -53,11 +56,19 @@
     duration_s: float
 
 
+class Incarnation(NamedTuple):
+    """The id and the start of an upstream."""
+
+    id: str
+    born: int
+
+
 class Datagram(NamedTuple):
     """A batch of messages from one host to another.
 
     In a ``sync`` datagram ``active`` holds the numbers of all in-flight requests that
-    the receiver placed or adopted for the sender.
+    the receiver placed or adopted for the sender. ``left`` holds upstreams that told
+    the sender that they stop.
     """
 
     host: str
@@ -71,6 +82,7 @@
     in_flight: tuple[InFlightReport, ...] = ()
     active: tuple[int, ...] = ()
     placed: tuple[PlacedPrompt, ...] = ()
+    left: tuple[Incarnation, ...] = ()
 
 
 def encode(datagram: Datagram) -> bytes:
@@ -90,8 +102,11 @@
         held=[_encode_in_flight(entry) for entry in datagram.in_flight],
         active=list(datagram.active),
         placed=[_encode_placed(entry) for entry in datagram.placed],
+        left=[entry._asdict() for entry in datagram.left],
     )
-    return message.to_bytes_packed()
+    # The packed format of the library is smaller still, but its reader aborts the
+    # process when a message is malformed.
+    return zlib.compress(message.to_bytes(), COMPRESSION_LEVEL)
 
 
 def decode(data: bytes) -> Datagram:
@@ -101,26 +116,39 @@
     :raises PeerError: the bytes are not a valid datagram
     """
     try:
-        message = _SCHEMA.Datagram.from_bytes_packed(
-            data, traversal_limit_in_words=MAX_TRAVERSAL_WORDS
-        )
-        return Datagram(
-            host=message.host,
-            incarnation=message.incarnation,
-            leaving=message.leaving,
-            sync=message.sync,
-            dispatch_requests=tuple(_decode_query(entry) for entry in message.queries),
-            replies=tuple(_decode_reply(entry) for entry in message.replies),
-            started=tuple(message.started),
-            ended=tuple(_decode_ended(entry) for entry in message.ended),
-            in_flight=tuple(_decode_in_flight(entry) for entry in message.held),
-            active=tuple(message.active),
-            placed=tuple(_decode_placed(entry) for entry in message.placed),
-        )
-    except (capnp.KjException, ValueError) as exc:
+        with _SCHEMA.Datagram.from_bytes(
+            _decompress(data), traversal_limit_in_words=MAX_TRAVERSAL_WORDS
+        ) as message:
+            return _decode(message)
+    except (capnp.KjException, ValueError, zlib.error) as exc:
         raise PeerError(f'unreadable datagram: {exc}') from exc
 
 
+def _decompress(data: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    message = decompressor.decompress(data, MAX_MESSAGE_BYTES)
+    if not decompressor.eof:
+        raise ValueError('the message is cut short or too long')
+    return message
+
+
+def _decode(message: object) -> Datagram:
+    return Datagram(
+        host=message.host,
+        incarnation=message.incarnation,
+        leaving=message.leaving,
+        sync=message.sync,
+        dispatch_requests=tuple(_decode_query(entry) for entry in message.queries),
+        replies=tuple(_decode_reply(entry) for entry in message.replies),
+        started=tuple(message.started),
+        ended=tuple(_decode_ended(entry) for entry in message.ended),
+        in_flight=tuple(_decode_in_flight(entry) for entry in message.held),
+        active=tuple(message.active),
+        placed=tuple(_decode_placed(entry) for entry in message.placed),
+        left=tuple(Incarnation(entry.id, entry.born) for entry in message.left),
+    )
+
+
 def _to_ms(seconds: float | None) -> int:
     return 0 if seconds is None else max(0, int(seconds * 1000))
 
@@ -207,7 +235,7 @@
             expected_first_s=entry.expectedFirstMs / 1000,
             answer_timeout_s=entry.answerLimitMs / 1000 or None,
             engine_slowdown=entry.engineSpeed,
-            inputs=json.loads(entry.inputs or '{}'),
+            inputs=_decode_inputs(entry.inputs),
         )
     return Reply(
         entry.number,
@@ -219,6 +247,13 @@
     )
 
 
+def _decode_inputs(text: str) -> dict[str, object]:
+    inputs = json.loads(text or '{}')
+    if not isinstance(inputs, dict):
+        raise ValueError('the inputs of a placement are no object')
+    return inputs
+
+
 def _encode_ended(entry: EndedRequest) -> dict[str, object]:
     return {
         'number': entry.number,
--- a/packages/router/src/rosemaryseam/router/dispatch.py
+++ b/packages/router/src/rosemaryseam/router/dispatch.py
@@ -284,6 +284,10 @@
         pressure, at = self._pressures.get((service, slot), (0.0, -math.inf))
         return pressure if self._clock.monotonic() - at < PRESSURE_TTL_S else None
 
+    def report_left(self, upstream: Upstream) -> None:
+        """Tell the dispatcher of an upstream that it has left."""
+        self.handover.report_left(upstream)
+
     # Messages and membership changes.
 
     def handle_reply(self, reply: Reply) -> None:
--- a/packages/router/src/rosemaryseam/router/events.py
+++ b/packages/router/src/rosemaryseam/router/events.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+MAX_END_BYTES = 4  # of the empty line that ends an event
 MAX_EVENT_BYTES = 1_000_000  # bounds the memory that an unterminated event uses
 
 
@@ -26,12 +27,12 @@
     """Splits a byte stream into complete events."""
 
     def __init__(self) -> None:
-        self._remainder = b''
+        self._buffer = bytearray()
 
     @property
     def remainder(self) -> bytes:
         """The bytes after the last complete event."""
-        return self._remainder
+        return bytes(self._buffer)
 
     def feed(self, data: bytes) -> list[Event]:
         """Return the events that are complete after new bytes were added.
@@ -39,20 +40,22 @@
         :param data: next bytes of the stream
         :raises EventTooLongError: if the incomplete event exceeds the limit
         """
-        buffer = self._remainder + data
+        buffer = self._buffer
+        searched = max(0, len(buffer) - MAX_END_BYTES + 1)
+        buffer += data
         events = []
         start = 0
-        while (end := _find_end(buffer, start)) >= 0:
-            event = buffer[start:end]
+        while (end := _find_end(buffer, max(start, searched))) >= 0:
+            event = bytes(buffer[start:end])
             events.append(Event(event, _find_id(event)))
             start = end
-        self._remainder = buffer[start:]
-        if len(self._remainder) > MAX_EVENT_BYTES:
+        del buffer[:start]
+        if len(buffer) > MAX_EVENT_BYTES:
             raise EventTooLongError('an event does not end')
         return events
 
 
-def _find_end(buffer: bytes, start: int) -> int:
+def _find_end(buffer: bytearray, start: int) -> int:
     """Return the index after the empty line that ends an event, or -1."""
     plain = buffer.find(b'\n\n', start)
     crlf = buffer.find(b'\r\n\r\n', start)
--- a/packages/router/src/rosemaryseam/router/feed.py
+++ b/packages/router/src/rosemaryseam/router/feed.py
@@ -9,6 +9,7 @@
 
 from rosemaryseam.common.decisionlog import log_event, log_warning
 from rosemaryseam.common.errors import CatalogueError, PlatformError
+from rosemaryseam.common.fairness import run_repeatedly
 from rosemaryseam.common.rangestore import Changes, EraChangedError, HistoryLostError
 from rosemaryseam.router.mirror import Mirror
 
@@ -27,7 +28,12 @@
     )
     from rosemaryseam.router.codec import StateCodec
     from rosemaryseam.router.routes import RoutingTable
-    from rosemaryseam.router.upstreams import Registration, Registry, UpstreamChange
+    from rosemaryseam.router.upstreams import (
+        Registration,
+        Registry,
+        Upstream,
+        UpstreamChange,
+    )
 
 WATCH_S = 2.0  # limit of one watch; an empty one confirms that no change was missed
 MIN_WATCH_S = 0.4  # lower bound when the staleness is high
@@ -119,8 +125,7 @@
 
     def run(self) -> None:
         """Follow the store indefinitely."""
-        while True:
-            self.step()
+        run_repeatedly('feed', self.step, self._metrics)
 
     def step(self) -> None:
         """Make one call to the store and apply the result."""
@@ -144,6 +149,14 @@
         except PlatformError as exc:
             self._record_failure(exc)
 
+    def mark_left(self, upstream: Upstream, reason: str) -> None:
+        """Close an incarnation for new requests permanently.
+
+        :param upstream: incarnation of the upstream
+        :param reason: evidence that it has left, for the log
+        """
+        self._publish(self._registry.mark_left(upstream, reason))
+
     def expire(self) -> None:
         """Drop the entries that expired in an outage and were not registered again."""
         self._publish(self._registry.expire(self._clock.monotonic()))
--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -20,7 +20,8 @@
     SilentError,
 )
 from rosemaryseam.router.placement import NoUpstreamError, UnplacedRequest
-from rosemaryseam.router.relay import StreamRelay, relay_answer
+from rosemaryseam.router.quiet import QuietPeriods
+from rosemaryseam.router.relay import StreamRelay, read_body, relay_answer
 from rosemaryseam.router.requests import UpstreamCall
 from rosemaryseam.router.routes import Repeat, pick_service
 
@@ -39,13 +40,15 @@
     from rosemaryseam.router.reply import Reply
     from rosemaryseam.router.requests import AnswerHead, CallerRequest
     from rosemaryseam.router.routes import Route, RoutingTable, Workspace
-    from rosemaryseam.router.upstreams import Registry
+    from rosemaryseam.router.upstreamconnection import UpstreamConnection
+    from rosemaryseam.router.upstreams import Registry, Upstream
 
 DEFAULT_TIMEOUT_S = 30.0  # for requests that state no deadline
 OTHER_HOST_RETRY_AFTER_S = 0.25  # for refusals that may not apply to other hosts
 NO_UPSTREAM_RETRY_AFTER_S = 0.5  # when no attempt can have run the request
 DRAIN_REFUSAL_DELAY_S = 2.6  # by then the balancer sends connections to other hosts
 DRAIN_RETRY_AFTER_S = 0.05  # another host accepts the request at once
+MAX_RETURN_SPREAD = 1.25  # longest over shortest time at which refused callers return
 MIN_ATTEMPT_S = 0.02  # no retry with less time left
 FIRST_SERVER_ERROR_STATUS = 500
 
@@ -93,6 +96,7 @@
         self._max_key_staleness_s = max_key_staleness_s
         self._rng = rng
         self._budgets: dict[str, FleetRetryBudget] = {}
+        self._quiet = QuietPeriods(clock)
         self._stops_at: float | None = None
         self._drain_started_at = 0.0
 
@@ -265,21 +269,33 @@
 
         :raises RefusalError: if there is no upstream for the first attempt
         """
+        usable = self._registry.usable(admitted.service.name)
+        excluded = attempts.excluded | self._quiet.names(usable)
+        if usable and all(entry.id in excluded for entry in usable):
+            # Nothing can be sent before the first of them wants requests again.
+            wait_s = self._quiet.shortest_s(usable) or NO_UPSTREAM_RETRY_AFTER_S
+            attempts.retry_after_s = wait_s * self._rng.uniform(1.0, MAX_RETURN_SPREAD)
+            if attempts.failure is not None:
+                return None
+            raise RefusalError(
+                503,
+                ResultCode.NO_UPSTREAM,
+                'all upstreams want a pause',
+                attempts.retry_after_s,
+            )
         unplaced = UnplacedRequest(
             admitted.request,
             admitted.route,
             admitted.service,
             admitted.route.rank,
             admitted.workspace_rank,
-            attempts.excluded,
+            excluded,
             admitted.request.arrived + admitted.route.first_byte_target_s,
             admitted.expires_at,
             attempts.arrivals > 0,
         )
         try:
-            return self._placer.place(
-                unplaced, self._registry.usable(admitted.service.name)
-            )
+            return self._placer.place(unplaced, usable)
         except NoUpstreamError as exc:
             if attempts.failure is not None:
                 return None
@@ -326,7 +342,10 @@
         )
         try:
             if admitted.route.repeat is not Repeat.NEVER:
-                conn.set_abort_check(ticket.is_overdue)
+                # Events show whether a stream moves on; bytes show it of others.
+                conn.set_abort_check(
+                    ticket.is_overdue, while_receiving=admitted.route.streamed
+                )
             conn.send(
                 admitted.request.method,
                 admitted.request.target,
@@ -334,6 +353,7 @@
                 admitted.request.body,
             )
             head = conn.read_head(admitted.request.id)
+            self._apply_notices(upstream, head)
             ticket.on_answer_head(head)
             self._relay_answer(admitted, attempts, relay, reply, ticket, conn, head)
         except BaseException:
@@ -343,6 +363,23 @@
         self._log_answer(admitted, ticket, head)
         return head
 
+    def _apply_notices(self, upstream: Upstream, head: AnswerHead) -> None:
+        """Apply what the head of an answer says about further requests."""
+        if head.leaving and self._registry.is_usable(upstream):
+            self._mark_left(upstream)
+        if head.retry_after_s is not None:
+            self._quiet.start(upstream, head.retry_after_s)
+            log_event(
+                'upstream_quiet',
+                upstream=upstream.id,
+                born=upstream.born,
+                seconds=head.retry_after_s,
+            )
+
+    def _mark_left(self, upstream: Upstream) -> None:
+        self._placer.report_left(upstream)
+        self._feed.mark_left(upstream, 'left')
+
     def _relay_answer(
         self,
         admitted: AdmittedRequest,
@@ -350,7 +387,7 @@
         relay: StreamRelay,
         reply: Reply,
         ticket: Ticket,
-        conn: object,
+        conn: UpstreamConnection,
         head: AnswerHead,
     ) -> None:
         if head.declined:
@@ -363,8 +400,7 @@
             head.status >= FIRST_SERVER_ERROR_STATUS
             and admitted.route.repeat is not Repeat.NEVER
         ):
-            body = b''.join(conn.chunks())
-            attempts.error_answer = (head, body)
+            attempts.error_answer = (head, read_body(conn.chunks()))
             raise BrokenError(f'{ticket.upstream.id} answered {head.status}')
         if admitted.route.streamed and head.status < 300:
             relay.relay_stream(head, conn.chunks(), ticket)
@@ -403,7 +439,7 @@
         if isinstance(exc, BrokenError):
             attempts.runs += 1
         if isinstance(exc, DeclinedError) and exc.head.status == 421:
-            self._registry.mark_left(ticket.upstream, 'address reused')
+            self._mark_left(ticket.upstream)
         self._metrics.count('upstream_failures', kind=type(exc).__name__)
         log_event(
             'attempt_failed',
@@ -455,9 +491,8 @@
             return RefusalError(504, ResultCode.DEADLINE_EXCEEDED, reason)
         if attempts.runs:
             return RefusalError(502, ResultCode.UPSTREAM_FAILED, reason)
-        return RefusalError(
-            503, ResultCode.NO_UPSTREAM, reason, NO_UPSTREAM_RETRY_AFTER_S
-        )
+        wait_s = attempts.retry_after_s or NO_UPSTREAM_RETRY_AFTER_S
+        return RefusalError(503, ResultCode.NO_UPSTREAM, reason, wait_s)
 
     # Refusals and log events.
 
--- a/packages/router/src/rosemaryseam/router/handover.py
+++ b/packages/router/src/rosemaryseam/router/handover.py
@@ -7,7 +7,7 @@
 
 from rosemaryseam.common.decisionlog import log_event
 from rosemaryseam.policy.prefixes import PART_REUSE_WINDOW_S
-from rosemaryseam.router.datagrams import EndedRequest
+from rosemaryseam.router.datagrams import EndedRequest, Incarnation
 from rosemaryseam.router.queries import PlacedPrompt
 
 if TYPE_CHECKING:
@@ -17,6 +17,7 @@
     from rosemaryseam.policy.prefixes import Part
     from rosemaryseam.router.hostlink import HostLink
     from rosemaryseam.router.tickets import DispatchTicket
+    from rosemaryseam.router.upstreams import Upstream
     from rosemaryseam.router.upstreamtracker import UpstreamTracker
 
 MAX_RECENT_PROMPTS = 1000  # sent by this host, kept for handover
@@ -99,6 +100,15 @@
         """
         self._active.pop(ticket.number, None)
 
+    def report_left(self, upstream: Upstream) -> None:
+        """Tell the dispatcher of an upstream that it has left.
+
+        :param upstream: incarnation that gets no new requests from this host
+        """
+        dispatcher = self._dispatchers.get(upstream.id)
+        if dispatcher not in (None, self._host) and self._link is not None:
+            self._link.send_left(dispatcher, Incarnation(*upstream.incarnation))
+
     def retain(self, upstreams: Iterable[str]) -> None:
         """Drop the dispatchers and engine slowdowns of all other upstreams.
 
--- a/packages/router/src/rosemaryseam/router/headercodec.py
+++ b/packages/router/src/rosemaryseam/router/headercodec.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+from http import HTTPStatus
 from typing import TYPE_CHECKING, NamedTuple
 
 from rosemaryseam.router.codec import BadRequestError, HttpCodec, RequestHead
@@ -44,8 +46,9 @@
     ``last_event_id``. Callers send ``api_key``, which isn't forwarded, and
     ``timeout_ms``, which the router replaces by the time left. The router also sets
     ``workspace``, ``upstream_id``, ``urgency`` and ``fetch_from``. Upstreams send
-    ``signature``, ``not_run`` and ``load`` (running, waiting, slots). ``reserved`` are
-    further headers that are dropped when callers send them.
+    ``signature``, ``not_run``, ``load`` (running, waiting, slots) and ``leaving`` (1
+    if they stop soon). ``reserved`` are further headers that are dropped when callers
+    send them.
     """
 
     request_id: str
@@ -63,6 +66,7 @@
     signature: str
     not_run: str
     load: str
+    leaving: str
     reserved: tuple[str, ...] = ()
 
 
@@ -82,6 +86,7 @@
     signature='X-Upstream-Signature',
     not_run='X-Not-Run',
     load='X-Upstream-Load',
+    leaving='X-Upstream-Leaving',
 )
 
 
@@ -124,6 +129,7 @@
                 names.signature,
                 names.not_run,
                 names.load,
+                names.leaving,
                 *names.reserved,
             )
         }
@@ -190,6 +196,8 @@
             closes_connection=b'close' in fields.get(b'connection', b'').lower(),
             keep_alive_timeout_s=_decode_keep_alive(fields.get(b'keep-alive')),
             load=_decode_load(fields.get(_field_key(self._names.load))),
+            leaving=fields.get(_field_key(self._names.leaving), b'').strip() == b'1',
+            retry_after_s=_decode_retry_after(status, fields.get(b'retry-after')),
         )
 
     def _forwarded_headers(self, headers: RawHeaders) -> RawHeaders:
@@ -286,6 +294,17 @@
     return running, waiting, slots
 
 
+def _decode_retry_after(status: int, value: bytes | None) -> float | None:
+    """Return the seconds of a refusal's Retry-After; dates and nonsense are ignored."""
+    if status != HTTPStatus.SERVICE_UNAVAILABLE or value is None:
+        return None
+    try:
+        seconds = float(value)
+    except ValueError:
+        return None
+    return seconds if 0 < seconds < math.inf else None
+
+
 def open_header_codec(names: HeaderNames = DEFAULT_HEADER_NAMES) -> HttpCodec:
     """Return a codec for a deployment's header names.
 
--- a/packages/router/src/rosemaryseam/router/hostlink.py
+++ b/packages/router/src/rosemaryseam/router/hostlink.py
@@ -8,7 +8,11 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from rosemaryseam.router.datagrams import DispatchRequest, EndedRequest
+    from rosemaryseam.router.datagrams import (
+        DispatchRequest,
+        EndedRequest,
+        Incarnation,
+    )
     from rosemaryseam.router.queries import InFlightReport, PlacedPrompt
 
 
@@ -51,6 +55,14 @@
         :param report: report of the request
         """
 
+    @abc.abstractmethod
+    def send_left(self, host: str, incarnation: Incarnation) -> None:
+        """Report to a dispatcher that an upstream has left.
+
+        :param host: address of the dispatcher
+        :param incarnation: incarnation of the upstream
+        """
+
     @abc.abstractmethod
     def send_placed(self, host: str, placed: PlacedPrompt) -> None:
         """Report a recently prefilled prompt to a new dispatcher.
--- a/packages/router/src/rosemaryseam/router/peers.py
+++ b/packages/router/src/rosemaryseam/router/peers.py
@@ -13,6 +13,7 @@
 
 from rosemaryseam.common.decisionlog import log_event, log_warning
 from rosemaryseam.common.errors import PeerError, PlatformError
+from rosemaryseam.common.fairness import run_repeatedly
 from rosemaryseam.common.rangestore import EraChangedError, Write
 from rosemaryseam.router.datagrams import (
     MAX_DATAGRAM_BYTES,
@@ -24,13 +25,18 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Collection
+    from collections.abc import Callable, Collection
 
     from rosemaryseam.common.addresses import Address
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.common.rangestore import Lease, RangeStore
-    from rosemaryseam.router.datagrams import DispatchRequest, EndedRequest, Reply
+    from rosemaryseam.router.datagrams import (
+        DispatchRequest,
+        EndedRequest,
+        Incarnation,
+        Reply,
+    )
     from rosemaryseam.router.dispatch import DispatchPlacer
     from rosemaryseam.router.dispatcher import Dispatcher
     from rosemaryseam.router.feed import OtherItems
@@ -45,6 +51,7 @@
 RESTORED_ENTRY_GRACE_S = 5.0  # until a host without entry is dropped
 SYNC_INTERVAL_S = 1.0  # between two lists of in-flight requests to a dispatcher
 PEER_TIMEOUT_S = 3.0  # requests of a host that is silent for longer are dropped
+DATAGRAMS_PER_TURN = 32  # received before other greenlets get a turn
 RECEIVE_RETRY_S = 0.05  # after a socket error
 MAX_HANDOVER_ENTRIES = 100  # requests or prompts per datagram
 MAX_INCARNATIONS = 8  # remembered per host, to drop late datagrams of old processes
@@ -60,6 +67,7 @@
         self.ended: list[EndedRequest] = []
         self.in_flight: list[InFlightReport] = []
         self.placed: list[PlacedPrompt] = []
+        self.left: list[Incarnation] = []
 
 
 class PeerLink(HostLink):
@@ -77,6 +85,7 @@
     :param dispatcher: dispatcher of this host
     :param tracker: upstream tracker of this host
     :param capacity: relative capacity of this host, as published in its entry
+    :param on_left: called with upstreams that told another host that they stop
     """
 
     def __init__(
@@ -90,8 +99,10 @@
         dispatcher: Dispatcher,
         tracker: UpstreamTracker,
         capacity: float = 1.0,
+        on_left: Callable[[Incarnation], None] = lambda _: None,
     ) -> None:
         self._address = address
+        self._on_left = on_left
         self._capacity = capacity
         self._store = store
         self._clock = clock
@@ -126,7 +137,7 @@
         self._send_sock.bind((self._address.ip, 0))
         return [
             gevent.spawn(self._receive),
-            gevent.spawn(self._sync),
+            gevent.spawn(run_repeatedly, 'sync', self._sync, self._metrics),
             gevent.spawn(self._keep_registered),
         ]
 
@@ -243,6 +254,10 @@
         """Report to a dispatcher how a request ended."""
         self._outbox(host).ended.append(entry)
 
+    def send_left(self, host: str, incarnation: Incarnation) -> None:
+        """Report to a dispatcher that an upstream has left."""
+        self._outbox(host).left.append(incarnation)
+
     def send_in_flight(self, host: str, report: InFlightReport) -> None:
         """Report an in-flight request to a new dispatcher."""
         self._outbox(host).in_flight.append(report)
@@ -275,6 +290,7 @@
                     replies=tuple(outbox.replies),
                     started=tuple(outbox.started),
                     ended=tuple(outbox.ended),
+                    left=tuple(outbox.left),
                 ),
             )
 
@@ -292,25 +308,22 @@
             )
 
     def _sync(self) -> None:
-        while True:
-            gevent.sleep(SYNC_INTERVAL_S * self._rng.uniform(0.9, 1.1))
-            for host in self._placer.handover.dispatchers():
-                active = tuple(self._placer.handover.active_requests(host))
-                self._send(
-                    host,
-                    Datagram(
-                        self._address.ip, self._incarnation, sync=True, active=active
-                    ),
-                )
-            oldest = self._clock.monotonic() - PEER_TIMEOUT_S
-            for host in [
-                host for host, at in self._last_received_at.items() if at < oldest
-            ]:
-                self._forget_peer(host, 'silent')
-            count = len(self._capacities)
-            self._drop_missing_hosts()
-            if len(self._capacities) != count:
-                self._placer.hosts_changed()
+        gevent.sleep(SYNC_INTERVAL_S * self._rng.uniform(0.9, 1.1))
+        for host in self._placer.handover.dispatchers():
+            active = tuple(self._placer.handover.active_requests(host))
+            self._send(
+                host,
+                Datagram(self._address.ip, self._incarnation, sync=True, active=active),
+            )
+        oldest = self._clock.monotonic() - PEER_TIMEOUT_S
+        for host in [
+            host for host, at in self._last_received_at.items() if at < oldest
+        ]:
+            self._forget_peer(host, 'silent')
+        count = len(self._capacities)
+        self._drop_missing_hosts()
+        if len(self._capacities) != count:
+            self._placer.hosts_changed()
 
     def _send(self, host: str, datagram: Datagram) -> None:
         self._transmit(host, encode(datagram))
@@ -324,20 +337,24 @@
     # Receiving.
 
     def _receive(self) -> None:
-        while True:
+        count = 0
+        while not self._closed:
+            count += 1
+            if count % DATAGRAMS_PER_TURN == 0:
+                gevent.sleep(0)  # receiving does not switch while datagrams are ready
             try:
                 data, (host, _) = self._receive_sock.recvfrom(MAX_DATAGRAM_BYTES)
             except OSError as exc:
-                if self._closed:
-                    return
-                self._metrics.count('peer_receive_failures', reason=str(exc.errno))
-                gevent.sleep(RECEIVE_RETRY_S)
+                if not self._closed:
+                    self._metrics.count('peer_receive_failures', reason=str(exc.errno))
+                    gevent.sleep(RECEIVE_RETRY_S)
                 continue
             try:
                 self._handle_datagram(host, decode(data))
-            except PeerError as exc:
+            except Exception as exc:  # a message must not end the receipt of others
                 self._metrics.count('peer_unreadable')
-                log_warning('peer_unreadable', peer=host, reason=exc.message)
+                reason = exc.message if isinstance(exc, PeerError) else repr(exc)
+                log_warning('peer_unreadable', peer=host, reason=reason)
 
     def _handle_datagram(self, host: str, datagram: Datagram) -> None:
         if datagram.host != host or not self._is_current(host, datagram.incarnation):
@@ -348,6 +365,8 @@
             self._placer.hosts_changed()
             return
         self._last_received_at[host] = self._clock.monotonic()
+        for incarnation in datagram.left:
+            self._on_left(incarnation)
         for reply in datagram.replies:
             self._placer.handle_reply(reply)
         for reply in self._dispatcher.handle_datagram(datagram):
@@ -384,8 +403,9 @@
             try:
                 self._register()
                 wait = LEASE_RENEWAL_S
-            except PlatformError as exc:
-                log_warning('cannot_register', reason=exc.message)
+            except Exception as exc:  # the host must not stay unregistered
+                reason = exc.message if isinstance(exc, PlatformError) else repr(exc)
+                log_warning('cannot_register', reason=reason)
                 wait = REGISTRATION_RETRY_S
             if self._registration_lost.wait(wait * self._rng.uniform(0.8, 1.2)):
                 # All hosts lose their entries together when the store is restored.
--- a/packages/router/src/rosemaryseam/router/peerwire.capnp
+++ b/packages/router/src/rosemaryseam/router/peerwire.capnp
@@ -67,6 +67,11 @@
   ageMs @3 :UInt32;
 }
 
+struct Incarnation {
+  id @0 :Text;
+  born @1 :UInt64;
+}
+
 struct Datagram {
   host @0 :Text;
   incarnation @1 :UInt64;
@@ -79,4 +84,5 @@
   held @8 :List(Held);
   active @9 :List(UInt32);
   placed @10 :List(Placed);
+  left @11 :List(Incarnation);
 }
--- a/packages/router/src/rosemaryseam/router/placement.py
+++ b/packages/router/src/rosemaryseam/router/placement.py
@@ -99,6 +99,12 @@
         :raises NoUpstreamError: if no upstream should get the request now
         """
 
+    def report_left(self, upstream: Upstream) -> None:  # noqa: B027
+        """Tell other hosts that place requests on an upstream that it has left.
+
+        :param upstream: incarnation that gets no new requests from this host
+        """
+
 
 class _CountingTicket(Ticket):
     """Counts a request as in flight on its upstream until it ends."""
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -13,6 +13,7 @@
 from rosemaryseam.common.addresses import Address
 from rosemaryseam.common.decisionlog import log_event
 from rosemaryseam.common.errors import ResultCode, SettingsError
+from rosemaryseam.common.fairness import run_repeatedly
 from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.common.wsgi import HttpServer, ServerTimeouts
 from rosemaryseam.router.callers import BodyMemoryBudget, CallerServer
@@ -36,6 +37,7 @@
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.common.rangestore import RangeStore
     from rosemaryseam.router.codec import HttpCodec, StateCodec
+    from rosemaryseam.router.datagrams import Incarnation
     from rosemaryseam.router.routes import Service
     from rosemaryseam.router.settings import RouterSettings
     from rosemaryseam.router.upstreams import UpstreamChange
@@ -100,6 +102,7 @@
             self.dispatcher,
             self.tracker,
             cfg.capacity,
+            self._on_upstream_left,
         )
         self._placer.connect(self.peers)
         self.relayed_store = RelayedStore(
@@ -178,8 +181,13 @@
         self._background = [
             gevent.spawn(self._accept_callers),
             gevent.spawn(self.feed.run),
-            gevent.spawn(self._sweep),
-            gevent.spawn(self.store_prober.run, self.mirror),
+            gevent.spawn(run_repeatedly, 'sweep', self._sweep, self.metrics),
+            gevent.spawn(
+                run_repeatedly,
+                'store_prober',
+                lambda: self.store_prober.step(self.mirror),
+                self.metrics,
+            ),
         ]
         self._start_listener('peer_port', self._start_peers)
         log_event('started', zone=cfg.zone, callers=str(cfg.callers))
@@ -265,6 +273,11 @@
         self.tracker.retain_upstreams(usable)
         self._placer.upstreams_changed()
 
+    def _on_upstream_left(self, incarnation: Incarnation) -> None:
+        for upstream in self.registry.all():
+            if upstream.incarnation == incarnation:
+                self.feed.mark_left(upstream, 'left')
+
     def _start_peers(self) -> None:
         self._background += self.peers.start()
 
@@ -279,10 +292,9 @@
         self.callers.start()
 
     def _sweep(self) -> None:
-        while True:
-            gevent.sleep(SWEEP_INTERVAL_S)
-            self.feed.expire()
-            self._pool.close_expired()
+        gevent.sleep(SWEEP_INTERVAL_S)
+        self.feed.expire()
+        self._pool.close_expired()
 
     def _start_listener(self, key: str, start: Callable[[], None]) -> None:
         try:
--- a/packages/router/src/rosemaryseam/router/relay.py
+++ b/packages/router/src/rosemaryseam/router/relay.py
@@ -51,6 +51,20 @@
     _relay_unbuffered(head, parts, chunks, reply)
 
 
+def read_body(chunks: Iterator[bytes]) -> bytes:
+    """Return a body of up to :data:`MAX_BUFFERED_ANSWER_BYTES`.
+
+    :param chunks: body of the upstream's answer
+    :raises ForeignBytesError: if the body is longer
+    """
+    body = bytearray()
+    for chunk in chunks:
+        body += chunk
+        if len(body) > MAX_BUFFERED_ANSWER_BYTES:
+            raise ForeignBytesError('the body of a failure is too long')
+    return bytes(body)
+
+
 def _relay_unbuffered(
     head: AnswerHead, parts: list[bytes], chunks: Iterator[bytes], reply: Reply
 ) -> None:
--- a/packages/router/src/rosemaryseam/router/relayedstore.py
+++ b/packages/router/src/rosemaryseam/router/relayedstore.py
@@ -211,17 +211,16 @@
         last_contact_at = max(self._probed_at, self._last_contact_at())
         return self._clock.monotonic() - last_contact_at
 
-    def run(self, mirror: Mirror) -> None:
-        """Probe the store periodically while the mirror is in use.
+    def step(self, mirror: Mirror) -> None:
+        """Wait, and then probe the store if the mirror is in use.
 
         :param mirror: mirror of this host
         """
-        while True:
-            gevent.sleep(PROBE_INTERVAL_S)
-            in_use = time.monotonic() - mirror.last_read_at < MIRROR_IN_USE_S
-            lease = self._lease()
-            if in_use and lease is not None:
-                self._probe(lease)
+        gevent.sleep(PROBE_INTERVAL_S)
+        in_use = time.monotonic() - mirror.last_read_at < MIRROR_IN_USE_S
+        lease = self._lease()
+        if in_use and lease is not None:
+            self._probe(lease)
 
     def _probe(self, lease: Lease) -> None:
         started = self._clock.monotonic()
--- a/packages/router/src/rosemaryseam/router/requests.py
+++ b/packages/router/src/rosemaryseam/router/requests.py
@@ -87,7 +87,9 @@
     states that it did not run the request. ``encoded`` is true if the body has a
     content encoding. ``keep_alive_timeout_s`` is the idle time after which the upstream
     closes the connection, if it states one. ``load`` is the upstream's numbers of
-    running requests, waiting requests and slots, if it states them.
+    running requests, waiting requests and slots, if it states them. ``leaving`` is true
+    if the upstream states that it stops soon. ``retry_after_s`` is the time for which
+    an upstream that turned the request away wants no further one, if it states it.
     """
 
     status: int
@@ -100,3 +102,5 @@
     closes_connection: bool
     keep_alive_timeout_s: float | None
     load: tuple[int, int, int] | None
+    leaving: bool = False
+    retry_after_s: float | None = None
--- a/packages/router/src/rosemaryseam/router/upstreamconnection.py
+++ b/packages/router/src/rosemaryseam/router/upstreamconnection.py
@@ -11,6 +11,7 @@
 import h11
 from gevent import socket
 
+from rosemaryseam.common.fairness import FairReceiver
 from rosemaryseam.router.faults import (
     BrokenError,
     ForeignBytesError,
@@ -29,6 +30,9 @@
 READ_BYTES = 65_536
 MAX_INLINE_BODY_BYTES = 4096  # longer bodies are written while the answer is read
 MAX_HEAD_BYTES = 65_536
+EVENTS_PER_TURN = 64  # parts of an answer before other greenlets get a turn
+MAX_SKIPPED_HEADS = 16  # informational or of other requests, before an answer
+MAX_SKIPPED_BYTES = 1_048_576  # of bodies of answers to other requests
 ABORT_CHECK_INTERVAL_S = 0.1  # between two checks whether to stop waiting for bytes
 KEEP_ALIVE_MARGIN_S = 1.0  # not reused this close to the upstream's idle timeout
 
@@ -45,13 +49,18 @@
 
     def __init__(self, sock: Any, codec: HttpCodec, clock: Clock) -> None:
         self._sock = sock
+        self._receiver = FairReceiver(sock)
         self._should_abort: Callable[[], bool] = _never
+        self._aborts_while_receiving = False
+        self._checked_at = 0.0
         self._codec = codec
         self._clock = clock
         self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._writer: gevent.Greenlet | None = None
         self._sent_events: list[Any] = []
         self._head: AnswerHead | None = None
+        self._skipped_bytes = 0
+        self._events = 0
         self.requests_served = 0
         self.last_used = clock.monotonic()
         self.keep_alive_timeout_s: float | None = None
@@ -98,32 +107,43 @@
         else:
             self._writer = gevent.spawn(self._write_ignoring_errors, data)
 
-    def set_abort_check(self, should_abort: Callable[[], bool]) -> None:
-        """Set a function that is called periodically while waiting for bytes.
+    def set_abort_check(
+        self, should_abort: Callable[[], bool], *, while_receiving: bool
+    ) -> None:
+        """Set a function that is called periodically while waiting for the answer.
 
         :param should_abort: returns whether to stop waiting for the upstream
+        :param while_receiving: whether to call it also while bytes arrive
         """
         self._should_abort = should_abort
+        self._aborts_while_receiving = while_receiving
+        self._checked_at = self._clock.monotonic()
 
     def read_head(self, request_id: str) -> AnswerHead:
-        """Return the head of the answer; skip answers to other requests.
+        """Return the head of the answer; skip some answers to other requests.
+
+        The upstream is leaving if any of these heads says so.
 
         :param request_id: id of the request, which the answer must echo if it has one
         :raises BrokenError: if no answer arrived
         """
-        while True:
+        leaving = False
+        self._skipped_bytes = 0
+        for _ in range(MAX_SKIPPED_HEADS + 1):
             event = self._next_event()
-            if isinstance(event, h11.InformationalResponse):
-                continue
-            if not isinstance(event, h11.Response):
+            if not isinstance(event, h11.Response | h11.InformationalResponse):
                 raise ForeignBytesError('the connection ended without an answer')
             head = self._codec.decode_answer(
                 event.status_code, event.reason, list(event.headers.raw_items())
             )
+            leaving = leaving or head.leaving
+            if isinstance(event, h11.InformationalResponse):
+                continue
             if head.request_id is None or head.request_id == request_id:
-                self._head = head
-                return head
+                self._head = head._replace(leaving=leaving)
+                return self._head
             self._skip_answer()
+        raise ForeignBytesError('too many heads before the answer')
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the parts of the answer's body as they arrive.
@@ -158,6 +178,7 @@
         self.last_used = self._clock.monotonic()
         self._writer = None
         self._should_abort = _never
+        self._aborts_while_receiving = False
         return True
 
     def close(self) -> None:
@@ -168,8 +189,10 @@
 
     def _skip_answer(self) -> None:
         """Read an answer to another request to its end and reset the HTTP state."""
-        for _ in self.chunks():
-            pass
+        for chunk in self.chunks():
+            self._skipped_bytes += len(chunk)
+            if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                raise ForeignBytesError('the answer to another request is too long')
         rest, _ = self._http.trailing_data
         self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         for event in self._sent_events:
@@ -184,18 +207,36 @@
             except h11.RemoteProtocolError as exc:
                 raise ForeignBytesError(f'not an HTTP answer: {exc}') from exc
             if event is not h11.NEED_DATA:
+                self._events += 1
+                if self._events % EVENTS_PER_TURN == 0:
+                    gevent.sleep(0)  # one read may bring thousands of small parts
                 return event
             self._http.receive_data(self._receive())
 
     def _receive(self) -> bytes:
         while True:
+            data = None
             try:
                 with gevent.Timeout(ABORT_CHECK_INTERVAL_S, False):
-                    return self._sock.recv(READ_BYTES)
+                    data = self._receiver.recv(READ_BYTES)
             except OSError as exc:
                 raise BrokenError(f'the connection failed: {exc}') from exc
-            if self._should_abort():
+            if self._must_check(data) and self._should_abort():
                 raise SilentError('the upstream fell silent')
+            if data is not None:
+                return data
+
+    def _must_check(self, data: bytes | None) -> bool:
+        """Return whether to ask now if the upstream is still worth waiting for."""
+        if data is None:
+            return True
+        now = self._clock.monotonic()
+        if not data or not self._aborts_while_receiving:
+            return False
+        if now - self._checked_at < ABORT_CHECK_INTERVAL_S:
+            return False
+        self._checked_at = now
+        return True
 
     def _write(self, data: bytes) -> None:
         try:
--- /dev/null
+++ b/tests/test_router/test_datagrams.py
@@ -0,0 +1,103 @@
+"""Tests the encoding of datagrams, in a process of its own where one may abort it."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+import pytest
+
+from rosemaryseam.common.errors import PeerError
+from rosemaryseam.router.datagrams import (
+    Datagram,
+    DispatchRequest,
+    EndedRequest,
+    Incarnation,
+    Reply,
+    decode,
+    encode,
+)
+from rosemaryseam.router.queries import InFlightReport, PlacedPrompt, Placement, Query
+
+QUERY = Query(
+    number=7,
+    request_id='r7',
+    service='work',
+    route='safe',
+    rank=1,
+    workspace_rank=None,
+    parts=((5, 100), (2**64 - 1, 200)),
+    prompt_tokens=300,
+    output_tokens=20,
+    max_output_tokens=40,
+    pause_s=0.5,
+    due_in_s=1.5,
+    expires_in_s=2.5,
+    body_bytes=4,
+    zone='a',
+    excluded=('one', 'two'),
+)
+PLACEMENT = Placement(7, 'one', 3, 'two', 0.25, 1.5, 1.25, {'loss': 0.5})
+IN_FLIGHT = InFlightReport(7, 'one', 1, 10, 20, 30, None, 0.25, 0.5, 1.5, True)
+
+DATAGRAMS = [
+    Datagram('10.0.0.1', 2**63, leaving=True),
+    Datagram('10.0.0.1', 1, sync=True, active=(1, 2**32 - 1)),
+    Datagram('10.0.0.1', 1, dispatch_requests=(DispatchRequest(3, QUERY),)),
+    Datagram('10.0.0.1', 1, replies=(Reply(7, PLACEMENT, '', 0.0, 0.5),)),
+    Datagram('10.0.0.1', 1, replies=(Reply(7, None, 'busy', 0.5, 0.25, True),)),
+    Datagram('10.0.0.1', 1, started=(7,), ended=(EndedRequest(7, 'done', 0.5),)),
+    Datagram('10.0.0.1', 1, in_flight=(IN_FLIGHT,)),
+    Datagram('10.0.0.1', 1, placed=(PlacedPrompt('one', ((5, 100),), 1.25, 0.5),)),
+    Datagram('10.0.0.1', 1, left=(Incarnation('one', 2**41),)),
+]
+
+
+@pytest.mark.parametrize('datagram', DATAGRAMS)
+def test_a_datagram_is_decoded_as_it_was_encoded(datagram: Datagram) -> None:
+    assert decode(encode(datagram)) == datagram
+
+
+@pytest.mark.parametrize('data', [b'', b'x', encode(DATAGRAMS[2])[:-1], b'\x00' * 64])
+def test_a_cut_datagram_is_unreadable(data: bytes) -> None:
+    with pytest.raises(PeerError):
+        decode(data)
+
+
+FUZZ = """
+import random, sys, zlib
+from test_datagrams import DATAGRAMS
+from rosemaryseam.common.errors import PeerError
+from rosemaryseam.router.datagrams import decode, encode
+
+rng = random.Random(int(sys.argv[1]))
+samples = [encode(datagram) for datagram in DATAGRAMS]
+for _ in range(15_000):
+    data = bytearray(rng.choice(samples))
+    inner = rng.random() < 0.8
+    if inner:
+        data = bytearray(zlib.decompress(data))
+    if rng.random() < 0.2:
+        data = bytearray(rng.randbytes(rng.randint(1, 200)))
+    for _ in range(rng.randint(1, 6)):
+        data[rng.randrange(len(data))] = rng.randrange(256)
+    data = bytes(data[: rng.randint(1, len(data))])
+    try:
+        decode(zlib.compress(data, 1) if inner else data)
+    except PeerError:
+        pass
+"""
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3, 4])
+def test_malformed_datagrams_end_no_process(seed: int) -> None:
+    path = str(__file__).rpartition('/')[0]
+    program = f'import sys; sys.path.insert(0, {path!r})\n{FUZZ}'
+    done = subprocess.run(
+        [sys.executable, '-c', program, str(seed)],
+        capture_output=True,
+        text=True,
+        timeout=120,
+        check=False,
+    )
+    assert done.returncode == 0, done.stderr[-2000:]
