Play restores, announced leaving and pauses in the soak; lose no bytes

Cause: the soak had none of the new drills.

Change: receivers yield before the next receive. The soak restores the store from a copy, lets upstreams announce that they leave before the store knows, and ask for pauses; it checks both per router and upstream.

Measured: test_fairness.py fails with the former order (no byte arrives) and passes.

--- a/packages/common/src/rosemaryseam/common/fairness.py
+++ b/packages/common/src/rosemaryseam/common/fairness.py
@@ -34,6 +34,7 @@
         self.max_bytes = max_bytes
         self._received = 0
         self._receives = 0
+        self._must_yield = False
 
     def recv(self, size: int) -> bytes:
         """Receive up to a number of bytes.
@@ -41,11 +42,14 @@
         :param size: maximum number of bytes
         :raises OSError: the socket failed, or the limit was exceeded
         """
+        # A timeout that fires while others run must not lose received bytes.
+        if self._must_yield:
+            self._must_yield = False
+            gevent.sleep(0)
         data = self._sock.recv(size)
         self._receives += 1
         # A read that filled its buffer suggests that more bytes are ready.
-        if len(data) == size or self._receives % RECEIVES_PER_TURN == 0:
-            gevent.sleep(0)
+        self._must_yield = len(data) == size or self._receives % RECEIVES_PER_TURN == 0
         self._received += len(data)
         if self.max_bytes is not None and self._received > self.max_bytes:
             raise OSError(f'more than {self.max_bytes} bytes received')
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
@@ -17,6 +18,8 @@
 CONFIGURATION_LIMIT_S = 2.0  # by then a configuration is in force everywhere
 DRAIN_LIMIT_S = 2.0  # by then a leaving upstream gets no new requests
 CANCELLATION_LIMIT_S = 0.5  # by then no attempt starts for a caller that left
+QUIET_DELAY_S = 0.5  # by then an upstream that asked for a pause gets no requests
+MAX_QUIET_ARRIVALS = 2  # that may reach it nevertheless
 TIMING_TOLERANCE_S = 0.3  # scheduling delay on a busy machine
 RETRY_BUDGET_RATIO, RETRY_BUDGET_SLACK, RETRY_BUDGET_WINDOW_S = 0.2, 52, 10.0
 # Statuses of the router's own answers which guarantee that the request did not run.
@@ -38,6 +41,7 @@
     for request in history.requests:
         violations += _check_request(history, request, attempts[request.id])
     violations += _check_draining(history)
+    violations += _check_notices(history)
     violations += _check_retry_budget(history)
     violations += _check_recovery(history, recovered_at)
     return violations
@@ -171,6 +175,38 @@
             )
 
 
+def _check_notices(history: History) -> Iterator[str]:
+    """Check that routers heed what upstreams told them in answers."""
+    requests = {request.id: request for request in history.requests}
+    groups: dict[tuple[str, str], list[Attempt]] = defaultdict(list)
+    for attempt in history.attempts:
+        request = requests.get(attempt.id)
+        if request is not None and attempt.expected_upstream == attempt.upstream:
+            groups[request.router, attempt.upstream].append(attempt)
+    for (router, upstream), attempts in groups.items():
+        told = [
+            one.told_leaving_at for one in attempts if one.told_leaving_at is not None
+        ]
+        if told:
+            begin = min(told) + DRAIN_LIMIT_S + TIMING_TOLERANCE_S
+            late = [one for one in attempts if requests[one.id].sent_at > begin]
+            if late and not _was_restarted(history, router, min(told), math.inf):
+                yield f'{late[0].id} reached {upstream}, which had told it that it left'
+        for begin, end in [one.told_quiet for one in attempts if one.told_quiet]:
+            early = [
+                one for one in attempts if begin + QUIET_DELAY_S < one.arrived_at < end
+            ]
+            if len(early) > MAX_QUIET_ARRIVALS and not _was_restarted(
+                history, router, begin, end
+            ):
+                yield f'{len(early)} requests of {router} reached {upstream} in a pause'
+
+
+def _was_restarted(history: History, router: str, begin: float, end: float) -> bool:
+    disturbances = history.find_disturbances(router, begin, end)
+    return any(entry.kind in ('term', 'kill', 'freeze') for entry in disturbances)
+
+
 def _check_retry_budget(history: History) -> Iterator[str]:
     seen: set[str] = set()
     retries: dict[str, list[float]] = defaultdict(list)
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -162,6 +162,7 @@
             for n in range(ROUTERS)
         ]
         self.upstreams: dict[str, tuple[SoakUpstream, FaultyProxy]] = {}
+        self._states: dict[str, str] = {}  # of the registered upstreams
         self._supervisor: gevent.Greenlet | None = None
         self._callers: list[tuple[Caller, gevent.Greenlet]] = []
         self.write_configuration()
@@ -251,7 +252,19 @@
             'tenants': [{'name': 'north', 'apiKeys': sorted(self.keys)}],
             'limits': {},
         }
-        self.store_server.store.put(CONFIGURATION_KEY, json.dumps(document).encode())
+        self._configuration = json.dumps(document).encode()
+        self.store_server.store.put(CONFIGURATION_KEY, self._configuration)
+
+    def write_again(self) -> None:
+        """Write what operators and upstreams wrote last, after a restore."""
+        store = self.store_server.store
+        store.put(CONFIGURATION_KEY, self._configuration)
+        for item in store.read_range(REGISTRY_PREFIX).items:
+            name = item.key.removeprefix(REGISTRY_PREFIX)
+            if name not in self._states:
+                store.delete(item.key)
+        for name, state in list(self._states.items()):
+            self.register(name, state)
 
     def revoke_key(self) -> None:
         """Revoke an API key, unless fewer than three are left."""
@@ -293,7 +306,10 @@
         return name
 
     def register(self, name: str, state: str = 'ready') -> None:
-        """Write the registry entry of an upstream."""
+        """Write the registry entry of an upstream, unless it has crashed."""
+        if name not in self.upstreams:
+            return
+        self._states[name] = state
         upstream, proxy = self.upstreams[name]
         ip, port = proxy.address
         entry = {
@@ -318,6 +334,7 @@
 
     def unregister(self, name: str) -> None:
         """Remove the registry entry of an upstream."""
+        self._states.pop(name, None)
         self.store_server.store.delete(REGISTRY_PREFIX + name)
 
     def pick_upstream(self) -> str:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -119,6 +119,21 @@
     env.store_server.fault = None
 
 
+def restore_store(env: SoakEnvironment) -> None:
+    """Restore the store from a copy; owners write again what was lost."""
+    store = env.store_server
+    copy = store.store.copy()
+    gevent.sleep(env.rng.uniform(0.2, 4.0))
+    away_s = env.rng.uniform(0.1, 0.8)
+    env.record_disturbance('all', 'store', away_s + 1.0 + RECOVERY_S)
+    store.fault = env.rng.choice([503, 'silent'])
+    gevent.sleep(away_s)
+    store.store.restore(copy)
+    store.fault = None
+    gevent.sleep(env.rng.uniform(0.0, 1.0))
+    env.write_again()
+
+
 def inject_answer_faults(env: SoakEnvironment) -> None:
     """Make an upstream send some faulty answers."""
     upstream, _ = env.upstreams[env.pick_upstream()]
@@ -132,6 +147,7 @@
     name = env.pick_upstream()
     upstream, _ = env.upstreams[name]
     env.record_disturbance(name, 'overload', 3.0)
+    upstream.quiet_s = env.rng.choice([0.0, 0.7, 2.5])
     upstream.declining = True
     gevent.sleep(env.rng.uniform(0.5, 2.0))
     upstream.declining = False
@@ -179,6 +195,8 @@
     if upstream.leaving or _is_last_of_its_service(env, name):
         return
     upstream.leaving = True
+    if env.rng.random() < 0.5:  # at first only its answers say so
+        gevent.sleep(DRAIN_S)
     env.register(name, 'draining')
     env.history.leaving_since[name] = time.monotonic()
     env.add_upstream(upstream.service)
@@ -209,6 +227,7 @@
     revoke_key_while_disconnected,
     disturb_store_connections,
     inject_store_fault,
+    restore_store,
     inject_answer_faults,
     inject_answer_faults,
     overload_upstream,
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -34,6 +34,7 @@
     """A request as an upstream received it; ``executed`` tells whether it ran there.
 
     ``expected_upstream`` is the id of the upstream that the router meant to reach.
+    ``told_leaving_at`` and ``told_quiet`` (begin and end) tell what the answer said.
     """
 
     id: str
@@ -47,6 +48,8 @@
     faulty: bool = False
     answer: bytes = b''
     ended_at: float | None = None
+    told_leaving_at: float | None = None
+    told_quiet: tuple[float, float] | None = None
 
 
 @dataclass
--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -52,6 +52,7 @@
         self.born = int(time.time() * 1000)
         self.fault_share = 0.0
         self.declining = False
+        self.quiet_s = 0.0  # stated when it declines
         self.leaving = False
         self._history = history
         self._rng = rng
@@ -96,8 +97,15 @@
         if attempt.expected_upstream != self.name:
             _send(sock, 421, attempt, b'', {HEADER_NAMES.not_run: '1'})
             return
+        if self.leaving:
+            attempt.told_leaving_at = time.monotonic()
         if self.declining:
-            _send(sock, 503, attempt, b'', {HEADER_NAMES.not_run: '1'})
+            more = {HEADER_NAMES.not_run: '1'}
+            if self.quiet_s:
+                now = time.monotonic()
+                attempt.told_quiet = (now, now + self.quiet_s)
+                more['Retry-After'] = f'{self.quiet_s:.2f}'
+            _send(sock, 503, attempt, b'', more)
             return
         attempt.executed = True
         try:
@@ -203,6 +211,8 @@
 
 def _head(status: int, attempt: Attempt, more: dict[str, str]) -> bytes:
     fields = {HEADER_NAMES.request_id: attempt.id, HEADER_NAMES.signature: 's1', **more}
+    if attempt.told_leaving_at is not None:
+        fields[HEADER_NAMES.leaving] = '1'
     lines = [f'HTTP/1.1 {status} Status']
     lines += [f'{name}: {value}' for name, value in fields.items()]
     return ('\r\n'.join(lines) + '\r\n\r\n').encode()
--- /dev/null
+++ b/tests/test_common/test_fairness.py
@@ -0,0 +1,73 @@
+"""Tests of receiving that leaves turns to other greenlets."""
+
+from __future__ import annotations
+
+import contextlib
+
+import gevent
+import pytest
+from gevent import socket
+
+from rosemaryseam.common.fairness import FairReceiver, run_repeatedly
+from rosemaryseam.common.metrics import Metrics
+
+
+class NumberedSocket:
+    """Returns a number at each receive."""
+
+    def __init__(self) -> None:
+        self.received = 0
+
+    def recv(self, size: int) -> bytes:
+        """Return the next number, filled up to the size."""
+        self.received += 1
+        return str(self.received).rjust(size).encode()
+
+
+def test_a_timeout_while_others_run_loses_no_bytes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    receiver = FairReceiver(NumberedSocket())
+    timeouts = []
+
+    def time_out(_: float) -> None:
+        timeouts.append(1)
+        raise gevent.Timeout
+
+    monkeypatch.setattr('gevent.sleep', time_out)
+    numbers = []
+    for _ in range(40):
+        with contextlib.suppress(gevent.Timeout):
+            numbers.append(int(receiver.recv(4)))
+    assert timeouts
+    assert numbers == list(range(1, len(numbers) + 1))
+    assert len(numbers) >= 20
+
+
+def test_more_bytes_than_the_limit_are_an_error() -> None:
+    near, far = socket.socketpair()
+    receiver = FairReceiver(near, 10)
+    far.sendall(b'a' * 11)
+    assert receiver.recv(8) == b'a' * 8
+    with pytest.raises(OSError, match='10 bytes'):
+        receiver.recv(8)
+    near.close()
+    far.close()
+
+
+def test_repeated_work_survives_an_error() -> None:
+    metrics = Metrics()
+    steps = []
+
+    def step() -> None:
+        steps.append(1)
+        gevent.sleep(0.01)
+        if len(steps) == 2:
+            raise ValueError('unexpected')
+
+    worker = gevent.spawn(run_repeatedly, 'work', step, metrics)
+    with gevent.Timeout(3.0):
+        while len(steps) < 5:
+            gevent.sleep(0.01)
+    worker.kill()
+    assert any('internal_errors' in name for name in str(metrics.dump()).split())
