Check an API key again directly before the send

Cause: a process that was paused between admission and send, or that waited for a dispatcher, sent with a key that had been revoked, or whose freshness had run out. Change: the key and the freshness are checked once more when the connection is at hand; nothing is sent and the caller gets 401 or 503, or the failure of an earlier run.

Measured: 6 cases in test_feed.py.

--- a/packages/experiments/src/rosemaryseam/experiments/hosts.py
+++ b/packages/experiments/src/rosemaryseam/experiments/hosts.py
@@ -17,7 +17,11 @@
     from collections.abc import Sequence
 
     from rosemaryseam.experiments.simulatedclock import SimulatedClock
-    from rosemaryseam.router.datagrams import DispatchRequest, EndedRequest
+    from rosemaryseam.router.datagrams import (
+        DispatchRequest,
+        EndedRequest,
+        Incarnation,
+    )
     from rosemaryseam.router.placement import Ticket, UnplacedRequest
     from rosemaryseam.router.queries import InFlightReport, PlacedPrompt
     from rosemaryseam.router.routes import Service
@@ -117,6 +121,10 @@
         """Report a recently prefilled prompt to a new dispatcher."""
         self._deliver(host, Datagram('', INCARNATION, placed=(placed,)))
 
+    def send_left(self, host: str, incarnation: Incarnation) -> None:
+        """Report to a dispatcher that an upstream has left."""
+        self._deliver(host, Datagram('', INCARNATION, left=(incarnation,)))
+
     def _deliver(self, host: str, datagram: Datagram) -> list:
         if host not in self._hosts:
             return []
--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -197,6 +197,23 @@
             raise RefusalError(401, ResultCode.UNAUTHENTICATED, 'unknown API key')
         return workspace
 
+    def _check_key_again(
+        self, admitted: AdmittedRequest, attempts: AttemptHistory
+    ) -> None:
+        """Check the key directly before a send.
+
+        The process may have been paused since the request was admitted.
+        """
+        table = self._feed.table
+        if table is None or admitted.workspace is None:
+            return
+        try:
+            self._authenticate(table, admitted.route, admitted.request)
+        except RefusalError as exc:
+            if not attempts.runs:
+                raise
+            raise BrokenError(f'not sent again: {exc}') from exc
+
     # Sending requests.
 
     def _forward(self, admitted: AdmittedRequest, reply: Reply) -> None:
@@ -326,6 +343,11 @@
         headers = self._codec.encode_call(call)
         recently_used = admitted.route.repeat is Repeat.NEVER
         conn = self._pool.acquire(upstream, recently_used=recently_used)
+        try:
+            self._check_key_again(admitted, attempts)
+        except BaseException:
+            conn.close()
+            raise
         self._record_arrival(admitted, attempts)
         log_event(
             'request_sent',
--- a/packages/router/src/rosemaryseam/router/relayedstore.py
+++ b/packages/router/src/rosemaryseam/router/relayedstore.py
@@ -34,7 +34,7 @@
 HOSTS_PER_READER = 50
 MIN_READERS = 2
 MIN_RELAYED_HOSTS = 13  # with fewer hosts, direct watches are cheaper
-START_SETTLE_S = 1.0  # in which the hosts of a new fleet register
+START_SETTLE_S = 1.0  # in which the hosts of a new fleet register, by default
 CHANGE_PAUSE_S = 0.1  # after a watch that brought changes, to collect further ones
 WATCH_S = 0.5  # bounds the time to detect a reader that lost the store
 READ_TIMEOUT_S = 0.3
@@ -59,6 +59,7 @@
     :param clock: clock of the process
     :param metrics: counters of the process
     :param capacity: capacity of this host, as other hosts know it
+    :param settle_s: delay of the first watch in seconds, while few hosts are known
     """
 
     def __init__(
@@ -69,8 +70,10 @@
         clock: Clock,
         metrics: Metrics,
         capacity: float = 1.0,
+        settle_s: float = START_SETTLE_S,
     ) -> None:
         self._store = store
+        self._settle_s = settle_s
         self._host = host
         self._port = port
         self._clock = clock
@@ -133,7 +136,7 @@
         """
         now = self._clock.monotonic()
         if not self._watched and len(self.known_hosts()) + 1 < MIN_RELAYED_HOSTS:
-            gevent.sleep(START_SETTLE_S)
+            gevent.sleep(self._settle_s)
         elif now < self._next_watch_at:
             gevent.sleep(self._next_watch_at - now)
 
--- a/tests/test_router/test_feed.py
+++ b/tests/test_router/test_feed.py
@@ -275,3 +275,43 @@
             assert conn.call('safe').status == 401
     finally:
         running.stop()
+
+
+LATE_CHANGES: list[tuple[str, str, int]] = [
+    ('the key was revoked', 'revoke', 401),
+    ('no contact with the store for too long', 'lose_contact', 503),
+]
+
+
+@pytest.mark.parametrize('route', ['safe', 'unsafe', 'once'])
+@pytest.mark.parametrize(
+    ('name', 'change', 'status'), LATE_CHANGES, ids=[row[0] for row in LATE_CHANGES]
+)
+def test_a_key_is_checked_again_directly_before_the_send(
+    name: str, change: str, status: int, route: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A process may be paused after it admitted a request."""
+    running = RunningRouter()
+    running.start()
+    try:
+        upstream = running.add('one', lambda exchange: exchange.answer(200))
+        router = running.router
+        place = router._placer.place
+
+        def place_after_a_pause(*args: Any) -> Any:
+            ticket = place(*args)
+            if change == 'revoke':
+                others = [{'name': 'north', 'keys': ['other']}]
+                running.store.put(
+                    CONFIGURATION_KEY, configuration(2, workspaces=others)
+                )
+                running.wait(lambda: router.feed.table.version == 2)
+            else:
+                monkeypatch.setattr(router.feed, 'staleness_s', lambda: 6.0)
+            return ticket
+
+        monkeypatch.setattr(router._placer, 'place', place_after_a_pause)
+        assert running.call(route).status == status
+        assert not upstream.requests
+    finally:
+        running.stop()
--- a/tests/test_router/test_handover.py
+++ b/tests/test_router/test_handover.py
@@ -14,7 +14,11 @@
 from rosemaryseam.router.upstreams import Upstream
 
 if TYPE_CHECKING:
-    from rosemaryseam.router.datagrams import DispatchRequest, EndedRequest
+    from rosemaryseam.router.datagrams import (
+        DispatchRequest,
+        EndedRequest,
+        Incarnation,
+    )
     from rosemaryseam.router.queries import InFlightReport, PlacedPrompt
 
 PARTS = ((1, 100), (2, 50))
@@ -40,6 +44,9 @@
     def send_ended(self, host: str, entry: EndedRequest) -> None:
         self.ended.append((host, entry.number))
 
+    def send_left(self, host: str, incarnation: Incarnation) -> None:
+        raise AssertionError('unexpected report of an upstream that left')
+
     def send_in_flight(self, host: str, report: InFlightReport) -> None:
         self.in_flight.append((host, report.number))
 
