--- a/tools/routerslopes.py
+++ b/tools/routerslopes.py
@@ -61,6 +61,9 @@
     def send_in_flight(self, host: str, report: object) -> None:
         """Send nothing."""
 
+    def send_left(self, host: str, incarnation: object) -> None:
+        """Send nothing."""
+
     def send_placed(self, host: str, placed: object) -> None:
         """Send nothing."""
 
