Give test fleets ports that outgoing connections cannot take

Cause, traced: test_rolling_restart_answers_every_request failed once (load average 9): host-3 could not listen on 127.0.1.3:46825, a port of the ephemeral range that was free on 127.0.0.1 when it was picked. Change: ports below that range that are free on all addresses, one function for the fleets and the routers of tests. test_notices waits for the entry itself instead of a staleness that a paused watch need not reach.

--- a/tests/test_router/routers.py
+++ b/tests/test_router/routers.py
@@ -5,14 +5,13 @@
 import contextlib
 import itertools
 import json
-import random
-import socket as std_socket
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import gevent
 import h11
 from gevent import socket
 
+from fleet import free_ports
 from rosemaryseam.common.addresses import Address
 from rosemaryseam.common.clock import SystemClock
 from rosemaryseam.policy.retrybudget import RetryBudgetLimits
@@ -35,11 +34,6 @@
 KEY = 'key-of-north'
 _REQUEST_NUMBERS = itertools.count(1)
 ANSWER_TIMEOUT_S = 5.0
-FIRST_PORT, LAST_PORT = 10_000, 32_000
-_FIRST_TRIED_PORT = random.randint(FIRST_PORT, LAST_PORT)
-_PORTS = itertools.cycle(
-    [*range(_FIRST_TRIED_PORT, LAST_PORT), *range(FIRST_PORT, _FIRST_TRIED_PORT)]
-)
 
 ROUTES: dict[str, dict[str, Any]] = {
     'safe': {'repeat': 'whole', 'max_runs': 2, 'timeout_s': 1.0},
@@ -66,16 +60,8 @@
 
 
 def free_port() -> int:
-    """Return an unused port, a different one on each call.
-
-    The port is below the system's ephemeral range, so that no outgoing connection
-    takes it before it is bound.
-    """
-    for port in _PORTS:
-        with contextlib.suppress(OSError), std_socket.socket() as sock:
-            sock.bind(('0.0.0.0', port))
-            return port
-    raise AssertionError('unreachable: the iterator of ports is infinite')
+    """Return an unused port, a different one on each call."""
+    return free_ports(1)[0]
 
 
 def configuration(version: int = 1, **changes: Any) -> bytes:
--- a/tests/test_router/test_notices.py
+++ b/tests/test_router/test_notices.py
@@ -89,7 +89,8 @@
     for _ in range(4):
         assert router.call('safe').status == 200
     router.register('one', slots=9)  # the store still says that it is ready
-    router.wait(lambda: router.router.feed.staleness_s() < 0.1)
+    entries = router.router.registry._entries
+    router.wait(lambda: entries['one'].upstream.slots == 9)
     for _ in range(4):
         assert router.call('safe').status == 200
     assert len(leaving.requests) == 1
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
+import itertools
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -33,19 +36,28 @@
     address: str
 
 
+FIRST_PORT, LAST_PORT = 10_000, 32_000
+_FIRST_TRIED_PORT = random.randint(FIRST_PORT, LAST_PORT)
+_PORTS = itertools.cycle(
+    [*range(_FIRST_TRIED_PORT, LAST_PORT), *range(FIRST_PORT, _FIRST_TRIED_PORT)]
+)
+
+
 def free_ports(count: int) -> list[int]:
-    """Return loopback ports that are free now.
+    """Return ports that are free now on all addresses, others on each call.
+
+    The ports are below the system's ephemeral range, so that no outgoing connection
+    takes one before it is bound.
 
     :param count: number of ports
     """
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind(('127.0.0.1', 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+    ports: list[int] = []
+    while len(ports) < count:
+        port = next(_PORTS)
+        with contextlib.suppress(OSError), socket.socket() as sock:
+            sock.bind(('0.0.0.0', port))
+            ports.append(port)
+    return ports
 
 
 def call(
