--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -49,7 +49,6 @@
 CUTOFF_MARGIN_S = 0.6  # before the kill, to end the remaining requests in order
 DRAIN_POLL_S = 0.05  # between two checks for requests in flight
 FIRST_TABLE_TIMEOUT_S = 0.5  # a healthy store answers in milliseconds
-SETTLE_SHARE = 0.2  # of the permitted staleness, for the first watch to wait
 START_POLL_S = 0.005  # between two checks for the first routing table
 
 
@@ -107,13 +106,7 @@
         )
         self._placer.connect(self.peers)
         self.relayed_store = RelayedStore(
-            store,
-            cfg.ip,
-            cfg.peer_port,
-            clock,
-            self.metrics,
-            cfg.capacity,
-            cfg.max_key_staleness_s * SETTLE_SHARE,
+            store, cfg.ip, cfg.peer_port, clock, self.metrics, cfg.capacity
         )
         self.relayed_store.known_hosts = self.peers.known_hosts
         self.store_prober = StoreProber(
--- a/packages/router/src/rosemaryseam/router/relayedstore.py
+++ b/packages/router/src/rosemaryseam/router/relayedstore.py
@@ -31,11 +31,9 @@
     from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.router.mirror import Mirror
 
-HOSTS_PER_READER = 50
+HOSTS_PER_READER = 25
 MIN_READERS = 2
 MIN_RELAYED_HOSTS = 13  # with fewer hosts, direct watches are cheaper
-START_SETTLE_S = 1.0  # in which the hosts of a new fleet register, by default
-CHANGE_PAUSE_S = 0.1  # after a watch that brought changes, to collect further ones
 WATCH_S = 0.5  # bounds the time to detect a reader that lost the store
 READ_TIMEOUT_S = 0.3
 MAX_STALENESS_S = 3.4  # answers of a reader that is staler are discarded
@@ -59,7 +57,6 @@
     :param clock: clock of the process
     :param metrics: counters of the process
     :param capacity: capacity of this host, as other hosts know it
-    :param settle_s: delay of the first watch in seconds, while few hosts are known
     """
 
     def __init__(
@@ -70,18 +67,14 @@
         clock: Clock,
         metrics: Metrics,
         capacity: float = 1.0,
-        settle_s: float = START_SETTLE_S,
     ) -> None:
         self._store = store
-        self._settle_s = settle_s
         self._host = host
         self._port = port
         self._clock = clock
         self._metrics = metrics
         self._avoided_until: dict[str, float] = {}
         self._current_reader: str | None = None
-        self._watched = False  # whether a direct watch has ended since the start
-        self._next_watch_at = -math.inf
         self._era = 0  # the latest era known to this host
         self._capacity = capacity
         self.known_hosts: Callable[[], Mapping[str, float]] = dict
@@ -121,24 +114,7 @@
             if self._is_fresh(reader, changes):
                 return changes
         self._switch_reader(None)
-        self._pause_before_watch()
-        changes = self._store.watch_range(prefix, after, wait_s)
-        self._watched = True
-        if changes.items:
-            self._next_watch_at = self._clock.monotonic() + CHANGE_PAUSE_S
-        return changes
-
-    def _pause_before_watch(self) -> None:
-        """Wait so that one watch brings several changes.
-
-        When a whole fleet starts, each host would otherwise watch the store directly,
-        once for each other host that registers, until it knows the readers.
-        """
-        now = self._clock.monotonic()
-        if not self._watched and len(self.known_hosts()) + 1 < MIN_RELAYED_HOSTS:
-            gevent.sleep(self._settle_s)
-        elif now < self._next_watch_at:
-            gevent.sleep(self._next_watch_at - now)
+        return self._store.watch_range(prefix, after, wait_s)
 
     def grant_lease(self, ttl_s: float) -> Lease:
         """Return a new lease."""
