--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -382,7 +382,7 @@
             conn.close()
             raise
         self._pool.release(upstream, conn)
-        self._log_answer(admitted, ticket, head)
+        self._log_answer(admitted, ticket, relay, head)
         return head
 
     def _apply_notices(self, upstream: Upstream, head: AnswerHead) -> None:
@@ -559,7 +559,11 @@
         )
 
     def _log_answer(
-        self, admitted: AdmittedRequest, ticket: Ticket, head: AnswerHead
+        self,
+        admitted: AdmittedRequest,
+        ticket: Ticket,
+        relay: StreamRelay,
+        head: AnswerHead,
     ) -> None:
         elapsed = self._clock.monotonic() - admitted.request.arrived
         self._metrics.observe('request', elapsed, route=admitted.route.name)
@@ -573,4 +577,8 @@
             if ticket.first_event_s is None
             else int(ticket.first_event_s * 1000),
             pause_ms=int(ticket.longest_pause_s * 1000),
+            framing=head.framing.value,
+            media_type=head.media_type.decode('latin-1'),
+            events=relay.event_count,
+            unfinished_bytes=relay.unfinished_bytes,
         )
--- a/packages/router/src/rosemaryseam/router/headercodec.py
+++ b/packages/router/src/rosemaryseam/router/headercodec.py
@@ -10,6 +10,7 @@
 from rosemaryseam.router.requests import (
     AnswerHead,
     CallerRequest,
+    Framing,
     Prompt,
     PromptPart,
     RawHeaders,
@@ -198,6 +199,8 @@
             load=_decode_load(fields.get(_field_key(self._names.load))),
             leaving=fields.get(_field_key(self._names.leaving), b'').strip() == b'1',
             retry_after_s=_decode_retry_after(status, fields.get(b'retry-after')),
+            framing=_decode_framing(fields),
+            media_type=fields.get(b'content-type', b'').split(b';')[0].strip().lower(),
         )
 
     def _forwarded_headers(self, headers: RawHeaders) -> RawHeaders:
@@ -294,6 +297,12 @@
     return running, waiting, slots
 
 
+def _decode_framing(fields: dict[bytes, bytes]) -> Framing:
+    if b'transfer-encoding' in fields:
+        return Framing.CHUNKED
+    return Framing.LENGTH if b'content-length' in fields else Framing.CLOSE
+
+
 def _decode_retry_after(status: int, value: bytes | None) -> float | None:
     """Return the seconds of a refusal's Retry-After; dates and nonsense are ignored."""
     if status != HTTPStatus.SERVICE_UNAVAILABLE or value is None:
--- a/packages/router/src/rosemaryseam/router/relay.py
+++ b/packages/router/src/rosemaryseam/router/relay.py
@@ -90,6 +90,7 @@
         self._head: AnswerHead | None = None
         self.last_event_id: bytes | None = None
         self.event_count = 0
+        self.unfinished_bytes = 0  # after the last complete event, at the end
 
     @property
     def started(self) -> bool:
@@ -122,6 +123,7 @@
                 self._start(head)
                 self.event_count += len(events)
                 self._reply.write(data)
+        self.unfinished_bytes = len(splitter.remainder)
         self._start(head)
         if splitter.remainder:
             self._reply.write(splitter.remainder)
--- a/packages/router/src/rosemaryseam/router/requests.py
+++ b/packages/router/src/rosemaryseam/router/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -10,6 +11,14 @@
 RawHeaders = list[tuple[bytes, bytes]]
 
 
+class Framing(enum.Enum):
+    """How the end of an answer's body is marked."""
+
+    LENGTH = 'length'
+    CHUNKED = 'chunked'
+    CLOSE = 'close'  # the body ends with the connection
+
+
 class PromptPart(NamedTuple):
     """A part of a prompt, which other requests may share; ``tokens`` is its length."""
 
@@ -90,6 +99,8 @@
     running requests, waiting requests and slots, if it states them. ``leaving`` is true
     if the upstream states that it stops soon. ``retry_after_s`` is the time for which
     an upstream that turned the request away wants no further one, if it states it.
+    ``framing`` is how the end of the body is marked. ``media_type`` is the type of the
+    body in lower case without parameters, empty if it is not stated.
     """
 
     status: int
@@ -104,3 +115,5 @@
     load: tuple[int, int, int] | None
     leaving: bool = False
     retry_after_s: float | None = None
+    framing: Framing = Framing.LENGTH
+    media_type: bytes = b''
