--- a/packages/standins/src/rosemaryseam/standins/scripted.py
+++ b/packages/standins/src/rosemaryseam/standins/scripted.py
@@ -58,6 +58,10 @@
             _format_head(status, {**fields, 'Content-Length': str(len(body))}) + body
         )
 
+    def start(self, status: int, headers: dict[str, str]) -> None:
+        """Write the head of an answer; the headers decide about its framing."""
+        self.send_raw(_format_head(status, headers))
+
     def decline(self, status: int = 503) -> None:
         """Answer that the request was not run."""
         self.answer(status, b'', self.headers(X_Not_Run='1'))
--- /dev/null
+++ b/tests/test_router/test_stream_end.py
@@ -0,0 +1,157 @@
+"""Tests whether streams that break off are told apart from complete ones."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from routers import RunningRouter
+
+    from rosemaryseam.standins.scripted import ScriptedExchange
+
+FRAMINGS = ['close', 'chunked', 'length']
+EVENT = 'id: {0}\ndata: x\n\n'
+EVENTS = 4
+
+
+def events(first: int, last: int) -> bytes:
+    """Return complete events with these numbers."""
+    return ''.join(EVENT.format(i) for i in range(first, last + 1)).encode()
+
+
+def write_stream(exchange: ScriptedExchange, framing: str, body: bytes) -> None:
+    """Answer with a body and close the connection in order.
+
+    :param framing: how the end of the body is marked
+    """
+    fields = exchange.headers(Content_Type='text/event-stream; charset=utf-8')
+    if framing == 'chunked':
+        fields['Transfer-Encoding'] = 'chunked'
+        body = f'{len(body):x}\r\n'.encode() + body + b'\r\n0\r\n\r\n'
+    elif framing == 'length':
+        fields['Content-Length'] = str(len(body))
+    exchange.start(200, fields)
+    exchange.send_raw(body)
+    exchange.close()
+
+
+def breaking_off(
+    framing: str, body: bytes
+) -> tuple[Callable[[ScriptedExchange], None], list[int]]:
+    """Return a script whose first stream breaks off, and the numbers it resumed at."""
+    resumed_after: list[int] = []
+
+    def script(exchange: ScriptedExchange) -> None:
+        resumed_after.append(int(exchange.request.headers.get('last-event-id', '0')))
+        if len(resumed_after) == 1:
+            write_stream(exchange, framing, body)
+        else:
+            write_stream(exchange, framing, events(resumed_after[-1] + 1, EVENTS))
+
+    return script, resumed_after
+
+
+# Each body ends inside its third event.
+BROKEN_OFF = [
+    ('in-a-field-name', events(1, 2) + b'i'),
+    ('in-a-value', events(1, 2) + b'id: 3\ndata: ha'),
+    ('after-a-line', events(1, 2) + b'id: 3\ndata: half\n'),
+    ('in-a-line-end', events(1, 2) + b'id: 3\r\ndata: half\r'),
+]
+
+
+# Guards against truncated streams that reach callers as complete answers (ORDER).
+@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize(
+    'body', [row[1] for row in BROKEN_OFF], ids=[row[0] for row in BROKEN_OFF]
+)
+def test_stream_that_ends_inside_an_event_is_seen_as_incomplete(
+    router: RunningRouter, framing: str, body: bytes
+) -> None:
+    router.add('one', lambda exchange: write_stream(exchange, framing, body))
+    response = router.call('once')
+    assert response.events() == [1, 2]
+    assert not response.complete
+
+
+# Guards against truncated streams that reach callers as complete answers (ORDER).
+@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize(
+    'body', [row[1] for row in BROKEN_OFF], ids=[row[0] for row in BROKEN_OFF]
+)
+def test_stream_that_ends_inside_an_event_is_resumed(
+    router: RunningRouter, framing: str, body: bytes
+) -> None:
+    script, resumed_after = breaking_off(framing, body)
+    router.add('one', script)
+    router.add('two', script)
+    response = router.call('stream')
+    assert response.events() == [1, 2, 3, 4]
+    assert response.body == events(1, EVENTS)
+    assert response.complete
+    assert resumed_after == [0, 2]
+
+
+# Guards against a crash before the first event that looks like an empty stream.
+@pytest.mark.parametrize(
+    ('route', 'status', 'seen', 'runs'),
+    [('stream', 200, [1, 2, 3, 4], [0, 0]), ('once', 502, [], [0])],
+)
+def test_connection_that_closes_before_the_first_event_is_no_answer(
+    router: RunningRouter, route: str, status: int, seen: list[int], runs: list[int]
+) -> None:
+    script, resumed_after = breaking_off('close', b'')
+    router.add('one', script)
+    router.add('two', script)
+    response = router.call(route)
+    assert (response.status, response.events()) == (status, seen)
+    assert resumed_after == runs
+
+
+COMPLETE = [
+    ('as-usual', events(1, EVENTS)),
+    ('with-a-blank-line-more', events(1, EVENTS) + b'\n'),
+    ('with-a-comment', events(1, EVENTS) + b': end\n'),
+    ('with-crlf', events(1, EVENTS).replace(b'\n', b'\r\n')),
+    ('with-cr', events(1, EVENTS).replace(b'\n', b'\r')),
+    ('with-mixed-line-ends', events(1, EVENTS).replace(b'\n\n', b'\n\r\n')),
+]
+
+
+@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize(
+    'body', [row[1] for row in COMPLETE], ids=[row[0] for row in COMPLETE]
+)
+def test_complete_stream_is_relayed_unchanged(
+    router: RunningRouter, framing: str, body: bytes
+) -> None:
+    one = router.add('one', lambda exchange: write_stream(exchange, framing, body))
+    response = router.call('once')
+    assert response.body == body
+    assert response.complete
+    assert len(one.requests) == 1
+
+
+@pytest.mark.parametrize('framing', FRAMINGS)
+def test_answer_that_is_no_event_stream_has_no_event_to_end_in(
+    router: RunningRouter, framing: str
+) -> None:
+    def answer(exchange: ScriptedExchange) -> None:
+        fields = exchange.headers(Content_Type='application/json')
+        body = b'{"text":"x"}'
+        if framing == 'length':
+            fields['Content-Length'] = str(len(body))
+        elif framing == 'chunked':
+            fields['Transfer-Encoding'] = 'chunked'
+            body = f'{len(body):x}\r\n'.encode() + body + b'\r\n0\r\n\r\n'
+        exchange.start(200, fields)
+        exchange.send_raw(body)
+        exchange.close()
+
+    router.add('one', answer)
+    response = router.call('once')
+    assert (response.body, response.complete) == (b'{"text":"x"}', True)
