Relay streams without the length of their first part

Callers saw: an internal error in the middle of a resumed stream whose first upstream had stated a length. Cause: the caller's answer kept the Content-Length of the first upstream, but a resumed stream joins the parts of several. Change: streams are relayed without a length; HTTP marks their end by chunks. Result: test_stream_with_a_length_is_resumed_after_a_cut failed before, passes now.

--- a/packages/router/src/rosemaryseam/router/relay.py
+++ b/packages/router/src/rosemaryseam/router/relay.py
@@ -13,7 +13,7 @@
 
     from rosemaryseam.router.placement import Ticket
     from rosemaryseam.router.reply import Reply
-    from rosemaryseam.router.requests import AnswerHead
+    from rosemaryseam.router.requests import AnswerHead, RawHeaders
 
 MAX_BUFFERED_ANSWER_BYTES = 262_144  # longer answers are relayed while they arrive
 _DROPPED_HEADERS = CONNECTION_HEADERS - {b'content-length'}
@@ -131,7 +131,9 @@
 
     def _start(self, head: AnswerHead) -> None:
         if not self._reply.started:
-            self._reply.start(head.status, head.reason, end_to_end_headers(head))
+            # The length of one upstream's answer is not that of a resumed stream.
+            headers = _without_length(end_to_end_headers(head))
+            self._reply.start(head.status, head.reason, headers)
 
     def _is_new(self, event_id: bytes | None) -> bool:
         """Return whether an event was not relayed before, and store its id if so."""
@@ -159,8 +161,11 @@
     headers = end_to_end_headers(head)
     if bodyless or head.status in (204, 304):
         return headers
-    headers = [entry for entry in headers if entry[0].lower() != b'content-length']
-    return [*headers, (b'Content-Length', str(len(body)).encode())]
+    return [*_without_length(headers), (b'Content-Length', str(len(body)).encode())]
+
+
+def _without_length(headers: RawHeaders) -> RawHeaders:
+    return [entry for entry in headers if entry[0].lower() != b'content-length']
 
 
 def _event_number(event_id: bytes) -> int:
--- a/tests/test_router/test_stream_end.py
+++ b/tests/test_router/test_stream_end.py
@@ -112,6 +112,26 @@
     assert resumed_after == runs
 
 
+# Guards against resumed streams that don't fit the length their first part stated.
+def test_stream_with_a_length_is_resumed_after_a_cut(router: RunningRouter) -> None:
+    def cut(exchange: ScriptedExchange) -> None:
+        fields = exchange.headers(Content_Type='text/event-stream')
+        fields['Content-Length'] = str(len(events(1, EVENTS)) - 1)
+        exchange.start(200, fields)
+        exchange.send_raw(events(1, 2))
+        exchange.close()
+
+    def script(exchange: ScriptedExchange) -> None:
+        resumed = 'last-event-id' in exchange.request.headers
+        write_stream(exchange, 'close', events(3, EVENTS)) if resumed else cut(exchange)
+
+    router.add('one', script)
+    router.add('two', script)
+    response = router.call('stream')
+    assert response.body == events(1, EVENTS)
+    assert response.complete
+
+
 COMPLETE = [
     ('as-usual', events(1, EVENTS)),
     ('with-a-blank-line-more', events(1, EVENTS) + b'\n'),
