Take a stream that ends inside an event for broken off

Cause: an answer was judged whole by its framing alone. Without a length and chunks the end of the connection ends an answer, and a crash ends the connection in order too; what stood after the last complete event was written and the caller's answer finished. Change: a stream is whole only if it ends after a complete event, whatever its framing; one that closes before its first event is no answer. All line ends of the format end an event, so that sound streams with them are not taken for broken off. A broken-off stream is resumed elsewhere or cut, as after a reset.

--- a/packages/router/src/rosemaryseam/router/events.py
+++ b/packages/router/src/rosemaryseam/router/events.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+import re
 from typing import NamedTuple
 
 MAX_END_BYTES = 4  # of the empty line that ends an event
 MAX_EVENT_BYTES = 1_000_000  # bounds the memory that an unterminated event uses
+LINE_ENDS = (b'\n', b'\r')
+COMMENT = b':'
+
+# The atomic groups keep a CRLF from matching as two line ends.
+_END = re.compile(rb'(?>\r\n|\n|\r)(?>\r\n|\n|\r)')
 
 
 class Event(NamedTuple):
@@ -28,12 +34,23 @@
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self.event_count = 0
 
     @property
     def remainder(self) -> bytes:
         """The bytes after the last complete event."""
         return bytes(self._buffer)
 
+    @property
+    def inside_event(self) -> bool:
+        """Whether the bytes so far end in the middle of an event or a line."""
+        if not self._buffer:
+            return False
+        if not self._buffer.endswith(LINE_ENDS):
+            return True
+        lines = self._buffer.splitlines()
+        return any(line and not line.startswith(COMMENT) for line in lines)
+
     def feed(self, data: bytes) -> list[Event]:
         """Return the events that are complete after new bytes were added.
 
@@ -50,6 +67,7 @@
             events.append(Event(event, _find_id(event)))
             start = end
         del buffer[:start]
+        self.event_count += len(events)
         if len(buffer) > MAX_EVENT_BYTES:
             raise EventTooLongError('an event does not end')
         return events
@@ -57,13 +75,8 @@
 
 def _find_end(buffer: bytearray, start: int) -> int:
     """Return the index after the empty line that ends an event, or -1."""
-    plain = buffer.find(b'\n\n', start)
-    crlf = buffer.find(b'\r\n\r\n', start)
-    if plain < 0 and crlf < 0:
-        return -1
-    if crlf < 0 or 0 <= plain < crlf:
-        return plain + 2
-    return crlf + 4
+    match = _END.search(buffer, start)
+    return match.end() if match else -1
 
 
 def _find_id(event: bytes) -> bytes | None:
--- a/packages/router/src/rosemaryseam/router/relay.py
+++ b/packages/router/src/rosemaryseam/router/relay.py
@@ -7,6 +7,7 @@
 from rosemaryseam.router.events import EventSplitter, EventTooLongError
 from rosemaryseam.router.faults import BrokenError, ForeignBytesError
 from rosemaryseam.router.headercodec import CONNECTION_HEADERS, connection_options
+from rosemaryseam.router.requests import Framing
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -16,6 +17,7 @@
     from rosemaryseam.router.requests import AnswerHead, RawHeaders
 
 MAX_BUFFERED_ANSWER_BYTES = 262_144  # longer answers are relayed while they arrive
+EVENT_STREAM = b'text/event-stream'
 _DROPPED_HEADERS = CONNECTION_HEADERS - {b'content-length'}
 
 
@@ -124,6 +126,7 @@
                 self.event_count += len(events)
                 self._reply.write(data)
         self.unfinished_bytes = len(splitter.remainder)
+        _check_end(head, splitter)
         self._start(head)
         if splitter.remainder:
             self._reply.write(splitter.remainder)
@@ -146,6 +149,19 @@
         return True
 
 
+def _check_end(head: AnswerHead, splitter: EventSplitter) -> None:
+    """Check that a stream ended after a complete event, however its body ends.
+
+    :raises BrokenError: if the stream was broken off
+    """
+    if head.media_type != EVENT_STREAM and not splitter.event_count:
+        return
+    if splitter.inside_event:
+        raise BrokenError('the stream ended inside an event')
+    if head.framing is Framing.CLOSE and not splitter.event_count:
+        raise BrokenError('the connection closed before the first event')
+
+
 def end_to_end_headers(head: AnswerHead) -> list[tuple[bytes, bytes]]:
     """Return the headers of an answer without hop-by-hop headers.
 
