Reset a broken-off answer that only its connection ends

Cause: HTTP/1.0 has no chunks, so an answer without a length ends with its connection, and the router closed it in order also when it had broken the answer off. Change: the connection is reset if such an answer is unfinished.

--- a/packages/router/src/rosemaryseam/router/callers.py
+++ b/packages/router/src/rosemaryseam/router/callers.py
@@ -5,6 +5,7 @@
 import contextlib
 import os
 import socket as std_socket
+import struct
 import traceback
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -38,6 +39,7 @@
 SEND_TIMEOUT_S = 10.0  # for sending one part of an answer to a slow caller
 LOGGED_TRACE_FRAMES = 3  # innermost frames of an internal error's traceback
 _EV_READ = 1  # event mask of libev
+_LINGER_0_S = struct.pack('ii', 1, 0)  # closing resets the connection
 
 
 class ReceivedRequest(NamedTuple):
@@ -205,6 +207,7 @@
         self._receiver = FairReceiver(sock)
         self._read_ahead = bytearray()
         self._eof = False
+        self._reset_on_close = False
         self.is_idle = True
         sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
 
@@ -244,10 +247,32 @@
         """Return whether to add ``Connection: close`` to answers."""
         return self._server.draining
 
+    def begin_answer(self, headers: RawHeaders) -> None:
+        """Reset the connection if it closes before the answer ends, where needed.
+
+        HTTP/1.0 has no chunks, so that the end of the connection completes an answer
+        without a length.
+
+        :param headers: headers of the answer
+        """
+        names = {name.lower() for name, _ in headers}
+        self._reset_on_close = (
+            self._http.their_http_version == b'1.0' and b'content-length' not in names
+        )
+
+    def end_answer(self) -> None:
+        """Close the connection in order from now on."""
+        self._reset_on_close = False
+
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection; reset it if the end would complete a partial answer."""
         with contextlib.suppress(OSError):
-            self._sock.shutdown(std_socket.SHUT_RDWR)
+            if self._reset_on_close:
+                self._sock.setsockopt(
+                    std_socket.SOL_SOCKET, std_socket.SO_LINGER, _LINGER_0_S
+                )
+            else:
+                self._sock.shutdown(std_socket.SHUT_RDWR)
         self._sock.close()
 
     def lingering_close(self) -> None:
@@ -447,6 +472,7 @@
     def start(self, status: int, reason: bytes, headers: RawHeaders) -> None:
         """Write the status line and the headers."""
         self.started = True
+        self._conn.begin_answer(headers)
         if self._conn.must_close():
             names = {name.lower() for name, _ in headers}
             if b'connection' not in names:
@@ -463,6 +489,7 @@
     def finish(self) -> None:
         """Write the end of the body, which completes the answer."""
         self._conn.send(h11.EndOfMessage())
+        self._conn.end_answer()
 
     def abort(self) -> None:
         """Close the connection so that the caller sees an incomplete answer."""
--- a/tests/test_router/test_stream_end.py
+++ b/tests/test_router/test_stream_end.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 import pytest
+from gevent import socket
+from routers import KEY
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -175,3 +177,42 @@
     router.add('one', answer)
     response = router.call('once')
     assert (response.body, response.complete) == (b'{"text":"x"}', True)
+
+
+def read_as_http10_caller(router: RunningRouter) -> tuple[bytes, bool]:
+    """Send a request as HTTP/1.0; return the answer and whether it ended in order."""
+    sock = socket.create_connection(tuple(router.cfg.callers))
+    lines = [
+        'POST /once/thing HTTP/1.0',
+        'Host: h.example',
+        'X-Request-Id: old-caller',
+        'X-Patience-Ms: 3000',
+        f'X-Api-Key: {KEY}',
+        'Content-Length: 0',
+    ]
+    sock.sendall('\r\n'.join([*lines, '', '']).encode())
+    data = b''
+    try:
+        while part := sock.recv(65_536):
+            data += part
+    except ConnectionResetError:
+        return data, False
+    finally:
+        sock.close()
+    return data, True
+
+
+# Guards against answers without a framing of their own that are cut and look complete.
+@pytest.mark.parametrize(
+    ('body', 'in_order'),
+    [(events(1, EVENTS), True), (events(1, 2) + b'id: 3', False)],
+    ids=['complete', 'broken-off'],
+)
+def test_broken_off_answer_is_reset_if_only_its_connection_ends_it(
+    router: RunningRouter, body: bytes, in_order: bool
+) -> None:
+    router.add('one', lambda exchange: write_stream(exchange, 'close', body))
+    answer, ended_in_order = read_as_http10_caller(router)
+    assert ended_in_order is in_order
+    if in_order:
+        assert answer.endswith(body)
