--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -21,7 +21,9 @@
 WORK_S = 0.02
 EVENT_S = 0.05
 EVENTS = 8
-ANSWER_FAULTS = ('error', 'truncate', 'hang', 'reset', 'extra', 'unframed')
+UNFRAMED_FAULTS = ('unframed', 'unframed_truncate')  # neither a length nor chunks
+ANSWER_FAULTS = ('error', 'truncate', 'hang', 'reset', 'extra', *UNFRAMED_FAULTS)
+EARLY_BYTES = 3  # of the next event, sent with each event of an unframed stream
 
 
 def expected_body(request_id: str, body: bytes) -> bytes:
@@ -138,7 +140,7 @@
         elif fault == 'hang':
             gevent.sleep(5.0)
             raise OSError
-        elif fault == 'reset':
+        elif fault in ('reset', 'unframed_truncate'):
             raise OSError
         elif fault == 'truncate':
             data = _head(200, attempt, {'Content-Length': str(len(attempt.answer))})
@@ -160,6 +162,9 @@
             _send(sock, 500, attempt, b'failed')
             return
         start = int(_field(fields, HEADER_NAMES.last_event_id) or 0)
+        if fault in UNFRAMED_FAULTS:
+            self._stream_unframed(sock, attempt, start, fault)
+            return
         more = {'Transfer-Encoding': 'chunked', 'Content-Type': 'text/event-stream'}
         sock.sendall(_head(200, attempt, more))
         for number in range(start + 1, EVENTS + 1):
@@ -174,6 +179,30 @@
             sock.sendall(f'{len(event):x}\r\n'.encode() + event + b'\r\n')
         sock.sendall(b'0\r\n\r\n')
 
+    def _stream_unframed(
+        self, sock: Any, attempt: Attempt, start: int, fault: str
+    ) -> None:
+        """Send a stream that its connection ends.
+
+        Between two events the stream is always inside the second one, so that a cut at
+        any time leaves an incomplete event.
+        """
+        sock.sendall(_head(200, attempt, {'Content-Type': 'text/event-stream'}))
+        unsent = b''.join(
+            f'id: {number}\ndata: {attempt.id}\n\n'.encode()
+            for number in range(start + 1, EVENTS + 1)
+        )
+        size = len(unsent) // max(1, EVENTS - start)
+        sent = EARLY_BYTES if unsent else 0
+        sock.sendall(unsent[:sent])
+        for number in range(start + 1, EVENTS + 1):
+            gevent.sleep(EVENT_S)
+            if fault == 'unframed_truncate' and number == start + 3:
+                raise OSError
+            sock.sendall(unsent[sent : sent + size])
+            sent += size
+        raise OSError
+
 
 def _read(sock: Any, rest: bytes) -> tuple[h11.Request | None, bytes, bytes]:
     parser = h11.Connection(h11.SERVER)
