Leave a share of the soak's streams without length and chunks

Change: 3 of 10 streams are unframed, sound or faulty, and always inside an event until their end, so that any cut leaves an incomplete event.

--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -21,8 +21,8 @@
 WORK_S = 0.02
 EVENT_S = 0.05
 EVENTS = 8
-UNFRAMED_FAULTS = ('unframed', 'unframed_truncate')  # neither a length nor chunks
-ANSWER_FAULTS = ('error', 'truncate', 'hang', 'reset', 'extra', *UNFRAMED_FAULTS)
+ANSWER_FAULTS = ('error', 'truncate', 'hang', 'reset', 'extra', 'unframed')
+UNFRAMED_SHARE = 0.3  # of streams, which have neither a length nor chunks
 EARLY_BYTES = 3  # of the next event, sent with each event of an unframed stream
 
 
@@ -140,7 +140,7 @@
         elif fault == 'hang':
             gevent.sleep(5.0)
             raise OSError
-        elif fault in ('reset', 'unframed_truncate'):
+        elif fault == 'reset':
             raise OSError
         elif fault == 'truncate':
             data = _head(200, attempt, {'Content-Length': str(len(attempt.answer))})
@@ -162,46 +162,47 @@
             _send(sock, 500, attempt, b'failed')
             return
         start = int(_field(fields, HEADER_NAMES.last_event_id) or 0)
-        if fault in UNFRAMED_FAULTS:
-            self._stream_unframed(sock, attempt, start, fault)
-            return
-        more = {'Transfer-Encoding': 'chunked', 'Content-Type': 'text/event-stream'}
+        chunked = self._rng.random() >= UNFRAMED_SHARE
+        more = {'Content-Type': 'text/event-stream'}
+        if chunked:
+            more['Transfer-Encoding'] = 'chunked'
         sock.sendall(_head(200, attempt, more))
-        for number in range(start + 1, EVENTS + 1):
+        parts = _split_stream(attempt, start, early_bytes=0 if chunked else EARLY_BYTES)
+        for number, part in enumerate(parts, start + 1):
             gevent.sleep(EVENT_S)
-            event = f'id: {number}\ndata: {attempt.id}\n\n'.encode()
             if fault in ('truncate', 'reset') and number == start + 3:
-                sock.sendall(f'{len(event):x}\r\n'.encode() + event[:5])
+                sock.sendall(
+                    f'{len(part):x}\r\n'.encode() + part[:5] if chunked else b''
+                )
                 raise OSError
             if fault == 'hang' and number == start + 2:
                 gevent.sleep(4.0)
                 raise OSError
-            sock.sendall(f'{len(event):x}\r\n'.encode() + event + b'\r\n')
-        sock.sendall(b'0\r\n\r\n')
+            sock.sendall(_chunk(part) if chunked else part)
+        if not chunked:
+            raise OSError
+        sock.sendall(_chunk(b''))
 
-    def _stream_unframed(
-        self, sock: Any, attempt: Attempt, start: int, fault: str
-    ) -> None:
-        """Send a stream that its connection ends.
-
-        Between two events the stream is always inside the second one, so that a cut at
-        any time leaves an incomplete event.
-        """
-        sock.sendall(_head(200, attempt, {'Content-Type': 'text/event-stream'}))
-        unsent = b''.join(
-            f'id: {number}\ndata: {attempt.id}\n\n'.encode()
-            for number in range(start + 1, EVENTS + 1)
-        )
-        size = len(unsent) // max(1, EVENTS - start)
-        sent = EARLY_BYTES if unsent else 0
-        sock.sendall(unsent[:sent])
-        for number in range(start + 1, EVENTS + 1):
-            gevent.sleep(EVENT_S)
-            if fault == 'unframed_truncate' and number == start + 3:
-                raise OSError
-            sock.sendall(unsent[sent : sent + size])
-            sent += size
-        raise OSError
+
+def _split_stream(attempt: Attempt, start: int, early_bytes: int) -> list[bytes]:
+    """Return the parts of a stream, of which each ends with an event.
+
+    With early bytes, each part also has the first bytes of the next event, so that a
+    cut between two parts leaves an incomplete event.
+    """
+    events = [
+        f'id: {number}\ndata: {attempt.id}\n\n'.encode()
+        for number in range(start + 1, EVENTS + 1)
+    ]
+    following = [*(event[:early_bytes] for event in events[1:]), b'']
+    return [
+        event[early_bytes if index else 0 :] + early
+        for index, (event, early) in enumerate(zip(events, following, strict=False))
+    ]
+
+
+def _chunk(data: bytes) -> bytes:
+    return f'{len(data):x}\r\n'.encode() + data + b'\r\n'
 
 
 def _read(sock: Any, rest: bytes) -> tuple[h11.Request | None, bytes, bytes]:
