Log crashes of engines with the prompt parts of the request

Cause: an engine's crash is logged as any broken attempt; what the requests that it broke off have in common cannot be read from the logs. Change: after an engine broke off a request, a new connection is tried at once; if it is refused, upstream_crashed names the engine and the parts of the prompt.

--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -254,6 +254,7 @@
             self._report_failure(admitted, attempts, reply)
             return True
         outcome = 'cancelled'
+        error_answer = attempts.error_answer
         try:
             head = self._send(admitted, attempts, relay, reply, ticket)
             outcome = 'failed' if head.status >= FIRST_SERVER_ERROR_STATUS else 'done'
@@ -270,6 +271,8 @@
         except BrokenError as exc:
             outcome = 'failed_again' if attempts.runs else 'failed'
             self._record_failure(admitted, attempts, ticket, exc)
+            if attempts.error_answer is error_answer:
+                self._check_for_crash(admitted, ticket.upstream)
         finally:
             ticket.end(outcome)
             if outcome == 'cancelled':
@@ -472,6 +475,23 @@
             reason=exc.message,
         )
 
+    def _check_for_crash(self, admitted: AdmittedRequest, upstream: Upstream) -> bool:
+        """Return whether an engine crashed, after it broke off a request.
+
+        A process that only failed the request still accepts connections.
+        """
+        prompt = admitted.request.prompt
+        if prompt is None or not self._pool.refuses_connections(upstream):
+            return False
+        log_event(
+            'upstream_crashed',
+            id=admitted.request.id,
+            upstream=upstream.id,
+            born=upstream.born,
+            prompt_parts=[part.digest for part in prompt.parts],
+        )
+        return True
+
     def _may_retry(
         self, admitted: AdmittedRequest, attempts: AttemptHistory, relay: StreamRelay
     ) -> bool:
--- a/packages/router/src/rosemaryseam/router/pool.py
+++ b/packages/router/src/rosemaryseam/router/pool.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from rosemaryseam.router.faults import NotSentError
 from rosemaryseam.router.upstreamconnection import connect
 
 if TYPE_CHECKING:
@@ -49,6 +50,23 @@
         self._metrics.count('upstream_connects')
         return connect(upstream.address, self._codec, self._clock, CONNECT_TIMEOUT_S)
 
+    def refuses_connections(self, upstream: Upstream) -> bool:
+        """Return whether an upstream refuses connections, as after a crash.
+
+        A connection that could be made is kept for the next request.
+
+        :param upstream: upstream to connect to
+        """
+        self._metrics.count('upstream_connects')
+        try:
+            conn = connect(
+                upstream.address, self._codec, self._clock, CONNECT_TIMEOUT_S
+            )
+        except NotSentError as exc:
+            return isinstance(exc.__cause__, ConnectionRefusedError)
+        self._idle.setdefault(upstream.incarnation, []).append(conn)
+        return False
+
     def release(self, upstream: Upstream, conn: UpstreamConnection) -> None:
         """Keep a connection whose answer was read completely, or close it.
 
