Quarantine prompt parts that crash engine after engine

Cause: nothing related an engine's crash to what ran there. Each broken attempt counted against the engine alone, so the request and all with the same part went on to the next. Change: the dispatcher records which prompts a crash broke off and tells all hosts. A part is charged with the crashes since a request with it was last answered, three at least; of several the one is quarantined that explains the most crashes and was answered, begun and asked for least. Crashes with it are no evidence against other parts. Requests with it are refused as not run, for two minutes at first. Hosts that start learn it from the others. Why it works: sound prompts with the same other parts are answered or begin between the crashes, so only the common part stays charged.

--- a/packages/operator/src/rosemaryseam/operator/explain.py
+++ b/packages/operator/src/rosemaryseam/operator/explain.py
@@ -38,6 +38,7 @@
     'reader_avoided',
     'dispatcher_changed',
     'dispatcher_suspected',
+    'prompt_part_quarantined',
     'internal_error',
 )
 _COMMON_FIELDS = ('time', 'host', 'level', 'event', 'id')
--- /dev/null
+++ b/packages/policy/src/rosemaryseam/policy/quarantine.py
@@ -0,0 +1,296 @@
+"""Quarantine of prompt parts that crash the engines that answer them."""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Mapping, Sequence
+
+# Numbers of crashes without an answer in between after which a part is quarantined, and
+# the seconds that they must be apart: crashes at one time may have another cause.
+PROOFS = ((3, 0.5), (4, 0.1))
+RANKING_INTERVAL_S = 0.1  # between two crashes that count, to compare suspects
+TIE_CRASHES = 8  # after which one of several equal suspects is quarantined
+SETTLE_S = 0.1  # until all requests that a crash broke off are reported
+EVIDENCE_TTL_S = 600.0  # age up to which a crash counts
+MAX_CRASHES = 64  # kept at the same time
+MAX_ANSWERED_PARTS = 4096  # kept with the times of their last answer and begin
+FIRST_QUARANTINE_S = 120.0  # doubles each time the part crashes engines afterwards
+MAX_QUARANTINE_S = 3600.0
+MAX_QUARANTINES = 256  # remembered, in force or over
+
+
+class Quarantine(NamedTuple):
+    """A part that gets no engine until ``until``, in seconds of the monotonic clock.
+
+    ``duration_s`` is how long it lasts altogether.
+    """
+
+    digest: int
+    until: float
+    duration_s: float
+
+
+class Suspect(NamedTuple):
+    """A part of the prompts that a crash broke off.
+
+    ``position`` is its place in its prompts, 0 first, and ``requests`` the number of
+    requests with the part that were broken off.
+    """
+
+    position: int
+    requests: int
+
+
+class _Crash:
+    """A crash of an engine with the parts of the prompts that it broke off.
+
+    It is explained once one of the parts is quarantined.
+
+    :param at: time of the crash
+    """
+
+    def __init__(self, at: float) -> None:
+        self.at = at
+        self.suspects: dict[int, Suspect] = {}
+        self.explained = False
+
+    def add(self, suspects: Mapping[int, Suspect]) -> None:
+        """Add the parts of further requests that this crash broke off."""
+        for digest, suspect in suspects.items():
+            known = self.suspects.get(digest, Suspect(0, 0))
+            self.suspects[digest] = suspect._replace(
+                requests=known.requests + suspect.requests
+            )
+
+
+class _Charge(NamedTuple):
+    """The crashes that a part may have caused.
+
+    ``rank`` is greater the more likely the part caused them: their number, how long ago
+    it was answered and begun, how few requests have it, and its position.
+    """
+
+    digest: int
+    rank: tuple[float, ...]
+    crashes: list[_Crash]
+
+
+class _LastTimes:
+    """Keeps the last time of something by part, for the parts that had it last."""
+
+    def __init__(self) -> None:
+        self._times: OrderedDict[int, float] = OrderedDict()
+
+    def record(self, digests: Iterable[int], at: float) -> None:
+        for digest in digests:
+            if at >= self.get(digest):
+                self._times[digest] = at
+                self._times.move_to_end(digest)
+        while len(self._times) > MAX_ANSWERED_PARTS:
+            self._times.popitem(last=False)
+
+    def get(self, digest: int) -> float:
+        return self._times.get(digest, -math.inf)
+
+
+class PromptQuarantine:
+    """Finds the parts that engines' crashes have in common and excludes them.
+
+    A part is suspected of the crashes since a request with it was last answered. Of
+    several suspects, the one with the most crashes is quarantined, then the one whose
+    last answer, or else whose last begin of an answer, is the longest ago, then the one
+    that fewer requests have, then the one that stands later in its prompts, as earlier
+    parts are shared by more requests. A crash with a quarantined part is no evidence
+    against the other parts of its prompts.
+
+    :param on_quarantine: called with each part that this object quarantines itself
+    """
+
+    def __init__(
+        self, on_quarantine: Callable[[Quarantine], None] = lambda _: None
+    ) -> None:
+        self._on_quarantine = on_quarantine
+        self._crashes: OrderedDict[object, _Crash] = OrderedDict()
+        self._answered = _LastTimes()
+        self._begun = _LastTimes()
+        self._quarantines: OrderedDict[int, Quarantine] = OrderedDict()
+        self._decides_at: float | None = None
+
+    def record_answer(self, digests: Iterable[int], at: float) -> None:
+        """Record that an engine answered a request with these parts.
+
+        :param digests: digests of the parts
+        :param at: time of the answer, in seconds on the monotonic clock
+        """
+        self._answered.record(digests, at)
+
+    def record_begin(self, digests: Iterable[int], at: float) -> None:
+        """Record that an engine began to answer a request with these parts.
+
+        :param digests: digests of the parts
+        :param at: time of the first event, in seconds on the monotonic clock
+        """
+        self._begun.record(digests, at)
+
+    def last_answered_at(self, digest: int) -> float:
+        """Return when a request with a part was last answered, or minus infinity.
+
+        :param digest: digest of the part
+        """
+        return self._answered.get(digest)
+
+    def last_begun_at(self, digest: int) -> float:
+        """Return when an answer to a part last began, or minus infinity.
+
+        :param digest: digest of the part
+        """
+        return self._begun.get(digest)
+
+    def record_crash(
+        self, engine: object, suspects: Mapping[int, Suspect], at: float
+    ) -> None:
+        """Record a crash, or further requests that the same crash broke off.
+
+        :param engine: identifies the incarnation of the engine
+        :param suspects: parts of the broken-off prompts, by digest
+        :param at: time of the crash, in seconds on the monotonic clock
+        """
+        crash = self._crashes.get(engine)
+        if crash is None:
+            crash = self._crashes[engine] = _Crash(at)
+            while len(self._crashes) > MAX_CRASHES:
+                self._crashes.popitem(last=False)
+        crash.add(suspects)
+        if self._decides_at is None:
+            self._decides_at = at + SETTLE_S
+
+    def find(self, digests: Sequence[int], now: float) -> Quarantine | None:
+        """Return the quarantine of the first quarantined part of a prompt.
+
+        :param digests: digests of the parts
+        :param now: seconds on the monotonic clock
+        """
+        self._update(now)
+        if not self._quarantines:
+            return None
+        in_force = (self._in_force(digest, now) for digest in digests)
+        return next((entry for entry in in_force if entry is not None), None)
+
+    def in_force(self, now: float) -> list[Quarantine]:
+        """Return all quarantines that are in force.
+
+        :param now: seconds on the monotonic clock
+        """
+        self._update(now)
+        return [entry for entry in self._quarantines.values() if entry.until > now]
+
+    def adopt(self, quarantine: Quarantine, now: float) -> bool:
+        """Apply a quarantine that another host found; return whether it is new here.
+
+        :param quarantine: its ``until`` is a time on this host's clock
+        :param now: seconds on the monotonic clock
+        """
+        if quarantine.until <= now or self._in_force(quarantine.digest, now):
+            return False
+        self._put(quarantine)
+        self._mark_explained(now)
+        return True
+
+    def _in_force(self, digest: int, now: float) -> Quarantine | None:
+        entry = self._quarantines.get(digest)
+        return entry if entry is not None and entry.until > now else None
+
+    def _update(self, now: float) -> None:
+        """Quarantine suspects once all that a crash broke off is reported."""
+        if self._decides_at is None or now < self._decides_at:
+            return
+        self._mark_explained(now)
+        settled_at = now - SETTLE_S
+        unsettled = any(crash.at > settled_at for crash in self._crashes.values())
+        self._decides_at = now + SETTLE_S if unsettled else None
+        while (digest := self._worst_suspect(settled_at)) is not None:
+            known = self._quarantines.get(digest)
+            duration_s = FIRST_QUARANTINE_S
+            if known is not None:
+                duration_s = min(MAX_QUARANTINE_S, 2 * known.duration_s)
+            quarantine = Quarantine(digest, now + duration_s, duration_s)
+            self._put(quarantine)
+            self._mark_explained(now)
+            self._on_quarantine(quarantine)
+
+    def _put(self, quarantine: Quarantine) -> None:
+        self._quarantines[quarantine.digest] = quarantine
+        self._quarantines.move_to_end(quarantine.digest)
+        while len(self._quarantines) > MAX_QUARANTINES:
+            self._quarantines.popitem(last=False)
+
+    def _mark_explained(self, now: float) -> None:
+        """Mark the crashes with a quarantined part and drop those that are too old."""
+        for engine, crash in list(self._crashes.items()):
+            if any(self._in_force(one, now) for one in crash.suspects):
+                crash.explained = True
+            if crash.at < now - EVIDENCE_TTL_S:
+                del self._crashes[engine]
+
+    def _worst_suspect(self, settled_at: float) -> int | None:
+        """Return the part to quarantine by the crashes up to a time, if any.
+
+        Suspects that nothing tells apart get some more time to be answered.
+        """
+        unexplained = [
+            crash
+            for crash in self._crashes.values()
+            if crash.at <= settled_at and not crash.explained
+        ]
+        charges = self._charges(unexplained)
+        worst = max(charges, key=lambda charge: charge.rank, default=None)
+        if worst is None:
+            return None
+        is_tie = any(
+            charge.rank == worst.rank and charge.crashes == worst.crashes
+            for charge in charges
+            if charge is not worst
+        )
+        return None if is_tie and worst.rank[0] < TIE_CRASHES else worst.digest
+
+    def _charges(self, unexplained: Sequence[_Crash]) -> list[_Charge]:
+        """Return what there is against each part that crashes enough engines."""
+        charges = []
+        for digest in {one for crash in unexplained for one in crash.suspects}:
+            answered_at = self._answered.get(digest)
+            crashes = [
+                crash
+                for crash in unexplained
+                if digest in crash.suspects and crash.at > answered_at
+            ]
+            times = [crash.at for crash in crashes]
+            # A part that was quarantined before needs no further proof.
+            if not _is_proof(times) and not (times and digest in self._quarantines):
+                continue
+            suspects = [crash.suspects[digest] for crash in crashes]
+            rank = (
+                _count_apart(times, RANKING_INTERVAL_S),
+                -answered_at,
+                -self._begun.get(digest),
+                -sum(suspect.requests for suspect in suspects),
+                max(suspect.position for suspect in suspects),
+            )
+            charges.append(_Charge(digest, rank, crashes))
+        return charges
+
+
+def _is_proof(times: Sequence[float]) -> bool:
+    return any(_count_apart(times, apart_s) >= count for count, apart_s in PROOFS)
+
+
+def _count_apart(times: Iterable[float], interval_s: float) -> int:
+    """Return the number of times, without those that follow another one closely."""
+    count, last = 0, -math.inf
+    for at in sorted(times):
+        if at - last >= interval_s:
+            count, last = count + 1, at
+    return count
--- /dev/null
+++ b/packages/router/src/rosemaryseam/router/crashes.py
@@ -0,0 +1,233 @@
+"""Evidence of prompts that crash engines, collected here and from other hosts."""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from typing import TYPE_CHECKING, NamedTuple
+
+from rosemaryseam.common.decisionlog import log_event
+from rosemaryseam.policy.quarantine import PromptQuarantine, Quarantine, Suspect
+from rosemaryseam.router.placement import NoUpstreamError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from rosemaryseam.common.clock import Clock
+    from rosemaryseam.router.queries import Query
+    from rosemaryseam.router.upstreams import Upstream
+
+REPORT_DELAY_S = 0.05  # within which the requests that a crash broke off are reported
+MAX_REPORTED_PARTS = 256  # per crash
+
+RequestId = tuple[str, int]  # address of the host and its number of the request
+
+
+class SuspectPart(NamedTuple):
+    """A part of the prompts that an engine's crash broke off.
+
+    ``position`` is its place in its prompts, 0 first, and ``requests`` the number of
+    requests with it that were broken off. ``answered_s`` and ``begun_s`` tell how long
+    ago a request with the part was last answered and an answer last began, infinite if
+    that is not known.
+    """
+
+    digest: int
+    position: int
+    requests: int
+    answered_s: float
+    begun_s: float
+
+
+class CrashReport(NamedTuple):
+    """A crash of an engine's incarnation, ``age_s`` seconds ago."""
+
+    upstream: str
+    born: int
+    age_s: float
+    parts: tuple[SuspectPart, ...]
+
+
+class QuarantinedPart(NamedTuple):
+    """A part that gets no engine for ``left_s`` of ``duration_s`` seconds."""
+
+    digest: int
+    left_s: float
+    duration_s: float
+
+
+class _Sent(NamedTuple):
+    """A prompt in flight; ``digests`` holds all its parts but the last."""
+
+    engine: tuple[str, int]
+    digests: tuple[int, ...]
+
+
+class _Pending(NamedTuple):
+    """A crash that the other hosts have not been told of."""
+
+    at: float
+    suspects: dict[int, Suspect]
+
+
+class CrashLedger:
+    """Records which prompts engines answered and which they crashed with.
+
+    :param clock: clock of the process
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._quarantine = PromptQuarantine(_log_decision)
+        self._sent: dict[RequestId, _Sent] = {}
+        self._pending: OrderedDict[tuple[str, int], _Pending] = OrderedDict()
+
+    def check(self, query: Query) -> None:
+        """Check that no part of a prompt is quarantined.
+
+        :param query: request to place
+        :raises NoUpstreamError: if a part is; no engine should get the request
+        """
+        digests = [digest for digest, _ in query.parts[:-1]]
+        now = self._clock.monotonic()
+        found = self._quarantine.find(digests, now)
+        if found is not None:
+            place = f'part {digests.index(found.digest) + 1} of {len(query.parts)}'
+            raise NoUpstreamError(
+                f'{place} of the prompt crashes engines', found.until - now
+            )
+
+    # Requests that this host dispatches.
+
+    def record_placement(self, host: str, query: Query, upstream: Upstream) -> None:
+        """Record the engine of a request.
+
+        :param host: address of the host that sends the request
+        :param query: request that was placed
+        :param upstream: engine that gets it
+        """
+        if len(query.parts) > 1:
+            digests = tuple(digest for digest, _ in query.parts[:-1])
+            self._sent[host, query.number] = _Sent(upstream.incarnation, digests)
+
+    def record_first_event(self, host: str, number: int) -> None:
+        """Record that the answer to a request has begun.
+
+        :param host: address of the host that sends the request
+        :param number: number of the request on that host
+        """
+        sent = self._sent.get((host, number))
+        if sent is not None:
+            self._quarantine.record_begin(sent.digests, self._clock.monotonic())
+
+    def record_end(self, host: str, number: int, outcome: str) -> None:
+        """Record the outcome of a request.
+
+        :param host: address of the host that sent the request
+        :param number: number of the request on that host
+        :param outcome: outcome, as passed to :meth:`Ticket.end`
+        """
+        sent = self._sent.pop((host, number), None)
+        if sent is None:
+            return
+        now = self._clock.monotonic()
+        if outcome == 'done':
+            self._quarantine.record_answer(sent.digests, now)
+        elif outcome == 'crashed':
+            self._record_crash(sent, now)
+
+    def drop_request(self, host: str, number: int) -> None:
+        """Forget a request whose outcome will not be known.
+
+        :param host: address of the host that sent the request
+        :param number: number of the request on that host
+        """
+        self._sent.pop((host, number), None)
+
+    # Exchange with the other hosts.
+
+    def take_reports(self) -> list[CrashReport]:
+        """Return the crashes that the other hosts are to be told of now."""
+        now = self._clock.monotonic()
+        due = [
+            engine
+            for engine, pending in self._pending.items()
+            if now - pending.at >= REPORT_DELAY_S
+        ]
+        return [self._report(engine, self._pending.pop(engine), now) for engine in due]
+
+    def apply_report(self, report: CrashReport) -> None:
+        """Record a crash that another host reported.
+
+        :param report: report of the crash
+        """
+        now = self._clock.monotonic()
+        for part in report.parts:
+            if part.answered_s < math.inf:
+                self._quarantine.record_answer((part.digest,), now - part.answered_s)
+            if part.begun_s < math.inf:
+                self._quarantine.record_begin((part.digest,), now - part.begun_s)
+        suspects = {
+            part.digest: Suspect(part.position, part.requests) for part in report.parts
+        }
+        engine = (report.upstream, report.born)
+        self._quarantine.record_crash(engine, suspects, now - report.age_s)
+
+    def quarantined(self) -> tuple[QuarantinedPart, ...]:
+        """Return the parts that are quarantined now."""
+        now = self._clock.monotonic()
+        return tuple(
+            QuarantinedPart(entry.digest, entry.until - now, entry.duration_s)
+            for entry in self._quarantine.in_force(now)
+        )
+
+    def adopt(self, host: str, parts: Iterable[QuarantinedPart]) -> None:
+        """Quarantine parts that another host has quarantined.
+
+        :param host: address of that host
+        :param parts: quarantined parts
+        """
+        now = self._clock.monotonic()
+        for part in parts:
+            entry = Quarantine(part.digest, now + part.left_s, part.duration_s)
+            if self._quarantine.adopt(entry, now):
+                _log_quarantine(entry, host)
+
+    def _record_crash(self, sent: _Sent, now: float) -> None:
+        suspects = {
+            digest: Suspect(position, 1) for position, digest in enumerate(sent.digests)
+        }
+        self._quarantine.record_crash(sent.engine, suspects, now)
+        pending = self._pending.setdefault(sent.engine, _Pending(now, {})).suspects
+        for digest, suspect in suspects.items():
+            known = pending.get(digest, Suspect(0, 0))
+            pending[digest] = suspect._replace(requests=known.requests + 1)
+
+    def _report(
+        self, engine: tuple[str, int], pending: _Pending, now: float
+    ) -> CrashReport:
+        parts = [
+            SuspectPart(
+                digest,
+                suspect.position,
+                suspect.requests,
+                now - self._quarantine.last_answered_at(digest),
+                now - self._quarantine.last_begun_at(digest),
+            )
+            for digest, suspect in pending.suspects.items()
+        ]
+        return CrashReport(*engine, now - pending.at, tuple(parts[:MAX_REPORTED_PARTS]))
+
+
+def _log_decision(quarantine: Quarantine) -> None:
+    _log_quarantine(quarantine, None)
+
+
+def _log_quarantine(quarantine: Quarantine, source: str | None) -> None:
+    """Log a quarantine; the source is the host that told of it, if another one did."""
+    log_event(
+        'prompt_part_quarantined',
+        part=f'{quarantine.digest:016x}',
+        seconds=quarantine.duration_s,
+        source=source,
+    )
--- a/packages/router/src/rosemaryseam/router/datagrams.py
+++ b/packages/router/src/rosemaryseam/router/datagrams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import pathlib
 import zlib
 from typing import TYPE_CHECKING, NamedTuple
@@ -10,6 +11,7 @@
 import capnp
 
 from rosemaryseam.common.errors import PeerError
+from rosemaryseam.router.crashes import CrashReport, QuarantinedPart, SuspectPart
 from rosemaryseam.router.queries import InFlightReport, PlacedPrompt, Placement, Query
 
 if TYPE_CHECKING:
@@ -68,7 +70,8 @@
 
     In a ``sync`` datagram ``active`` holds the numbers of all in-flight requests that
     the receiver placed or adopted for the sender. ``left`` holds upstreams that told
-    the sender that they stop.
+    the sender that they stop. ``crashes`` holds engines that crashed with requests that
+    the sender dispatched, ``quarantined`` the prompt parts that get no engine.
     """
 
     host: str
@@ -83,6 +86,8 @@
     active: tuple[int, ...] = ()
     placed: tuple[PlacedPrompt, ...] = ()
     left: tuple[Incarnation, ...] = ()
+    crashes: tuple[CrashReport, ...] = ()
+    quarantined: tuple[QuarantinedPart, ...] = ()
 
 
 def encode(datagram: Datagram) -> bytes:
@@ -103,6 +108,8 @@
         active=list(datagram.active),
         placed=[_encode_placed(entry) for entry in datagram.placed],
         left=[entry._asdict() for entry in datagram.left],
+        crashes=[_encode_crash(entry) for entry in datagram.crashes],
+        quarantined=[_encode_quarantined(entry) for entry in datagram.quarantined],
     )
     # The packed format of the library is smaller still, but its reader aborts the
     # process when a message is malformed.
@@ -146,6 +153,8 @@
         active=tuple(message.active),
         placed=tuple(_decode_placed(entry) for entry in message.placed),
         left=tuple(Incarnation(entry.id, entry.born) for entry in message.left),
+        crashes=tuple(_decode_crash(entry) for entry in message.crashes),
+        quarantined=tuple(_decode_quarantined(entry) for entry in message.quarantined),
     )
 
 
@@ -316,6 +325,58 @@
     )
 
 
+def _encode_crash(entry: CrashReport) -> dict[str, object]:
+    return {
+        'id': entry.upstream,
+        'born': entry.born,
+        'ageMs': _to_ms(entry.age_s),
+        'parts': [
+            {
+                'digest': part.digest,
+                'position': part.position,
+                'requests': part.requests,
+                'answeredMs': _to_optional_ms(part.answered_s),
+                'begunMs': _to_optional_ms(part.begun_s),
+            }
+            for part in entry.parts
+        ],
+    }
+
+
+def _decode_crash(entry: object) -> CrashReport:
+    parts = tuple(
+        SuspectPart(
+            part.digest,
+            part.position,
+            part.requests,
+            _from_optional_ms(part.answeredMs),
+            _from_optional_ms(part.begunMs),
+        )
+        for part in entry.parts
+    )
+    return CrashReport(entry.id, entry.born, entry.ageMs / 1000, parts)
+
+
+def _to_optional_ms(seconds: float) -> int:
+    return _to_ms(seconds) if seconds < math.inf else UNSET
+
+
+def _from_optional_ms(value: int) -> float:
+    return math.inf if value == UNSET else value / 1000
+
+
+def _encode_quarantined(entry: QuarantinedPart) -> dict[str, object]:
+    return {
+        'digest': entry.digest,
+        'leftMs': _to_ms(entry.left_s),
+        'durationMs': _to_ms(entry.duration_s),
+    }
+
+
+def _decode_quarantined(entry: object) -> QuarantinedPart:
+    return QuarantinedPart(entry.digest, entry.leftMs / 1000, entry.durationMs / 1000)
+
+
 def _encode_parts(parts: tuple[Part, ...]) -> list[dict[str, int]]:
     return [{'digest': digest, 'tokens': size} for digest, size in parts]
 
--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -271,8 +271,10 @@
         except BrokenError as exc:
             outcome = 'failed_again' if attempts.runs else 'failed'
             self._record_failure(admitted, attempts, ticket, exc)
-            if attempts.error_answer is error_answer:
-                self._check_for_crash(admitted, ticket.upstream)
+            if attempts.error_answer is error_answer and self._has_crashed(
+                admitted, ticket.upstream
+            ):
+                outcome = 'crashed'
         finally:
             ticket.end(outcome)
             if outcome == 'cancelled':
@@ -475,7 +477,7 @@
             reason=exc.message,
         )
 
-    def _check_for_crash(self, admitted: AdmittedRequest, upstream: Upstream) -> bool:
+    def _has_crashed(self, admitted: AdmittedRequest, upstream: Upstream) -> bool:
         """Return whether an engine crashed, after it broke off a request.
 
         A process that only failed the request still accepts connections.
--- a/packages/router/src/rosemaryseam/router/peers.py
+++ b/packages/router/src/rosemaryseam/router/peers.py
@@ -314,8 +314,15 @@
             active = tuple(self._placer.handover.active_requests(host))
             self._send(
                 host,
-                Datagram(self._address.ip, self._incarnation, sync=True, active=active),
+                Datagram(
+                    self._address.ip,
+                    self._incarnation,
+                    sync=True,
+                    active=active,
+                    quarantined=self._tracker.crashes.quarantined(),
+                ),
             )
+        self._send_crash_reports()
         oldest = self._clock.monotonic() - PEER_TIMEOUT_S
         for host in [
             host for host, at in self._last_received_at.items() if at < oldest
@@ -326,6 +333,17 @@
         if len(self._capacities) != count:
             self._placer.hosts_changed()
 
+    def _send_crash_reports(self) -> None:
+        """Tell all hosts of crashes, as each of them may dispatch next."""
+        reports = self._tracker.crashes.take_reports()
+        if not reports:
+            return
+        data = encode(
+            Datagram(self._address.ip, self._incarnation, crashes=tuple(reports))
+        )
+        for host in self._capacities:
+            self._transmit(host, data)
+
     def _send(self, host: str, datagram: Datagram) -> None:
         self._transmit(host, encode(datagram))
 
@@ -370,8 +388,12 @@
             self._on_left(incarnation)
         for reply in datagram.replies:
             self._placer.handle_reply(reply)
+        for report in datagram.crashes:
+            self._tracker.crashes.apply_report(report)
+        self._tracker.crashes.adopt(host, datagram.quarantined)
         for reply in self._dispatcher.handle_datagram(datagram):
             self._outbox(host).replies.append(reply)
+        self._send_crash_reports()
 
     def _is_current(self, host: str, incarnation: int) -> bool:
         """Return whether a host's current process sent the datagram.
@@ -389,6 +411,12 @@
         self._tracker.forget_host(host)
         log_event('peer_heard', peer=host, incarnation=incarnation)
         self._placer.handle_peer_restart(host)
+        quarantined = self._tracker.crashes.quarantined()
+        if quarantined:
+            self._send(
+                host,
+                Datagram(self._address.ip, self._incarnation, quarantined=quarantined),
+            )
         return True
 
     def _forget_peer(self, host: str, reason: str) -> None:
--- a/packages/router/src/rosemaryseam/router/peerwire.capnp
+++ b/packages/router/src/rosemaryseam/router/peerwire.capnp
@@ -72,6 +72,27 @@
   born @1 :UInt64;
 }
 
+struct Suspect {
+  digest @0 :UInt64;
+  position @1 :UInt16;
+  requests @2 :UInt16;
+  answeredMs @3 :Int64;
+  begunMs @4 :Int64;
+}
+
+struct Crash {
+  id @0 :Text;
+  born @1 :UInt64;
+  ageMs @2 :UInt32;
+  parts @3 :List(Suspect);
+}
+
+struct Quarantined {
+  digest @0 :UInt64;
+  leftMs @1 :UInt32;
+  durationMs @2 :UInt32;
+}
+
 struct Datagram {
   host @0 :Text;
   incarnation @1 :UInt64;
@@ -85,4 +106,6 @@
   active @9 :List(UInt32);
   placed @10 :List(Placed);
   left @11 :List(Incarnation);
+  crashes @12 :List(Crash);
+  quarantined @13 :List(Quarantined);
 }
--- a/packages/router/src/rosemaryseam/router/placement.py
+++ b/packages/router/src/rosemaryseam/router/placement.py
@@ -82,7 +82,8 @@
         """Record the end of the request; only the first call has an effect.
 
         :param outcome: ``done``, ``failed``, ``failed_again`` (after another
-            upstream had failed the same request), ``declined``, ``unreachable``,
+            upstream had failed the same request), ``crashed`` (broken off, and the
+            upstream refuses connections now), ``declined``, ``unreachable``,
             ``silent`` or ``cancelled``
         """
 
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -251,6 +251,9 @@
             'caller_connections': self.callers.open_connections,
             'hosts': self.peers.host_count(),
             'upstream_books': self.tracker.dump(),
+            'quarantined_parts': [
+                entry._asdict() for entry in self.tracker.crashes.quarantined()
+            ],
             'idle_upstream_connections': self._pool.size(),
             'counters': self.metrics.dump(),
         }
--- a/packages/router/src/rosemaryseam/router/upstreamtracker.py
+++ b/packages/router/src/rosemaryseam/router/upstreamtracker.py
@@ -24,6 +24,7 @@
 from rosemaryseam.policy.outliers import OutlierDetector
 from rosemaryseam.policy.prefixes import EngineCache, PartUses
 from rosemaryseam.policy.sizes import RouteSizes
+from rosemaryseam.router.crashes import CrashLedger
 from rosemaryseam.router.placement import NoUpstreamError
 from rosemaryseam.router.queries import InFlightReport, Placement
 
@@ -47,6 +48,7 @@
 MIN_LOGGED_LOSS = 0.01  # smaller components of a loss are not logged
 # Outcomes caused by the caller or the request, not by the upstream.
 NEUTRAL_OUTCOMES = ('cancelled', 'failed_again')
+UNREACHABLE_OUTCOMES = ('unreachable', 'crashed')
 ROUTE_RANKS = 3  # urgency levels per workspace rank
 MAX_URGENCY = 9  # least urgent value that is sent to engines
 
@@ -84,6 +86,7 @@
         self._outliers = OutlierDetector()
         self._route_sizes = RouteSizes()
         self._durations = AnswerDurations()
+        self.crashes = CrashLedger(clock)
 
     # Placement.
 
@@ -103,6 +106,7 @@
         if not upstreams:
             raise NoUpstreamError('no upstream is registered', NO_UPSTREAM_RETRY_S)
         if query.parts:
+            self.crashes.check(query)
             return self._place_prompt(host, query, upstreams)
         return self._place_without_prompt(host, query, upstreams)
 
@@ -288,6 +292,7 @@
             ready_at = now + report.expected_first_s
             state.cache.touch(query.parts, state.view.output_tokens, ready_at)
             self._part_uses.touch(query.parts[:-1], now)
+            self.crashes.record_placement(host, query, state.upstream)
 
     # Request lifecycle.
 
@@ -324,6 +329,7 @@
         :param host: address of the host that forwards the request
         :param number: number of the request on that host
         """
+        self.crashes.record_first_event(host, number)
         state = self._find_state(host, number)
         if state is not None:
             state.view.record_first_event(
@@ -340,6 +346,7 @@
         :param outcome: outcome, as passed to :meth:`Ticket.end`
         :param duration_s: time from the placement to the end, in seconds
         """
+        self.crashes.record_end(host, number, outcome)
         state = self._find_state(host, number)
         self._request_upstreams.get(host, {}).pop(number, None)
         if state is None:
@@ -350,7 +357,7 @@
         if outcome in ('done', 'silent'):
             self._durations.record(upstream.service, duration_s)
         is_engine = state.view.capacity.cache_tokens > 0
-        if outcome == 'unreachable' or (outcome == 'silent' and is_engine):
+        if outcome in UNREACHABLE_OUTCOMES or (outcome == 'silent' and is_engine):
             self._eject(upstream.id, now)
         elif outcome not in NEUTRAL_OUTCOMES:
             self._outliers.record(upstream.id, now, failed=outcome != 'done')
@@ -366,6 +373,7 @@
         for number in [one for one in requests if one not in numbers]:
             state = self._find_state(host, number)
             del requests[number]
+            self.crashes.drop_request(host, number)
             if state is not None:
                 state.view.record_end(RequestKey(host, number), now)
 
--- /dev/null
+++ b/tests/test_router/test_crashes.py
@@ -0,0 +1,178 @@
+"""Tests the exchange of evidence about prompts that crash engines between hosts."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+import pytest
+from routers import RunningFleet
+
+from rosemaryseam.common.addresses import Address
+from rosemaryseam.experiments.simulatedclock import SimulatedClock
+from rosemaryseam.router.crashes import (
+    MAX_REPORTED_PARTS,
+    CrashLedger,
+    CrashReport,
+    QuarantinedPart,
+    SuspectPart,
+)
+from rosemaryseam.router.datagrams import Datagram, decode, encode
+from rosemaryseam.router.placement import NoUpstreamError
+from rosemaryseam.router.queries import Query
+from rosemaryseam.router.upstreams import Upstream
+
+if TYPE_CHECKING:
+    from routers import RunningRouter
+
+FIRST, DEADLY, OTHER = 1, 2, 3
+_NUMBERS = itertools.count(1)
+
+
+def make_query(*digests: int) -> Query:
+    """Return a query for a prompt with these parts and one of its own."""
+    number = next(_NUMBERS)
+    parts = tuple((digest, 50) for digest in (*digests, 10**6 + number))
+    return Query(
+        number, f'r-{number}', 'engines', 'draft', 0, None, parts, 500, 10, 10, None,
+        1.0, 1.0, 200, 'a', (),
+    )  # fmt: skip
+
+
+def make_engine(number: int) -> Upstream:
+    """Return an incarnation of an engine."""
+    return Upstream(f'u-{number}', number, 'engines', Address('10.0.0.1', 1), 'a', 4)
+
+
+class Pair:
+    """Two hosts that dispatch different engines and exchange datagrams."""
+
+    def __init__(self) -> None:
+        self.clock = SimulatedClock()
+        self.hosts = [CrashLedger(self.clock), CrashLedger(self.clock)]
+        self._engines = itertools.count(1)
+
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass."""
+        self.clock.run_until(self.clock.monotonic() + seconds)
+
+    def send(self, host: int, outcome: str, *digests: int) -> None:
+        """Dispatch a request that ends with this outcome on an engine of its own."""
+        query = make_query(*digests)
+        ledger = self.hosts[host]
+        ledger.record_placement('10.2.0.1', query, make_engine(next(self._engines)))
+        self.pass_time(0.3)
+        ledger.record_end('10.2.0.1', query.number, outcome)
+
+    def exchange_reports(self) -> None:
+        """Pass what each host reports to the other one, as datagrams."""
+        self.pass_time(0.2)
+        for sender, receiver in (self.hosts, self.hosts[::-1]):
+            data = encode(Datagram('h', 1, crashes=tuple(sender.take_reports())))
+            for report in decode(data).crashes:
+                receiver.apply_report(report)
+        self.pass_time(0.2)
+
+    def refusing(self, *digests: int) -> list[bool]:
+        """Return which hosts refuse a prompt."""
+        return [refuses(host, *digests) for host in self.hosts]
+
+
+def refuses(ledger: CrashLedger, *digests: int) -> bool:
+    """Return whether a host refuses a prompt with these parts."""
+    try:
+        ledger.check(make_query(*digests))
+    except NoUpstreamError as exc:
+        assert exc.retry_after_s > 1.0
+        return True
+    return False
+
+
+@pytest.mark.parametrize(
+    ('senders', 'refused'),
+    [((0, 0, 0), True), ((0, 1, 0), True), ((0, 1, 1), True), ((0, 1), False)],
+)
+def test_crashes_at_several_dispatchers_add_up(
+    senders: tuple[int, ...], refused: bool
+) -> None:
+    pair = Pair()
+    pair.send(1, 'done', FIRST, OTHER)
+    for host in senders:
+        pair.send(host, 'crashed', FIRST, DEADLY)
+        pair.exchange_reports()
+    assert pair.refusing(FIRST, DEADLY) == [refused, refused]
+    assert pair.refusing(FIRST, OTHER) == [False, False]
+
+
+@pytest.mark.parametrize('outcome', ['failed', 'declined', 'unreachable', 'cancelled'])
+def test_other_failures_are_no_evidence(outcome: str) -> None:
+    pair = Pair()
+    for _ in range(8):
+        pair.send(0, outcome, FIRST, DEADLY)
+        pair.exchange_reports()
+    assert pair.refusing(FIRST, DEADLY) == [False, False]
+
+
+def test_last_part_of_a_prompt_is_never_refused() -> None:
+    pair = Pair()
+    for _ in range(8):
+        pair.send(0, 'crashed')
+        pair.exchange_reports()
+    assert pair.refusing() == [False, False]
+
+
+def test_dropped_request_is_forgotten() -> None:
+    ledger = CrashLedger(SimulatedClock())
+    query = make_query(FIRST, DEADLY)
+    ledger.record_placement('h', query, make_engine(1))
+    ledger.drop_request('h', query.number)
+    ledger.record_end('h', query.number, 'crashed')
+    assert ledger.take_reports() == []
+
+
+def test_crash_is_reported_once_with_all_its_requests() -> None:
+    clock = SimulatedClock()
+    ledger = CrashLedger(clock)
+    queries = [make_query(FIRST, 100 + number) for number in range(300)]
+    for query in queries:
+        ledger.record_placement('h', query, make_engine(7))
+    for query in queries:
+        ledger.record_end('h', query.number, 'crashed')
+    assert ledger.take_reports() == []
+    clock.run_until(1.0)
+    (report,) = ledger.take_reports()
+    assert ledger.take_reports() == []
+    assert (report.upstream, report.born) == ('u-7', 7)
+    assert report.parts[0][:3] == (FIRST, 0, len(queries))
+    assert len(report.parts) == MAX_REPORTED_PARTS
+
+
+def test_messages_survive_encoding() -> None:
+    inf = float('inf')
+    parts = (SuspectPart(2**64 - 1, 3, 65, 1.5, inf), SuspectPart(0, 0, 1, inf, 0.25))
+    datagram = Datagram(
+        '10.0.0.1',
+        5,
+        crashes=(CrashReport('u-1', 1_700_000_000_000, 0.125, parts),),
+        quarantined=(QuarantinedPart(7, 60.5, 3600.0),),
+    )
+    assert decode(encode(datagram)) == datagram
+
+
+def quarantined(host: RunningRouter) -> list[int]:
+    """Return the digests that a host has quarantined."""
+    return [entry.digest for entry in host.router.tracker.crashes.quarantined()]
+
+
+# Guards against a restarted host that lets crashing prompts through again.
+def test_restarted_host_learns_the_quarantines_of_the_others() -> None:
+    fleet = RunningFleet(2)
+    try:
+        known = QuarantinedPart(DEADLY, 60.0, 120.0)
+        fleet.hosts[0].router.tracker.crashes.adopt('test', [known])
+        late = fleet.make_host(3)
+        fleet.hosts.append(late)
+        late.start()
+        late.wait(lambda: quarantined(late) == [DEADLY])
+    finally:
+        fleet.stop()
