Lift a quarantine that an answer disproves

Cause: a part that was quarantined by mistake, as it was only in flight when engines crashed, stayed refused for two minutes although its other requests were answered. Change: an answer to a request with the part after its quarantine began lifts it, and keeps this host from adopting it from another one.

--- a/packages/operator/src/rosemaryseam/operator/explain.py
+++ b/packages/operator/src/rosemaryseam/operator/explain.py
@@ -39,6 +39,7 @@
     'dispatcher_changed',
     'dispatcher_suspected',
     'prompt_part_quarantined',
+    'prompt_part_released',
     'internal_error',
 )
 _COMMON_FIELDS = ('time', 'host', 'level', 'event', 'id')
--- a/packages/policy/src/rosemaryseam/policy/quarantine.py
+++ b/packages/policy/src/rosemaryseam/policy/quarantine.py
@@ -33,6 +33,11 @@
     until: float
     duration_s: float
 
+    @property
+    def began_at(self) -> float:
+        """When the quarantine began, in seconds of the monotonic clock."""
+        return self.until - self.duration_s
+
 
 class Suspect(NamedTuple):
     """A part of the prompts that a crash broke off.
@@ -120,13 +125,24 @@
         self._quarantines: OrderedDict[int, Quarantine] = OrderedDict()
         self._decides_at: float | None = None
 
-    def record_answer(self, digests: Iterable[int], at: float) -> None:
+    def record_answer(self, digests: Sequence[int], at: float) -> list[int]:
         """Record that an engine answered a request with these parts.
 
+        It disproves the quarantines that began before; return the digests of their
+        parts, which get engines again.
+
         :param digests: digests of the parts
         :param at: time of the answer, in seconds on the monotonic clock
         """
         self._answered.record(digests, at)
+        disproved = [
+            digest
+            for digest in digests
+            if digest in self._quarantines and at > self._quarantines[digest].began_at
+        ]
+        for digest in disproved:
+            del self._quarantines[digest]
+        return disproved
 
     def record_begin(self, digests: Iterable[int], at: float) -> None:
         """Record that an engine began to answer a request with these parts.
@@ -191,11 +207,15 @@
     def adopt(self, quarantine: Quarantine, now: float) -> bool:
         """Apply a quarantine that another host found; return whether it is new here.
 
+        It does not apply if the part was answered since it began.
+
         :param quarantine: its ``until`` is a time on this host's clock
         :param now: seconds on the monotonic clock
         """
         if quarantine.until <= now or self._in_force(quarantine.digest, now):
             return False
+        if self._answered.get(quarantine.digest) > quarantine.began_at:
+            return False
         self._put(quarantine)
         self._mark_explained(now)
         return True
--- a/packages/router/src/rosemaryseam/router/crashes.py
+++ b/packages/router/src/rosemaryseam/router/crashes.py
@@ -11,7 +11,7 @@
 from rosemaryseam.router.placement import NoUpstreamError
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.router.queries import Query
@@ -132,7 +132,7 @@
             return
         now = self._clock.monotonic()
         if outcome == 'done':
-            self._quarantine.record_answer(sent.digests, now)
+            self._record_answer(sent.digests, now)
         elif outcome == 'crashed':
             self._record_crash(sent, now)
 
@@ -164,7 +164,7 @@
         now = self._clock.monotonic()
         for part in report.parts:
             if part.answered_s < math.inf:
-                self._quarantine.record_answer((part.digest,), now - part.answered_s)
+                self._record_answer((part.digest,), now - part.answered_s)
             if part.begun_s < math.inf:
                 self._quarantine.record_begin((part.digest,), now - part.begun_s)
         suspects = {
@@ -193,6 +193,10 @@
             if self._quarantine.adopt(entry, now):
                 _log_quarantine(entry, host)
 
+    def _record_answer(self, digests: Sequence[int], at: float) -> None:
+        for digest in self._quarantine.record_answer(digests, at):
+            log_event('prompt_part_released', part=f'{digest:016x}')
+
     def _record_crash(self, sent: _Sent, now: float) -> None:
         suspects = {
             digest: Suspect(position, 1) for position, digest in enumerate(sent.digests)
--- a/tests/test_policy/test_quarantine.py
+++ b/tests/test_policy/test_quarantine.py
@@ -190,6 +190,18 @@
         expected_s = min(MAX_QUARANTINE_S, 2 * expected_s)
 
 
+def test_answer_disproves_a_quarantine_that_began_before() -> None:
+    quarantine = play(ALONE)
+    entry = quarantine.in_force(11.2 + SETTLED_S)[0]
+    assert quarantine.record_answer([FIRST, DEADLY], entry.began_at - 0.5) == []
+    assert quarantined(quarantine, 12.0) == [DEADLY]
+    assert quarantine.record_answer([FIRST, DEADLY], 12.0) == [DEADLY]
+    assert quarantined(quarantine, 12.0) == []
+    assert not quarantine.adopt(entry, 12.5)
+    quarantine.record_crash('again', {DEADLY: Suspect(1, 1)}, 13.0)
+    assert quarantined(quarantine, 13.0 + SETTLED_S) == []
+
+
 def test_part_that_is_answered_after_its_quarantine_needs_new_proof() -> None:
     quarantine = play(ALONE)
     now = quarantine.in_force(11.2 + SETTLED_S)[0].until
