Report each crash of an engine in a datagram of its own

Cause: when many engines crash at once, their reports in one datagram exceed what a datagram holds, and none of them arrives. Change: one datagram per report; a report and a list of quarantines always fit. Result: test_largest_messages_fit_in_datagrams.

--- a/packages/router/src/rosemaryseam/router/peers.py
+++ b/packages/router/src/rosemaryseam/router/peers.py
@@ -335,14 +335,13 @@
 
     def _send_crash_reports(self) -> None:
         """Tell all hosts of crashes, as each of them may dispatch next."""
-        reports = self._tracker.crashes.take_reports()
-        if not reports:
-            return
-        data = encode(
-            Datagram(self._address.ip, self._incarnation, crashes=tuple(reports))
-        )
-        for host in self._capacities:
-            self._transmit(host, data)
+        for report in self._tracker.crashes.take_reports():
+            # Many engines may crash at once; one report always fits in a datagram.
+            data = encode(
+                Datagram(self._address.ip, self._incarnation, crashes=(report,))
+            )
+            for host in self._capacities:
+                self._transmit(host, data)
 
     def _send(self, host: str, datagram: Datagram) -> None:
         self._transmit(host, encode(datagram))
--- a/tests/test_router/test_crashes.py
+++ b/tests/test_router/test_crashes.py
@@ -10,6 +10,7 @@
 
 from rosemaryseam.common.addresses import Address
 from rosemaryseam.experiments.simulatedclock import SimulatedClock
+from rosemaryseam.policy.quarantine import MAX_QUARANTINES
 from rosemaryseam.router.crashes import (
     MAX_REPORTED_PARTS,
     CrashLedger,
@@ -17,7 +18,7 @@
     QuarantinedPart,
     SuspectPart,
 )
-from rosemaryseam.router.datagrams import Datagram, decode, encode
+from rosemaryseam.router.datagrams import MAX_DATAGRAM_BYTES, Datagram, decode, encode
 from rosemaryseam.router.placement import NoUpstreamError
 from rosemaryseam.router.queries import Query
 from rosemaryseam.router.upstreams import Upstream
@@ -159,6 +160,21 @@
     assert decode(encode(datagram)) == datagram
 
 
+def test_largest_messages_fit_in_datagrams() -> None:
+    numbers = [0x9E3779B97F4A7C15 * number % 2**64 for number in range(1, 257)]
+    parts = tuple(
+        SuspectPart(one, one % 9, one % 65, one % 10**6 / 7, one % 10**5 / 3)
+        for one in numbers[:MAX_REPORTED_PARTS]
+    )
+    report = CrashReport('u' * 40, 1_700_000_000_000, 0.125, parts)
+    entries = tuple(
+        QuarantinedPart(one, one % 10**6 / 7, one % 10**6 / 3)
+        for one in numbers[:MAX_QUARANTINES]
+    )
+    assert len(encode(Datagram('h', 5, crashes=(report,)))) < MAX_DATAGRAM_BYTES
+    assert len(encode(Datagram('h', 5, quarantined=entries))) < MAX_DATAGRAM_BYTES
+
+
 def quarantined(host: RunningRouter) -> list[int]:
     """Return the digests that a host has quarantined."""
     return [entry.digest for entry in host.router.tracker.crashes.quarantined()]
