Log why a failed attempt is not repeated and why an answer stays incomplete

Cause: the log of an answer that was broken off tells neither why no other upstream went on with it nor whether a configuration change was involved, and a connection that closes with a request in progress leaves no line. Change: events retry_ruled_out and answer_incomplete; answer_broken_off names the failure and the versions.

--- a/packages/router/src/rosemaryseam/router/callers.py
+++ b/packages/router/src/rosemaryseam/router/callers.py
@@ -185,8 +185,9 @@
         self._connections.add(conn)
         try:
             conn.run()
-        except CallerGoneError:
+        except CallerGoneError as exc:
             self.metrics.count('callers_gone')
+            log_event('answer_incomplete', reason=str(exc))
         finally:
             self._connections.discard(conn)
             conn.close()
--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -279,7 +279,9 @@
             ticket.end(outcome)
             if outcome == 'cancelled':
                 self._log_cancelled(admitted, ticket, relay)
-        if not self._may_retry(admitted, attempts, relay):
+        obstacle = self._retry_obstacle(admitted, attempts, relay)
+        if obstacle is not None:
+            log_event('retry_ruled_out', id=admitted.request.id, reason=obstacle)
             self._report_failure(admitted, attempts, reply)
             return True
         return False
@@ -320,6 +322,7 @@
             return self._placer.place(unplaced, usable)
         except NoUpstreamError as exc:
             if attempts.failure is not None:
+                log_event('retry_ruled_out', id=admitted.request.id, reason=str(exc))
                 return None
             raise RefusalError(
                 503, ResultCode.NO_UPSTREAM, str(exc), exc.retry_after_s
@@ -494,31 +497,37 @@
         )
         return True
 
-    def _may_retry(
+    def _retry_obstacle(
         self, admitted: AdmittedRequest, attempts: AttemptHistory, relay: StreamRelay
-    ) -> bool:
+    ) -> str | None:
+        """Return why a request may not be sent again, or ``None`` if it may."""
         now = self._clock.monotonic()
-        if admitted.expires_at - now < MIN_ATTEMPT_S:
-            return False
-        may_have_run = attempts.runs > 0
         repeat = admitted.route.repeat
-        if may_have_run and repeat is Repeat.NEVER:
-            return False
+        if admitted.expires_at - now < MIN_ATTEMPT_S:
+            return 'too little time left'
+        if attempts.runs and repeat is Repeat.NEVER:
+            return 'it may have run'
         if attempts.runs >= max(1, admitted.route.max_runs):
-            return False
+            return 'it may not run once more'
         if relay.started and repeat is not Repeat.RESUME:
-            return False
-        if not attempts.arrivals:
-            return True
-        return self._budget(admitted.service.name).allows_retry(
-            now, self._count_hosts()
-        )
+            return 'its answer has begun'
+        budget = self._budget(admitted.service.name)
+        if attempts.arrivals and not budget.allows_retry(now, self._count_hosts()):
+            return 'the retry budget is used up'
+        return None
 
     def _report_failure(
         self, admitted: AdmittedRequest, attempts: AttemptHistory, reply: Reply
     ) -> None:
         if reply.started:
-            log_event('answer_broken_off', id=admitted.request.id, runs=attempts.runs)
+            log_event(
+                'answer_broken_off',
+                id=admitted.request.id,
+                runs=attempts.runs,
+                kind=type(attempts.failure).__name__,
+                version=admitted.version,
+                current_version=self._feed.table.version if self._feed.table else None,
+            )
             reply.abort()
         if attempts.error_answer is not None:
             head, body = attempts.error_answer
