--- /dev/null
+++ b/tests/test_router/test_silent_upstreams.py
@@ -0,0 +1,236 @@
+"""Tests answers of upstreams that fall silent for a moment and then go on."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING, Any
+
+import gevent
+import pytest
+from routers import RunningRouter, configuration
+
+from rosemaryseam.policy.retrybudget import RetryBudgetLimits
+from rosemaryseam.router.documentcodec import CONFIGURATION_KEY
+from rosemaryseam.router.routes import EngineProfile
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from routers import Response
+
+    from rosemaryseam.standins.scripted import ScriptedExchange
+
+EVENTS = 4
+BEFORE_SILENCE = 2  # events
+SILENCE_S = 1.6
+TAKEOVER_S = 0.4  # by then a replaced upstream must stop to work on a request
+NO_RETRIES = RetryBudgetLimits(0.0, 0.0, 10.0)
+_OWN_PARTS = itertools.count(0x2000)
+
+
+@pytest.fixture
+def start_router() -> Iterator[Callable[..., RunningRouter]]:
+    """Return a function that starts a router whose upstreams are engines."""
+    started = []
+
+    def start(**changes: Any) -> RunningRouter:
+        running = RunningRouter(**changes)
+        started.append(running)
+        running.start()
+        use_engines(running)
+        return running
+
+    yield start
+    for running in started:
+        running.stop()
+
+
+def use_engines(router: RunningRouter) -> None:
+    """Make the upstreams of the router's table engines."""
+    services = router.router.feed.table.services
+    engine = EngineProfile(16, 100_000, 1, shares_cache=False)
+    services['work'] = services['work']._replace(engine=engine)
+
+
+def call(router: RunningRouter, route: str) -> Response:
+    """Send a request with a prompt to an engine."""
+    return router.call(
+        route,
+        headers={
+            'X-Prompt-Parts': f'a:50,{next(_OWN_PARTS):x}:50',
+            'X-Token-Counts': '100,10',
+        },
+        patience_ms=8000,
+    )
+
+
+def falling_silent(exchange: ScriptedExchange) -> None:
+    """Answer with a stream that pauses after some events."""
+    exchange.start_stream()
+    for number in range(1, EVENTS + 1):
+        if number == BEFORE_SILENCE + 1:
+            gevent.sleep(SILENCE_S)
+        exchange.event(number)
+    exchange.end_stream()
+
+
+def resume(exchange: ScriptedExchange) -> None:
+    """Answer with the events after those that the caller has."""
+    start = int(exchange.request.headers.get('last-event-id', '0'))
+    exchange.start_stream()
+    for number in range(start + 1, EVENTS + 1):
+        exchange.event(number)
+    exchange.end_stream()
+
+
+def stay_silent(exchange: ScriptedExchange) -> None:
+    """Answer nothing until the router leaves."""
+    exchange.wait_for_caller_close(10.0)
+
+
+def break_off(exchange: ScriptedExchange) -> None:
+    """Close the connection instead of an answer."""
+    exchange.close()
+
+
+OTHER_UPSTREAMS = [
+    ('no-other-upstream', None),
+    ('the-other-declines', lambda exchange: exchange.decline()),
+    ('the-other-fails', lambda exchange: exchange.answer(500)),
+    ('the-other-breaks-off', break_off),
+    ('the-other-is-silent-too', stay_silent),
+]
+
+
+# Guards against answers that end as a sound upstream was silent for a moment (LOST).
+@pytest.mark.parametrize(
+    'other',
+    [row[1] for row in OTHER_UPSTREAMS],
+    ids=[row[0] for row in OTHER_UPSTREAMS],
+)
+def test_answer_goes_on_after_a_silence_if_no_other_upstream_takes_over(
+    start_router: Callable[..., RunningRouter],
+    other: Callable[[ScriptedExchange], None] | None,
+) -> None:
+    router = start_router()
+    router.add('one', falling_silent)
+    sent = gevent.spawn(call, router, 'long')
+    router.wait(lambda: len(router.upstreams['one'].requests) == 1)
+    if other is not None:
+        router.add('two', other)
+    response = sent.get(timeout=8.0)
+    assert response.events() == [1, 2, 3, 4]
+    assert response.complete
+    assert len(router.upstreams['one'].requests) == 1
+
+
+# Guards against answers that end because an upstream that takes no connections was to
+# go on with them (LOST).
+def test_answer_goes_on_after_a_silence_if_the_other_upstream_is_down(
+    start_router: Callable[..., RunningRouter],
+) -> None:
+    router = start_router()
+    router.add('one', falling_silent)
+    sent = gevent.spawn(call, router, 'long')
+    router.wait(lambda: len(router.upstreams['one'].requests) == 1)
+    router.add('two', resume).stop()
+    response = sent.get(timeout=8.0)
+    assert (response.events(), response.complete) == ([1, 2, 3, 4], True)
+
+
+# Guards against answers that end after a silence as no retry is allowed (LOST).
+@pytest.mark.parametrize(
+    ('settings', 'max_runs'),
+    [({'retry_budget_limits': NO_RETRIES}, 2), ({}, 1)],
+    ids=['no-retry-budget', 'one-run'],
+)
+def test_answer_goes_on_after_a_silence_if_no_retry_is_allowed(
+    start_router: Callable[..., RunningRouter],
+    settings: dict[str, Any],
+    max_runs: int,
+) -> None:
+    router = start_router(**settings)
+    routes = router.router.feed.table.routes
+    for route in routes:
+        if route.name == 'long':
+            changed = route._replace(max_runs=max_runs)
+            router.router.feed.table._by_host[route.host][route.prefix] = changed
+    router.add('one', falling_silent)
+    sent = gevent.spawn(call, router, 'long')
+    router.wait(lambda: len(router.upstreams['one'].requests) == 1)
+    two = router.add('two', resume)
+    response = sent.get(timeout=8.0)
+    assert (response.events(), response.complete) == ([1, 2, 3, 4], True)
+    assert not two.requests
+
+
+CHANGES = [
+    ('key-revoked', {'workspaces': [{'name': 'north', 'keys': ['another']}]}),
+    ('route-removed', {'routes': []}),
+    ('service-removed', {'services': []}),
+]
+
+
+# Guards against answers that end after a silence beside a configuration change (LOST).
+@pytest.mark.parametrize(
+    'changes', [row[1] for row in CHANGES], ids=[row[0] for row in CHANGES]
+)
+def test_answer_goes_on_after_a_silence_beside_a_change(
+    start_router: Callable[..., RunningRouter], changes: dict[str, Any]
+) -> None:
+    router = start_router()
+    router.add('one', falling_silent)
+    sent = gevent.spawn(call, router, 'long')
+    router.wait(lambda: len(router.upstreams['one'].requests) == 1)
+    router.add('two', resume)
+    router.store.put(CONFIGURATION_KEY, configuration(2, **changes))
+    router.wait(lambda: router.router.feed.table.version == 2)
+    response = sent.get(timeout=8.0)
+    assert (response.events(), response.complete) == ([1, 2, 3, 4], True)
+
+
+def test_another_upstream_takes_over_from_one_that_stays_silent(
+    start_router: Callable[..., RunningRouter],
+) -> None:
+    router = start_router()
+    left_at: list[float] = []
+    begun_at: list[float] = []
+
+    def stop_midway(exchange: ScriptedExchange) -> None:
+        exchange.start_stream()
+        for number in range(1, BEFORE_SILENCE + 1):
+            exchange.event(number)
+        if exchange.wait_for_caller_close(8.0):
+            left_at.append(router.clock.monotonic())
+
+    def go_on(exchange: ScriptedExchange) -> None:
+        begun_at.append(router.clock.monotonic())
+        resume(exchange)
+
+    router.add('one', stop_midway)
+    sent = gevent.spawn(call, router, 'long')
+    router.wait(lambda: len(router.upstreams['one'].requests) == 1)
+    two = router.add('two', go_on)
+    response = sent.get(timeout=8.0)
+    assert (response.events(), response.complete) == ([1, 2, 3, 4], True)
+    assert [one.headers['last-event-id'] for one in two.requests] == ['2']
+    router.wait(lambda: bool(left_at))
+    assert left_at[0] - begun_at[0] < TAKEOVER_S
+
+
+def test_silent_upstream_that_goes_on_keeps_its_answer(
+    start_router: Callable[..., RunningRouter],
+) -> None:
+    router = start_router()
+    router.add('one', falling_silent)
+    sent = gevent.spawn(call, router, 'long')
+    router.wait(lambda: len(router.upstreams['one'].requests) == 1)
+    left: list[bool] = []
+
+    def wait(exchange: ScriptedExchange) -> None:
+        left.append(exchange.wait_for_caller_close(3.0))
+
+    router.add('two', wait)
+    response = sent.get(timeout=8.0)
+    assert (response.events(), response.complete) == ([1, 2, 3, 4], True)
+    router.wait(lambda: left == [True])
