Keep a request at a silent upstream until another one answers

Callers saw: an answer that ended in the middle beside a configuration change. Cause: an attempt whose upstream sent nothing for a second was closed before it was known whether another upstream could take over. Where the retry budget, the limit on runs, the admission or a changed key ruled that out, the answer was broken off although its upstream went on. Change: another upstream is asked first; the silent one is closed once that one has begun to answer, and keeps the request otherwise.

--- a/packages/router/src/rosemaryseam/router/admission.py
+++ b/packages/router/src/rosemaryseam/router/admission.py
@@ -9,6 +9,7 @@
     from rosemaryseam.router.faults import SendError
     from rosemaryseam.router.requests import AnswerHead, CallerRequest
     from rosemaryseam.router.routes import Route, Service, Workspace
+    from rosemaryseam.router.silence import OpenAnswer
 
 
 class AdmittedRequest(NamedTuple):
@@ -42,6 +43,8 @@
         # The last 5xx answer, which is relayed if no further attempt is made.
         self.error_answer: tuple[AnswerHead, bytes] | None = None
         self.retry_after_s: float | None = None  # when no upstream wants requests now
+        # The answer of an upstream that takes over from a silent one.
+        self.successor: OpenAnswer | None = None
 
 
 class RefusalError(Exception):
--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING
 
 import gevent
@@ -24,6 +25,7 @@
 from rosemaryseam.router.relay import StreamRelay, read_body, relay_answer
 from rosemaryseam.router.requests import UpstreamCall
 from rosemaryseam.router.routes import Repeat, pick_service
+from rosemaryseam.router.silence import NoTakeoverError, OpenAnswer, SilenceWatch
 
 if TYPE_CHECKING:
     import random
@@ -51,6 +53,12 @@
 MAX_RETURN_SPREAD = 1.25  # longest over shortest time at which refused callers return
 MIN_ATTEMPT_S = 0.02  # no retry with less time left
 FIRST_SERVER_ERROR_STATUS = 500
+SENDING_S = 0.5  # since the last bytes of an upstream that still sends some
+RESUMED_CHECK_INTERVAL_S = 0.02  # between two checks whether an upstream goes on
+
+
+class _AllQuietError(NoUpstreamError):
+    """All upstreams want a pause."""
 
 
 class Forwarder:
@@ -227,6 +235,9 @@
         except gevent.Timeout as exc:
             self._handle_timeout(admitted, attempts, reply)
             raise self._final_refusal(attempts, timed_out=True) from exc
+        finally:
+            if attempts.successor is not None:
+                attempts.successor.close()
 
     def _handle_timeout(
         self, admitted: AdmittedRequest, attempts: AttemptHistory, reply: Reply
@@ -248,31 +259,34 @@
         relay: StreamRelay,
         reply: Reply,
     ) -> bool:
-        """Send the request once; return whether the caller has its answer."""
-        ticket = self._place(admitted, attempts)
+        """Make one attempt; return whether the caller has its answer."""
+        answer, attempts.successor = attempts.successor, None
+        ticket = answer.ticket if answer else self._place(admitted, attempts)
         if ticket is None:
             self._report_failure(admitted, attempts, reply)
             return True
         outcome = 'cancelled'
         error_answer = attempts.error_answer
         try:
-            head = self._send(admitted, attempts, relay, reply, ticket)
-            outcome = 'failed' if head.status >= FIRST_SERVER_ERROR_STATUS else 'done'
+            if answer is None:
+                answer = self._open(admitted, attempts, relay, ticket)
+            else:
+                self._watch_silence(admitted, attempts, relay, answer.conn, ticket)
+            self._relay_answer(admitted, relay, reply, answer)
+            failed = answer.head.status >= FIRST_SERVER_ERROR_STATUS
+            outcome = 'failed' if failed else 'done'
             return True
-        except NotSentError as exc:
-            outcome = 'unreachable'
-            self._record_failure(admitted, attempts, ticket, exc)
-        except DeclinedError as exc:
-            outcome = 'declined'
-            self._record_failure(admitted, attempts, ticket, exc)
         except SilentError as exc:
             outcome = 'silent'
             self._record_failure(admitted, attempts, ticket, exc)
-        except BrokenError as exc:
-            outcome = 'failed_again' if attempts.runs else 'failed'
+            return False
+        except SendError as exc:
+            outcome = _outcome(exc, attempts)
             self._record_failure(admitted, attempts, ticket, exc)
-            if attempts.error_answer is error_answer and self._has_crashed(
-                admitted, ticket.upstream
+            if (
+                isinstance(exc, BrokenError)
+                and attempts.error_answer is error_answer
+                and self._has_crashed(admitted, ticket.upstream)
             ):
                 outcome = 'crashed'
         finally:
@@ -293,20 +307,35 @@
 
         :raises RefusalError: if there is no upstream for the first attempt
         """
+        try:
+            return self._find_ticket(admitted, attempts, attempts.excluded)
+        except NoUpstreamError as exc:
+            if isinstance(exc, _AllQuietError):
+                attempts.retry_after_s = exc.retry_after_s
+            if attempts.failure is not None:
+                log_event('retry_ruled_out', id=admitted.request.id, reason=str(exc))
+                return None
+            raise RefusalError(
+                503, ResultCode.NO_UPSTREAM, str(exc), exc.retry_after_s
+            ) from exc
+
+    def _find_ticket(
+        self,
+        admitted: AdmittedRequest,
+        attempts: AttemptHistory,
+        excluded: frozenset[str],
+    ) -> Ticket:
+        """Return a ticket for an upstream that is not excluded.
+
+        :raises NoUpstreamError: if there is none
+        """
         usable = self._registry.usable(admitted.service.name)
-        excluded = attempts.excluded | self._quiet.names(usable)
+        excluded |= self._quiet.names(usable)
         if usable and all(entry.id in excluded for entry in usable):
             # Nothing can be sent before the first of them wants requests again.
             wait_s = self._quiet.shortest_s(usable) or NO_UPSTREAM_RETRY_AFTER_S
-            attempts.retry_after_s = wait_s * self._rng.uniform(1.0, MAX_RETURN_SPREAD)
-            if attempts.failure is not None:
-                return None
-            raise RefusalError(
-                503,
-                ResultCode.NO_UPSTREAM,
-                'all upstreams want a pause',
-                attempts.retry_after_s,
-            )
+            wait_s *= self._rng.uniform(1.0, MAX_RETURN_SPREAD)
+            raise _AllQuietError('all upstreams want a pause', wait_s)
         unplaced = UnplacedRequest(
             admitted.request,
             admitted.route,
@@ -318,25 +347,20 @@
             admitted.expires_at,
             attempts.arrivals > 0,
         )
-        try:
-            return self._placer.place(unplaced, usable)
-        except NoUpstreamError as exc:
-            if attempts.failure is not None:
-                log_event('retry_ruled_out', id=admitted.request.id, reason=str(exc))
-                return None
-            raise RefusalError(
-                503, ResultCode.NO_UPSTREAM, str(exc), exc.retry_after_s
-            ) from exc
+        return self._placer.place(unplaced, usable)
 
-    def _send(
+    def _open(
         self,
         admitted: AdmittedRequest,
         attempts: AttemptHistory,
         relay: StreamRelay,
-        reply: Reply,
         ticket: Ticket,
-    ) -> AnswerHead:
-        """Send the request, relay the answer and return the answer's head."""
+        silent: UpstreamConnection | None = None,
+    ) -> OpenAnswer:
+        """Send the request and return its answer once the head has arrived.
+
+        :param silent: connection to the silent upstream that is to be replaced
+        """
         upstream = ticket.upstream
         expires_in_s = admitted.expires_at - self._clock.monotonic()
         call = UpstreamCall(
@@ -353,29 +377,24 @@
         conn = self._pool.acquire(upstream, recently_used=recently_used)
         try:
             self._check_key_again(admitted, attempts)
-        except BaseException:
-            conn.close()
-            raise
-        self._record_arrival(admitted, attempts)
-        log_event(
-            'request_sent',
-            id=admitted.request.id,
-            route=admitted.route.name,
-            version=admitted.version,
-            table_age_ms=int(self._feed.staleness_s() * 1000),
-            upstream=upstream.id,
-            attempt=attempts.arrivals,
-            reused=conn.requests_served,
-            left_ms=int(expires_in_s * 1000),
-            urgency=ticket.urgency,
-            **ticket.inputs,
-        )
-        try:
-            if admitted.route.repeat is not Repeat.NEVER:
-                # Events show whether a stream moves on; bytes show it of others.
-                conn.set_abort_check(
-                    ticket.is_overdue, while_receiving=admitted.route.streamed
-                )
+            self._record_arrival(admitted, attempts)
+            log_event(
+                'request_sent',
+                id=admitted.request.id,
+                route=admitted.route.name,
+                version=admitted.version,
+                table_age_ms=int(self._feed.staleness_s() * 1000),
+                upstream=upstream.id,
+                attempt=attempts.arrivals,
+                reused=conn.requests_served,
+                left_ms=int(expires_in_s * 1000),
+                urgency=ticket.urgency,
+                **ticket.inputs,
+            )
+            if silent is None:
+                self._watch_silence(admitted, attempts, relay, conn, ticket)
+            else:
+                _abort_when_resumed(conn, silent, ticket)
             conn.send(
                 admitted.request.method,
                 admitted.request.target,
@@ -385,13 +404,75 @@
             head = conn.read_head(admitted.request.id)
             self._apply_notices(upstream, head)
             ticket.on_answer_head(head)
-            self._relay_answer(admitted, attempts, relay, reply, ticket, conn, head)
+            self._check_head(admitted, attempts, upstream, conn, head)
         except BaseException:
             conn.close()
             raise
-        self._pool.release(upstream, conn)
-        self._log_answer(admitted, ticket, relay, head)
-        return head
+        return OpenAnswer(ticket, conn, head, conn.chunks())
+
+    # Upstreams that fall silent.
+
+    def _watch_silence(
+        self,
+        admitted: AdmittedRequest,
+        attempts: AttemptHistory,
+        relay: StreamRelay,
+        conn: UpstreamConnection,
+        ticket: Ticket,
+    ) -> None:
+        """Have another upstream take over when the upstream is silent for too long."""
+        if admitted.route.repeat is Repeat.NEVER:
+            return
+        watch = SilenceWatch(
+            ticket,
+            admitted.request.id,
+            self._clock,
+            lambda: self._take_over(admitted, attempts, relay, conn, ticket),
+        )
+        # Events show whether a stream moves on; bytes show it of others.
+        streamed = admitted.route.streamed
+        conn.set_abort_check(watch.is_replaced, while_receiving=streamed)
+
+    def _take_over(
+        self,
+        admitted: AdmittedRequest,
+        attempts: AttemptHistory,
+        relay: StreamRelay,
+        silent: UpstreamConnection,
+        silent_ticket: Ticket,
+    ) -> None:
+        """Have another upstream answer the request of a silent one.
+
+        The silent upstream keeps the request until the other one has begun its answer.
+
+        :raises NoTakeoverError: if no other upstream answers, or the silent one goes on
+        """
+        obstacle = self._retry_obstacle(admitted, attempts, relay, silent_runs=1)
+        if obstacle is not None:
+            raise NoTakeoverError(obstacle)
+        excluded = attempts.excluded | {silent_ticket.upstream.id}
+        try:
+            ticket = self._find_ticket(admitted, attempts, excluded)
+        except NoUpstreamError as exc:
+            raise NoTakeoverError(str(exc), exc.retry_after_s) from exc
+        outcome = 'cancelled'
+        try:
+            answer = self._open(admitted, attempts, relay, ticket, silent)
+            if admitted.route.streamed:
+                answer = _wait_for_chunk(answer)
+        except RefusalError as exc:
+            raise NoTakeoverError(str(exc)) from exc
+        except SendError as exc:
+            resumed = isinstance(exc, SilentError) and not ticket.is_overdue()
+            outcome = 'cancelled' if resumed else _outcome(exc, attempts)
+            self._record_failure(admitted, attempts, ticket, exc)
+            raise NoTakeoverError(exc.message) from exc
+        else:
+            outcome = ''
+            attempts.successor = answer
+        finally:
+            if outcome:
+                ticket.end(outcome)
 
     def _apply_notices(self, upstream: Upstream, head: AnswerHead) -> None:
         """Apply what the head of an answer says about further requests."""
@@ -410,33 +491,50 @@
         self._placer.report_left(upstream)
         self._feed.mark_left(upstream, 'left')
 
-    def _relay_answer(
+    def _check_head(
         self,
         admitted: AdmittedRequest,
         attempts: AttemptHistory,
-        relay: StreamRelay,
-        reply: Reply,
-        ticket: Ticket,
+        upstream: Upstream,
         conn: UpstreamConnection,
         head: AnswerHead,
     ) -> None:
+        """Check that an answer is one that can be relayed.
+
+        :raises SendError: if it is not
+        """
         if head.declined:
-            raise DeclinedError(f'{ticket.upstream.id} declined: {head.status}', head)
+            raise DeclinedError(f'{upstream.id} declined: {head.status}', head)
         if head.encoded or (head.status < 300 and not head.signed):
-            raise ForeignBytesError(f'{ticket.upstream.id}: not its own answer')
+            raise ForeignBytesError(f'{upstream.id}: not its own answer')
         if not head.signed and head.status in (408, 421, 429, 503):
-            raise ForeignBytesError(f'{ticket.upstream.id}: an unsigned promise')
+            raise ForeignBytesError(f'{upstream.id}: an unsigned promise')
         if (
             head.status >= FIRST_SERVER_ERROR_STATUS
             and admitted.route.repeat is not Repeat.NEVER
         ):
             attempts.error_answer = (head, read_body(conn.chunks()))
-            raise BrokenError(f'{ticket.upstream.id} answered {head.status}')
-        if admitted.route.streamed and head.status < 300:
-            relay.relay_stream(head, conn.chunks(), ticket)
-        else:
-            bodyless = admitted.request.method == b'HEAD'
-            relay_answer(head, conn.chunks(), reply, bodyless=bodyless)
+            raise BrokenError(f'{upstream.id} answered {head.status}')
+
+    def _relay_answer(
+        self,
+        admitted: AdmittedRequest,
+        relay: StreamRelay,
+        reply: Reply,
+        answer: OpenAnswer,
+    ) -> None:
+        ticket, conn, head, chunks = answer
+        try:
+            if admitted.route.streamed and head.status < 300:
+                relay.relay_stream(head, chunks, ticket)
+            else:
+                bodyless = admitted.request.method == b'HEAD'
+                relay_answer(head, chunks, reply, bodyless=bodyless)
+        except BaseException:
+            conn.close()
+            raise
+        self._pool.release(ticket.upstream, conn)
+        self._log_answer(admitted, ticket, relay, head)
 
     # Retries.
 
@@ -498,16 +596,24 @@
         return True
 
     def _retry_obstacle(
-        self, admitted: AdmittedRequest, attempts: AttemptHistory, relay: StreamRelay
+        self,
+        admitted: AdmittedRequest,
+        attempts: AttemptHistory,
+        relay: StreamRelay,
+        silent_runs: int = 0,
     ) -> str | None:
-        """Return why a request may not be sent again, or ``None`` if it may."""
+        """Return why a request may not be sent again, or ``None`` if it may.
+
+        :param silent_runs: runs at silent upstreams, which have not failed yet
+        """
         now = self._clock.monotonic()
+        runs = attempts.runs + silent_runs
         repeat = admitted.route.repeat
         if admitted.expires_at - now < MIN_ATTEMPT_S:
             return 'too little time left'
-        if attempts.runs and repeat is Repeat.NEVER:
+        if runs and repeat is Repeat.NEVER:
             return 'it may have run'
-        if attempts.runs >= max(1, admitted.route.max_runs):
+        if runs >= max(1, admitted.route.max_runs):
             return 'it may not run once more'
         if relay.started and repeat is not Repeat.RESUME:
             return 'its answer has begun'
@@ -613,3 +719,42 @@
             events=relay.event_count,
             unfinished_bytes=relay.unfinished_bytes,
         )
+
+
+def _outcome(exc: SendError, attempts: AttemptHistory) -> str:
+    """Return the outcome of an attempt that failed, as passed to its ticket."""
+    if isinstance(exc, NotSentError):
+        return 'unreachable'
+    if isinstance(exc, DeclinedError):
+        return 'declined'
+    if isinstance(exc, SilentError):
+        return 'silent'
+    return 'failed_again' if attempts.runs else 'failed'
+
+
+def _abort_when_resumed(
+    conn: UpstreamConnection, silent: UpstreamConnection, ticket: Ticket
+) -> None:
+    """Stop to wait for an answer when the silent upstream goes on.
+
+    An upstream that was overdue although it sent bytes does not go on with more bytes.
+    """
+    sends_bytes = silent.silence_s() < SENDING_S
+
+    def should_abort() -> bool:
+        resumed = not sends_bytes and silent.has_unread_bytes()
+        return resumed or ticket.is_overdue()
+
+    conn.set_abort_check(
+        should_abort, while_receiving=False, interval_s=RESUMED_CHECK_INTERVAL_S
+    )
+
+
+def _wait_for_chunk(answer: OpenAnswer) -> OpenAnswer:
+    """Return an answer once the first part of its body has arrived."""
+    try:
+        first = next(answer.chunks, b'')
+    except BaseException:
+        answer.conn.close()
+        raise
+    return answer._replace(chunks=itertools.chain((first,), answer.chunks))
--- a/packages/router/src/rosemaryseam/router/upstreamconnection.py
+++ b/packages/router/src/rosemaryseam/router/upstreamconnection.py
@@ -52,7 +52,9 @@
         self._receiver = FairReceiver(sock)
         self._should_abort: Callable[[], bool] = _never
         self._aborts_while_receiving = False
+        self._check_interval_s = ABORT_CHECK_INTERVAL_S
         self._checked_at = 0.0
+        self._received_at = clock.monotonic()
         self._codec = codec
         self._clock = clock
         self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
@@ -73,6 +75,18 @@
             return False
         return not readable and not self._http.trailing_data[0]
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether the upstream sent bytes that were not read yet."""
+        try:
+            readable, _, _ = select.select([self._sock.fileno()], [], [], 0)
+            return bool(readable and self._sock.recv(1, std_socket.MSG_PEEK))
+        except (OSError, ValueError):
+            return False
+
+    def silence_s(self) -> float:
+        """Return the time since the last bytes were read, in seconds."""
+        return self._clock.monotonic() - self._received_at
+
     def idle_s(self) -> float:
         """Return the time since the last answer was complete, in seconds."""
         return self._clock.monotonic() - self.last_used
@@ -108,14 +122,20 @@
             self._writer = gevent.spawn(self._write_ignoring_errors, data)
 
     def set_abort_check(
-        self, should_abort: Callable[[], bool], *, while_receiving: bool
+        self,
+        should_abort: Callable[[], bool],
+        *,
+        while_receiving: bool,
+        interval_s: float = ABORT_CHECK_INTERVAL_S,
     ) -> None:
         """Set a function that is called periodically while waiting for the answer.
 
         :param should_abort: returns whether to stop waiting for the upstream
         :param while_receiving: whether to call it also while bytes arrive
+        :param interval_s: time between two calls, in seconds
         """
         self._should_abort = should_abort
+        self._check_interval_s = interval_s
         self._aborts_while_receiving = while_receiving
         self._checked_at = self._clock.monotonic()
 
@@ -217,10 +237,12 @@
         while True:
             data = None
             try:
-                with gevent.Timeout(ABORT_CHECK_INTERVAL_S, False):
+                with gevent.Timeout(self._check_interval_s, False):
                     data = self._receiver.recv(READ_BYTES)
             except OSError as exc:
                 raise BrokenError(f'the connection failed: {exc}') from exc
+            if data:
+                self._received_at = self._clock.monotonic()
             if self._must_check(data) and self._should_abort():
                 raise SilentError('the upstream fell silent')
             if data is not None:
@@ -233,7 +255,7 @@
         now = self._clock.monotonic()
         if not data or not self._aborts_while_receiving:
             return False
-        if now - self._checked_at < ABORT_CHECK_INTERVAL_S:
+        if now - self._checked_at < self._check_interval_s:
             return False
         self._checked_at = now
         return True
