Give up requests at silent upstreams that have started again

Callers saw: nothing until their deadline, from an engine that had crashed. Cause: only silence told of a crash that leaves the connection open, and since a silent upstream keeps its requests it no longer ends them. Change: a request whose upstream is silent is broken off, and repeated where it may be, once a later incarnation is registered at the upstream's address. Evidence: the case of a stream that may run once failed before (no answer within 1.8 s).

--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -421,13 +421,17 @@
         ticket: Ticket,
     ) -> None:
         """Have another upstream take over when the upstream is silent for too long."""
-        if admitted.route.repeat is Repeat.NEVER:
-            return
+
+        def take_over() -> None:
+            self._take_over(admitted, attempts, relay, conn, ticket)
+
+        may_repeat = admitted.route.repeat is not Repeat.NEVER
         watch = SilenceWatch(
             ticket,
             admitted.request.id,
             self._clock,
-            lambda: self._take_over(admitted, attempts, relay, conn, ticket),
+            self._registry,
+            take_over if may_repeat else None,
         )
         # Events show whether a stream moves on; bytes show it of others.
         streamed = admitted.route.streamed
--- a/packages/router/src/rosemaryseam/router/silence.py
+++ b/packages/router/src/rosemaryseam/router/silence.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from rosemaryseam.common.decisionlog import log_event
+from rosemaryseam.router.faults import BrokenError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -13,6 +14,7 @@
     from rosemaryseam.router.placement import Ticket
     from rosemaryseam.router.requests import AnswerHead
     from rosemaryseam.router.upstreamconnection import UpstreamConnection
+    from rosemaryseam.router.upstreams import Registry
 
 TAKEOVER_INTERVAL_S = 0.5  # at least, between two attempts to have another take over
 
@@ -52,8 +54,9 @@
     :param ticket: ticket of the request
     :param request_id: id of the request
     :param clock: clock of the process
+    :param registry: tells whether the upstream has started again
     :param take_over: has another upstream answer the request; raises
-        :exc:`NoTakeoverError` if none does
+        :exc:`NoTakeoverError` if none does; ``None`` if none may
     """
 
     def __init__(
@@ -61,19 +64,28 @@
         ticket: Ticket,
         request_id: str,
         clock: Clock,
-        take_over: Callable[[], None],
+        registry: Registry,
+        take_over: Callable[[], None] | None,
     ) -> None:
         self._ticket = ticket
         self._request_id = request_id
         self._clock = clock
+        self._registry = registry
         self._take_over = take_over
         self._next_try_at = 0.0
         self._logged: str | None = None
 
     def is_replaced(self) -> bool:
-        """Return whether another upstream has taken over the request."""
+        """Return whether another upstream has taken over the request.
+
+        :raises BrokenError: if the silent upstream's process has ended
+        """
         if not self._ticket.is_overdue():
             return False
+        if self._registry.is_succeeded(self._ticket.upstream):
+            raise BrokenError(f'{self._ticket.upstream.id} has started again')
+        if self._take_over is None:
+            return False
         # The dispatcher must not wait for the end to avoid this upstream.
         self._ticket.end('silent')
         if self._clock.monotonic() < self._next_try_at:
--- a/packages/router/src/rosemaryseam/router/upstreams.py
+++ b/packages/router/src/rosemaryseam/router/upstreams.py
@@ -78,6 +78,17 @@
         """
         return upstream in self._by_service.get(upstream.service, ())
 
+    def is_succeeded(self, upstream: Upstream) -> bool:
+        """Return whether a later incarnation has taken an upstream's address.
+
+        :param upstream: incarnation of the upstream
+        """
+        return any(
+            entry.upstream.address == upstream.address
+            and entry.upstream.born > upstream.born
+            for entry in self._entries.values()
+        )
+
     def all(self) -> tuple[Upstream, ...]:
         """Return all usable upstreams."""
         return tuple(
--- a/tests/test_router/test_silent_upstreams.py
+++ b/tests/test_router/test_silent_upstreams.py
@@ -10,7 +10,7 @@
 from routers import RunningRouter, configuration
 
 from rosemaryseam.policy.retrybudget import RetryBudgetLimits
-from rosemaryseam.router.documentcodec import CONFIGURATION_KEY
+from rosemaryseam.router.documentcodec import CONFIGURATION_KEY, UPSTREAM_PREFIX
 from rosemaryseam.router.routes import EngineProfile
 
 if TYPE_CHECKING:
@@ -234,3 +234,34 @@
     response = sent.get(timeout=8.0)
     assert (response.events(), response.complete) == ([1, 2, 3, 4], True)
     router.wait(lambda: left == [True])
+
+
+# Guards against answers that are waited for although their upstream has crashed.
+@pytest.mark.parametrize(
+    ('route', 'seen', 'complete'),
+    [('long', [1, 2, 3, 4], True), ('once', [1, 2], False)],
+)
+def test_silent_upstream_that_started_again_ends_its_requests(
+    start_router: Callable[..., RunningRouter],
+    route: str,
+    seen: list[int],
+    complete: bool,
+) -> None:
+    router = start_router()
+
+    def answer(exchange: ScriptedExchange) -> None:
+        if 'last-event-id' in exchange.request.headers:
+            resume(exchange)
+            return
+        exchange.start_stream()
+        for number in range(1, BEFORE_SILENCE + 1):
+            exchange.event(number)
+        exchange.wait_for_caller_close(10.0)
+
+    one = router.add('one', answer)
+    sent = gevent.spawn(call, router, route)
+    router.wait(lambda: len(one.requests) == 1)
+    router.store.delete(UPSTREAM_PREFIX + 'one')
+    router.store.put(UPSTREAM_PREFIX + 'again', one.registry_entry('work', born=2))
+    response = sent.get(timeout=1.8)
+    assert (response.events(), response.complete) == (seen, complete)
