Let a request expire while it waits for a dispatcher

Cause: the wait for a reply caught every gevent.Timeout, so also that of the request, which then had no time limit any more. Change: the wait ends without a reply only at its own limit.

--- a/packages/router/src/rosemaryseam/router/dispatch.py
+++ b/packages/router/src/rosemaryseam/router/dispatch.py
@@ -8,7 +8,6 @@
 import math
 from typing import TYPE_CHECKING
 
-import gevent
 from gevent.event import AsyncResult
 
 from rosemaryseam.common.decisionlog import log_event
@@ -329,7 +328,5 @@
 
 
 def _wait_for_reply(result: AsyncResult, timeout_s: float) -> Reply | None:
-    try:
-        return result.get(timeout=timeout_s)
-    except gevent.Timeout:
-        return None
+    # Unlike get(), this raises only foreign timeouts, such as the request's own.
+    return result.wait(timeout_s)
