Test requests that arrive as idle connections close

A stop closes connections as idle whose bytes were not read yet. The three cases with a complete unread request fail on this code: the connection ended without an answer. The case of a connection without bytes passes.

--- a/tests/test_router/test_no_silent_end.py
+++ b/tests/test_router/test_no_silent_end.py
@@ -10,11 +10,13 @@
 from gevent import socket
 from routers import (
     KEY,
+    HttpCaller,
     RunningFleet,
+    RunningRouter,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from rosemaryseam.standins.scripted import ScriptedExchange
 
@@ -43,6 +45,61 @@
     return data[9:12]
 
 
+# Connections at the moment at which the router closes the idle ones.
+
+
+def kept(running: RunningRouter) -> HttpCaller:
+    """Return a connection on which a request was answered."""
+    conn = HttpCaller(running.cfg.callers)
+    assert conn.call('safe').status == 200
+    return conn
+
+
+def new(running: RunningRouter) -> HttpCaller:
+    """Return a connection on which nothing was sent."""
+    conn = HttpCaller(running.cfg.callers)
+    running.wait(lambda: running.router.callers.open_connections == 1)
+    return conn
+
+
+UNREAD = [
+    ('kept-connection', kept, 0),
+    ('new-connection', new, 0),
+    ('rest-of-a-head', kept, HALF),
+]
+
+
+# Guards against connections closed as idle with a complete request still unread.
+@pytest.mark.parametrize(
+    ('connect', 'sent_before'),
+    [row[1:] for row in UNREAD],
+    ids=[row[0] for row in UNREAD],
+)
+def test_a_request_that_arrives_as_idle_connections_close_is_answered(
+    router: RunningRouter,
+    connect: Callable[[RunningRouter], HttpCaller],
+    sent_before: int,
+) -> None:
+    router.add('one', answer)
+    conn = connect(router)
+    conn.sock.sendall(REQUEST[:sent_before])
+    gevent.sleep(0.05)
+    conn.sock.sendall(REQUEST[sent_before:])  # the router gets no turn to read this
+    router.router.callers.begin_drain()
+    router.router.callers.close_idle()
+    assert read_status(conn.sock) == b'200'
+    conn.close()
+
+
+# Guards against idle connections that a stop leaves open.
+def test_connections_without_bytes_close_as_idle(router: RunningRouter) -> None:
+    router.add('one', answer)
+    conn = kept(router)
+    router.router.callers.close_idle()
+    assert read_status(conn.sock) == b''
+    router.wait(lambda: not router.router.callers.open_connections)
+
+
 # Time limits that end at the same place.
 
 
