Close no connection as idle that has an unread request

Cause: a connection counts as idle until a complete head was read, so that a stop closed it with a complete request in its socket. Change: connections with bytes that belong to no request yet stay open.

--- a/packages/router/src/rosemaryseam/router/callers.py
+++ b/packages/router/src/rosemaryseam/router/callers.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import os
+import select
 import socket as std_socket
 import struct
 import traceback
@@ -165,9 +166,9 @@
             conn.close()
 
     def close_idle(self) -> None:
-        """Close the connections without a request in flight."""
+        """Close the connections without a request in flight or on its way in."""
         for conn in list(self._connections):
-            if conn.is_idle:
+            if conn.is_idle and not conn.has_unserved_bytes():
                 conn.close()
 
     @property
@@ -244,6 +245,17 @@
         except OSError as exc:
             raise CallerGoneError(str(exc)) from exc
 
+    def has_unserved_bytes(self) -> bool:
+        """Return whether the caller sent bytes that belong to no request yet."""
+        if self._http.trailing_data[0]:
+            return True
+        descriptor = self._sock.fileno()
+        if descriptor < 0:
+            return False
+        poller = select.poll()
+        poller.register(descriptor, select.POLLIN)
+        return bool(poller.poll(0))
+
     def must_close(self) -> bool:
         """Return whether to add ``Connection: close`` to answers."""
         return self._server.draining
