Test requests that arrive as the process ends

The stop ends right after it accepted the last connections, before it read from them. Both cases fail on this code: the connection ended without an answer.

--- a/tests/test_router/test_no_silent_end.py
+++ b/tests/test_router/test_no_silent_end.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket as std_socket
 import time
 from typing import TYPE_CHECKING
 
@@ -100,6 +101,55 @@
     router.wait(lambda: not router.router.callers.open_connections)
 
 
+# Guards against a process that exits with a complete request still unread.
+@pytest.mark.parametrize('connection', ['in-the-accept-queue', 'kept-connection'])
+def test_a_request_that_arrives_as_the_process_ends_is_answered(
+    monkeypatch: pytest.MonkeyPatch, connection: str
+) -> None:
+    def outlive_the_idle(exchange: ScriptedExchange) -> None:
+        if '/stream/' not in exchange.request.target:
+            answer(exchange)
+            return
+        exchange.start_stream()
+        exchange.event(1)  # before the stop, so that its head doesn't announce it
+        gevent.sleep(1.2)
+        exchange.end_stream()
+
+    running = RunningRouter(grace_s=2.0)
+    running.start()
+    running.add('one', outlive_the_idle)
+    conn = HttpCaller(running.cfg.callers)
+    first = gevent.spawn(conn.call, 'stream')
+    gevent.sleep(0.1)
+    late: list[std_socket.socket] = []
+    callers = running.router.callers
+    stop_accepting = callers.stop_accepting
+
+    def stop_beside_a_request() -> None:
+        if connection == 'in-the-accept-queue':
+            late.append(std_socket.create_connection(tuple(running.cfg.callers)))
+            late[0].sendall(REQUEST)
+        else:
+            conn.sock.sendall(REQUEST)
+        stop_accepting()
+
+    monkeypatch.setattr(callers, 'stop_accepting', stop_beside_a_request)
+
+    def run_process() -> None:
+        running.router.wait()
+        running.router.kill()
+
+    running.router.request_stop()
+    process = gevent.spawn(run_process)
+    response = first.get(timeout=END_S)
+    assert (response.complete, response.headers.get('connection')) == (True, None)
+    process.get(timeout=END_S)
+    sock = socket.socket(fileno=late[0].detach()) if late else conn.sock
+    assert read_status(sock) == b'200'
+    sock.close()
+    running.stop()
+
+
 # Time limits that end at the same place.
 
 
