Serve the requests that arrive as the process ends

Cause: the stop ended as soon as no request was in flight, right after it had accepted the last connections and before it read from them. Change: it serves the connections that are left, closes those without bytes and ends when none is open, at the cutoff at the latest.

--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -210,6 +210,7 @@
         while self.callers.busy_connections and self._clock.monotonic() < cutoff_at:
             gevent.sleep(DRAIN_POLL_S)
         self.callers.stop_accepting()
+        self._serve_last_connections(cutoff_at)
         log_event('stopped', cut_off=self.callers.busy_connections)
         gevent.killall(self._background, block=False)
 
@@ -262,6 +263,13 @@
         """Write the whole state to the log."""
         log_event('dump', state=json.loads(json.dumps(self.dump(), default=str)))
 
+    def _serve_last_connections(self, cutoff_at: float) -> None:
+        """Serve the requests that arrived since the idle connections were closed."""
+        gevent.sleep(DRAIN_POLL_S)  # connections accepted last are not open before
+        while self.callers.open_connections and self._clock.monotonic() < cutoff_at:
+            self.callers.close_idle()
+            gevent.sleep(DRAIN_POLL_S)
+
     def _caller_limits(self) -> CallerLimits:
         table = self.feed.table
         return table.limits if table is not None else CallerLimits()
