--- a/tests/test_router/test_no_silent_end.py
+++ b/tests/test_router/test_no_silent_end.py
@@ -11,11 +11,15 @@
 from gevent import socket
 from routers import (
     KEY,
+    ROUTES,
     HttpCaller,
     RunningFleet,
     RunningRouter,
+    configuration,
 )
 
+from rosemaryseam.router.documentcodec import CONFIGURATION_KEY
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
@@ -46,6 +50,16 @@
     return data[9:12]
 
 
+def put_routes(running: RunningRouter, routes: dict, **changes: object) -> None:
+    """Write a configuration with these routes, before the router starts."""
+    entries = [
+        {'name': name, 'host': 'h.example', 'prefix': f'/{name}/', **fields}
+        | {'services': [{'service': 'work'}]}
+        for name, fields in routes.items()
+    ]
+    running.store.put(CONFIGURATION_KEY, configuration(2, routes=entries, **changes))
+
+
 # Connections at the moment at which the router closes the idle ones.
 
 
@@ -150,6 +164,32 @@
     running.stop()
 
 
+# Guards against a stop that cuts requests off without telling their callers.
+@pytest.mark.parametrize('route', ['long', 'unsafe-long'])
+def test_a_request_without_an_answer_at_the_cutoff_is_refused(route: str) -> None:
+    running = RunningRouter(grace_s=2.0)
+    extra = {'unsafe-long': {'repeat': 'never', 'max_runs': 1, 'timeout_s': 15.0}}
+    put_routes(running, {**ROUTES, **extra})
+    running.start()
+    running.add('one', lambda _: gevent.sleep(8.0))
+    call = gevent.spawn(running.call, route, patience_ms=10_000)
+    running.wait(lambda: running.router.callers.busy_connections == 1)
+
+    def run_process() -> None:
+        running.router.wait()
+        running.router.kill()
+
+    running.router.request_stop()
+    began = time.monotonic()
+    process = gevent.spawn(run_process)
+    response = call.get(timeout=END_S)
+    process.get(timeout=END_S)
+    assert (response.status, response.complete) == (504, True)
+    assert response.headers['connection'] == 'close'
+    assert time.monotonic() - began < running.cfg.grace_s
+    running.stop()
+
+
 # Time limits that end at the same place.
 
 
