Refuse requests without an answer at the cutoff of a stop

Cause: the process ended with requests in flight, so that the kernel closed their connections without a word. Change: at the cutoff the request ends as if it had expired: 504, or 503 if no upstream got it, and an answer that has begun is broken off.

--- a/packages/router/src/rosemaryseam/router/callers.py
+++ b/packages/router/src/rosemaryseam/router/callers.py
@@ -22,7 +22,7 @@
 from rosemaryseam.common.fairness import FairReceiver
 from rosemaryseam.router.codec import RequestHead
 from rosemaryseam.router.earlylisten import LISTEN_BACKLOG
-from rosemaryseam.router.reply import CallerGoneError, Reply
+from rosemaryseam.router.reply import CallerGoneError, CutOffError, Reply
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -171,6 +171,11 @@
             if conn.is_idle and not conn.has_unserved_bytes():
                 conn.close()
 
+    def cut_off(self) -> None:
+        """Refuse the requests in flight; break off the answers that have begun."""
+        for conn in list(self._connections):
+            get_hub().loop.run_callback(conn.cut_off)
+
     @property
     def open_connections(self) -> int:
         """The number of open connections of callers."""
@@ -210,6 +215,7 @@
         self._read_ahead = bytearray()
         self._eof = False
         self._reset_on_close = False
+        self._handler: gevent.Greenlet | None = None  # while it answers a request
         self.is_idle = True
         sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
 
@@ -256,6 +262,11 @@
         poller.register(descriptor, select.POLLIN)
         return bool(poller.poll(0))
 
+    def cut_off(self) -> None:
+        """End the request in flight; called by the event loop."""
+        if self._handler is not None:
+            self._handler.throw(CutOffError('the process ends'))
+
     def must_close(self) -> bool:
         """Return whether to add ``Connection: close`` to answers."""
         return self._server.draining
@@ -465,9 +476,11 @@
                 watcher.stop()
 
         watcher.start(on_readable)
+        self._handler = greenlet
         try:
             yield
         finally:
+            self._handler = None
             watcher.stop()
             watcher.close()
 
--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -23,6 +23,7 @@
 from rosemaryseam.router.placement import NoUpstreamError, UnplacedRequest
 from rosemaryseam.router.quiet import QuietPeriods
 from rosemaryseam.router.relay import StreamRelay, read_body, relay_answer
+from rosemaryseam.router.reply import CutOffError
 from rosemaryseam.router.requests import UpstreamCall
 from rosemaryseam.router.routes import Repeat, pick_service
 from rosemaryseam.router.silence import NoTakeoverError, OpenAnswer, SilenceWatch
@@ -232,15 +233,22 @@
             with gevent.Timeout(max(0.0, expires_in_s)):
                 while not self._attempt(admitted, attempts, relay, reply):
                     pass
-        except gevent.Timeout as exc:
-            self._handle_timeout(admitted, attempts, reply)
+        except (gevent.Timeout, CutOffError) as exc:
+            self._handle_timeout(
+                admitted, attempts, reply, cut_off=isinstance(exc, CutOffError)
+            )
             raise self._final_refusal(attempts, timed_out=True) from exc
         finally:
             if attempts.successor is not None:
                 attempts.successor.close()
 
     def _handle_timeout(
-        self, admitted: AdmittedRequest, attempts: AttemptHistory, reply: Reply
+        self,
+        admitted: AdmittedRequest,
+        attempts: AttemptHistory,
+        reply: Reply,
+        *,
+        cut_off: bool,
     ) -> None:
         log_event(
             'request_timed_out',
@@ -248,6 +256,7 @@
             route=admitted.route.name,
             arrivals=attempts.arrivals,
             started=reply.started,
+            cut_off=cut_off,
         )
         if reply.started:
             reply.abort()
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -47,6 +47,7 @@
 SWEEP_INTERVAL_S = 0.2  # between two removals of expired entries and connections
 READINESS_LAG_S = 2.9  # probed each second; two failures end new connections
 CUTOFF_MARGIN_S = 0.6  # before the kill, to end the remaining requests in order
+CUTOFF_S = 0.1  # for the refusals of the remaining requests to be written
 DRAIN_POLL_S = 0.05  # between two checks for requests in flight
 FIRST_TABLE_TIMEOUT_S = 0.5  # a healthy store answers in milliseconds
 START_POLL_S = 0.005  # between two checks for the first routing table
@@ -212,6 +213,8 @@
         self.callers.stop_accepting()
         self._serve_last_connections(cutoff_at)
         log_event('stopped', cut_off=self.callers.busy_connections)
+        self.callers.cut_off()
+        gevent.sleep(CUTOFF_S)
         gevent.killall(self._background, block=False)
 
     def kill(self) -> None:
--- a/packages/router/src/rosemaryseam/router/reply.py
+++ b/packages/router/src/rosemaryseam/router/reply.py
@@ -15,6 +15,10 @@
     """Raised when the connection to a caller ends before the answer is complete."""
 
 
+class CutOffError(CallerGoneError):
+    """Raised in a request whose answer can't end before the process does."""
+
+
 class Reply(abc.ABC):
     """Writes one answer; ``started`` is true once the head was written."""
 
