Test answers that can't go on elsewhere but are given up

The limit on silence ends an attempt so that another upstream can answer. It ends also answers that have begun and can't be continued. All three cases, long answers and a stream on a route without resume, fail on this code: 200, then broken off, while the upstream paused for 0.5 s.

--- a/tests/test_router/test_no_silent_end.py
+++ b/tests/test_router/test_no_silent_end.py
@@ -218,3 +218,44 @@
     response = host.call('unsafe', patience_ms=patience_ms)
     assert (response.status, response.complete) == (503, True)
     assert time.monotonic() - began < 0.5
+
+
+# Guards against answers broken off by a limit that only serves a retry elsewhere.
+@pytest.mark.parametrize(
+    ('path', 'streamed', 'repeat'),
+    [
+        ('bytes', False, 'whole'),
+        ('bytes', False, 'resume'),
+        ('events', True, 'whole'),
+    ],
+    ids=['long-answer', 'long-answer-with-resume', 'stream-that-cannot-resume'],
+)
+def test_an_answer_that_cannot_go_on_elsewhere_is_not_given_up(
+    path: str, streamed: bool, repeat: str
+) -> None:
+    part = b'x' * 300_000 if path == 'bytes' else b'data: x\n\n'
+
+    def script(exchange: ScriptedExchange) -> None:
+        if path not in exchange.request.target:
+            answer(exchange)
+            return
+        media_type = 'text/event-stream' if streamed else 'text/plain'
+        fields = exchange.headers(Content_Type=media_type)
+        exchange.start(200, {**fields, 'Content-Length': str(4 * len(part))})
+        for _ in range(4):
+            exchange.send_raw(part)
+            gevent.sleep(0.5)
+
+    safe = {**ROUTES['safe'], 'timeout_s': 5.0, 'target_s': 0.2}
+    safe.update(streamed=streamed, repeat=repeat)
+    running = RunningRouter()
+    put_routes(running, {**ROUTES, 'safe': safe})
+    running.start()
+    running.add('one', script)
+    with running.connection() as conn:
+        for _ in range(25):  # the limit is derived from earlier answers
+            assert conn.call('safe').status == 200
+        response = conn.call('safe', path=path)
+    assert (response.status, response.complete) == (200, True)
+    assert len(response.body) == 4 * len(part)
+    running.stop()
