Repeat no answer that has begun unless it is a resumed stream

Callers saw: an answer that is not streamed broke off when its upstream paused, on routes that may be resumed. Cause: such a route counted as one whose answer another upstream can continue, although only streams of events tell where to go on. Change: an answer that has begun is continued elsewhere only if it is a stream on a route that may be resumed. Result: the cases of test_an_answer_that_cannot_go_on_elsewhere_is_not_given_up pass; all failed before silent upstreams kept their requests.

--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -628,7 +628,8 @@
             return 'it may have run'
         if runs >= max(1, admitted.route.max_runs):
             return 'it may not run once more'
-        if relay.started and repeat is not Repeat.RESUME:
+        resumes = admitted.route.streamed and repeat is Repeat.RESUME
+        if relay.started and not resumes:
             return 'its answer has begun'
         budget = self._budget(admitted.service.name)
         if attempts.arrivals and not budget.allows_retry(now, self._count_hosts()):
