--- a/tests/test_router/test_silent_upstreams.py
+++ b/tests/test_router/test_silent_upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import time
 from typing import TYPE_CHECKING, Any
 
 import gevent
@@ -24,6 +25,7 @@
 BEFORE_SILENCE = 2  # events
 SILENCE_S = 1.6
 TAKEOVER_S = 0.4  # by then a replaced upstream must stop to work on a request
+EVENT_DELAY_S = 0.12  # from the upstream to the caller
 NO_RETRIES = RetryBudgetLimits(0.0, 0.0, 10.0)
 _OWN_PARTS = itertools.count(0x2000)
 
@@ -265,3 +267,200 @@
     router.store.put(UPSTREAM_PREFIX + 'again', one.registry_entry('work', born=2))
     response = sent.get(timeout=1.8)
     assert (response.events(), response.complete) == (seen, complete)
+
+
+def drip(exchange: ScriptedExchange, seconds: float) -> None:
+    """Send comment lines, which belong to no event yet."""
+    for _ in range(round(seconds / 0.1)):
+        gevent.sleep(0.1)
+        exchange.chunk(b':\n')
+
+
+# Guards against a stream that ends as the upstream that was to go on with it answers
+# that it can't (LOST).
+@pytest.mark.parametrize('status', [404, 400, 410])
+def test_answer_goes_on_after_a_silence_if_the_other_upstream_refuses_to_resume(
+    start_router: Callable[..., RunningRouter], status: int
+) -> None:
+    router = start_router()
+    router.add('one', falling_silent)
+    sent = gevent.spawn(call, router, 'long')
+    router.wait(lambda: len(router.upstreams['one'].requests) == 1)
+    router.add('two', lambda exchange: exchange.answer(status, b'no such stream'))
+    response = sent.get(timeout=8.0)
+    assert (response.events(), response.complete) == ([1, 2, 3, 4], True)
+
+
+# Guards against an upstream that is given up for one that has sent no event yet (LOST).
+def test_answer_goes_on_after_a_silence_if_the_other_breaks_off_before_an_event(
+    start_router: Callable[..., RunningRouter],
+) -> None:
+    def break_off_after_a_comment(exchange: ScriptedExchange) -> None:
+        exchange.start_stream()
+        exchange.chunk(b':\n')
+        gevent.sleep(0.1)
+        exchange.close()
+
+    router = start_router()
+    router.add('one', falling_silent)
+    sent = gevent.spawn(call, router, 'long')
+    router.wait(lambda: len(router.upstreams['one'].requests) == 1)
+    router.add('two', break_off_after_a_comment)
+    response = sent.get(timeout=8.0)
+    assert (response.events(), response.complete) == ([1, 2, 3, 4], True)
+
+
+# Guards against events that wait for the end of an attempt to replace their upstream.
+def test_event_after_a_drip_of_bytes_is_not_held_back_by_an_attempt_to_take_over(
+    start_router: Callable[..., RunningRouter],
+) -> None:
+    router = start_router()
+    made_at: list[float] = []
+    clock = router.clock
+
+    def go_on_after_comments(exchange: ScriptedExchange) -> None:
+        exchange.start_stream()
+        for number in range(1, BEFORE_SILENCE + 1):
+            exchange.event(number)
+        drip(exchange, SILENCE_S)
+        made_at.append(clock.monotonic())
+        for number in range(BEFORE_SILENCE + 1, EVENTS + 1):
+            exchange.event(number)
+        exchange.end_stream()
+
+    router.add('one', go_on_after_comments)
+    sent = gevent.spawn(lambda: (call(router, 'long'), clock.monotonic()))
+    router.wait(lambda: len(router.upstreams['one'].requests) == 1)
+    router.add('two', stay_silent)
+    response, ended_at = sent.get(timeout=8.0)
+    assert (response.events(), response.complete) == ([1, 2, 3, 4], True)
+    assert ended_at - made_at[0] < EVENT_DELAY_S
+
+
+# Guards against two upstreams that work on one request.
+def test_silent_upstream_stops_soon_after_another_one_got_the_request(
+    start_router: Callable[..., RunningRouter],
+) -> None:
+    router = start_router()
+    left_at: list[float] = []
+    begun_at: list[float] = []
+
+    def stop_midway(exchange: ScriptedExchange) -> None:
+        exchange.start_stream()
+        exchange.event(1)
+        if exchange.wait_for_caller_close(8.0):
+            left_at.append(router.clock.monotonic())
+
+    def go_on_later(exchange: ScriptedExchange) -> None:
+        begun_at.append(router.clock.monotonic())
+        gevent.sleep(1.0)  # until the prompt is processed
+        resume(exchange)
+
+    router.add('one', stop_midway)
+    sent = gevent.spawn(call, router, 'long')
+    router.wait(lambda: len(router.upstreams['one'].requests) == 1)
+    router.add('two', go_on_later)
+    response = sent.get(timeout=8.0)
+    assert (response.events(), response.complete) == ([1, 2, 3, 4], True)
+    router.wait(lambda: bool(left_at))
+    assert left_at[0] - begun_at[0] < TAKEOVER_S
+
+
+# Guards against a pause of the router that is taken for a silence of its upstream.
+def test_pause_of_the_router_is_no_silence_of_its_upstreams(
+    start_router: Callable[..., RunningRouter],
+) -> None:
+    router = start_router()
+
+    def pause_midway(exchange: ScriptedExchange) -> None:
+        exchange.start_stream()
+        exchange.event(1)
+        gevent.sleep(0.2)
+        # The rest arrives while the router, in the same process, gets no turn.
+        for number in range(2, EVENTS + 1):
+            exchange.event(number)
+        time.sleep(1.3)
+        gevent.sleep(0.3)
+        exchange.end_stream()
+
+    router.add('one', pause_midway)
+    sent = gevent.spawn(call, router, 'long')
+    router.wait(lambda: len(router.upstreams['one'].requests) == 1)
+    two = router.add('two', resume)
+    response = sent.get(timeout=8.0)
+    assert (response.events(), response.complete) == ([1, 2, 3, 4], True)
+    assert not two.requests
+    books = router.router.tracker.dump()
+    assert not books['one']['paused']
+
+
+# Guards against upstreams that work on after a request ended amid an attempt to take
+# over.
+@pytest.mark.parametrize('patience_ms', [8000, 1500], ids=['caller-leaves', 'deadline'])
+def test_both_upstreams_stop_when_a_request_ends_amid_an_attempt_to_take_over(
+    start_router: Callable[..., RunningRouter], patience_ms: int
+) -> None:
+    router = start_router()
+    left: dict[str, float] = {}
+
+    def hang(name: str) -> Callable[[ScriptedExchange], None]:
+        def script(exchange: ScriptedExchange) -> None:
+            if name == 'one':
+                exchange.start_stream()
+                exchange.event(1)
+            if exchange.wait_for_caller_close(8.0):
+                left[name] = router.clock.monotonic()
+
+        return script
+
+    router.add('one', hang('one'))
+    with router.connection() as conn:
+        sent = gevent.spawn(
+            conn.call,
+            'long',
+            headers={'X-Prompt-Parts': 'a:50,77:50', 'X-Token-Counts': '100,10'},
+            patience_ms=patience_ms,
+        )
+        router.wait(lambda: len(router.upstreams['one'].requests) == 1)
+        two = router.add('two', hang('two'))
+        router.wait(lambda: len(two.requests) == 1)
+        if patience_ms < 2000:
+            sent.get(timeout=4.0)
+        else:
+            gevent.sleep(0.1)
+            sent.kill()
+    ended_at = router.clock.monotonic()
+    router.wait(lambda: len(left) == 2)
+    assert max(left.values()) - ended_at < 0.5
+    books = router.router.tracker.dump()
+    assert not any(entry['requests'] for entry in books.values())
+
+
+# Guards against a caller that reads slowly being taken for a silence of the upstream.
+def test_slow_caller_is_no_silence_of_its_upstream(
+    start_router: Callable[..., RunningRouter],
+) -> None:
+    router = start_router()
+    events = 160
+
+    def send_much(exchange: ScriptedExchange) -> None:
+        start = int(exchange.request.headers.get('last-event-id', '0'))
+        exchange.start_stream()
+        for number in range(start + 1, events + 1):
+            exchange.event(number, 'x' * 120_000)
+        exchange.end_stream()
+
+    router.add('one', send_much)
+    with router.connection() as conn:
+        read, conn.read = conn.read, lambda: None  # type: ignore[method-assign]
+        conn.call(
+            'long',
+            headers={'X-Prompt-Parts': 'a:50,78:50', 'X-Token-Counts': '100,10'},
+            patience_ms=8000,
+        )
+        router.wait(lambda: len(router.upstreams['one'].requests) == 1)
+        two = router.add('two', send_much)
+        gevent.sleep(1.5)
+        response = read()
+    assert (len(response.events()), response.complete) == (events, True)
+    assert not two.requests
