Take over only with an event of a stream that can go on

Callers saw: an answer that ended when the upstream that was to go on with it answered 404 (internal_error: a second head), or broke off after a comment. Cause: any head below 500 and any first bytes counted as an answer. Change: a stream that has begun goes on only with a head below 300, and a silent upstream is replaced only after the first event of the other one.

--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -12,6 +12,7 @@
 from rosemaryseam.policy.retrybudget import FleetRetryBudget
 from rosemaryseam.router.admission import AdmittedRequest, AttemptHistory, RefusalError
 from rosemaryseam.router.codec import BadRequestError
+from rosemaryseam.router.events import EventSplitter, EventTooLongError
 from rosemaryseam.router.faults import (
     BrokenError,
     DeclinedError,
@@ -53,6 +54,7 @@
 DRAIN_RETRY_AFTER_S = 0.05  # another host accepts the request at once
 MAX_RETURN_SPREAD = 1.25  # longest over shortest time at which refused callers return
 MIN_ATTEMPT_S = 0.02  # no retry with less time left
+FIRST_UNSUCCESSFUL_STATUS = 300
 FIRST_SERVER_ERROR_STATUS = 500
 SENDING_S = 0.5  # since the last bytes of an upstream that still sends some
 RESUMED_CHECK_INTERVAL_S = 0.02  # between two checks whether an upstream goes on
@@ -413,7 +415,7 @@
             head = conn.read_head(admitted.request.id)
             self._apply_notices(upstream, head)
             ticket.on_answer_head(head)
-            self._check_head(admitted, attempts, upstream, conn, head)
+            self._check_head(admitted, attempts, relay, upstream, conn, head)
         except BaseException:
             conn.close()
             raise
@@ -472,7 +474,7 @@
         try:
             answer = self._open(admitted, attempts, relay, ticket, silent)
             if admitted.route.streamed:
-                answer = _wait_for_chunk(answer)
+                answer = _wait_for_event(answer)
         except RefusalError as exc:
             raise NoTakeoverError(str(exc)) from exc
         except SendError as exc:
@@ -508,6 +510,7 @@
         self,
         admitted: AdmittedRequest,
         attempts: AttemptHistory,
+        relay: StreamRelay,
         upstream: Upstream,
         conn: UpstreamConnection,
         head: AnswerHead,
@@ -528,6 +531,8 @@
         ):
             attempts.error_answer = (head, read_body(conn.chunks()))
             raise BrokenError(f'{upstream.id} answered {head.status}')
+        if relay.started and head.status >= FIRST_UNSUCCESSFUL_STATUS:
+            raise BrokenError(f'{upstream.id} does not go on: {head.status}')
 
     def _relay_answer(
         self,
@@ -764,11 +769,19 @@
     )
 
 
-def _wait_for_chunk(answer: OpenAnswer) -> OpenAnswer:
-    """Return an answer once the first part of its body has arrived."""
+def _wait_for_event(answer: OpenAnswer) -> OpenAnswer:
+    """Return an answer once its first event has arrived, or its end."""
+    splitter = EventSplitter()
+    parts: list[bytes] = []
     try:
-        first = next(answer.chunks, b'')
+        for chunk in answer.chunks:
+            parts.append(chunk)
+            if splitter.feed(chunk):
+                break
+    except EventTooLongError as exc:
+        answer.conn.close()
+        raise ForeignBytesError(str(exc)) from exc
     except BaseException:
         answer.conn.close()
         raise
-    return answer._replace(chunks=itertools.chain((first,), answer.chunks))
+    return answer._replace(chunks=itertools.chain(parts, answer.chunks))
