Do not take a wait for the caller or for a turn for an upstream's silence

Callers saw: a sound engine replaced and avoided after a caller read nothing for 1.5 s, or after the router had no turn for 1.3 s. Cause: silence was judged before bytes that had arrived were read or handled. Change: what was read is handled before the check, what can be read is read before, and an upstream that was held up gets half a second. Evidence: 2 cases of test_silent_upstreams.py failed before and pass.

--- a/packages/router/src/rosemaryseam/router/upstreamconnection.py
+++ b/packages/router/src/rosemaryseam/router/upstreamconnection.py
@@ -34,6 +34,7 @@
 MAX_SKIPPED_HEADS = 16  # informational or of other requests, before an answer
 MAX_SKIPPED_BYTES = 1_048_576  # of bodies of answers to other requests
 ABORT_CHECK_INTERVAL_S = 0.1  # between two checks whether to stop waiting for bytes
+HELD_UP_S = 0.5  # for which bytes that were read waited until they were handled
 KEEP_ALIVE_MARGIN_S = 1.0  # not reused this close to the upstream's idle timeout
 
 
@@ -55,6 +56,8 @@
         self._check_interval_s = ABORT_CHECK_INTERVAL_S
         self._checked_at = 0.0
         self._received_at = clock.monotonic()
+        self._returned_at = self._received_at  # bytes to the one who handles them
+        self._patient_until = 0.0
         self._codec = codec
         self._clock = clock
         self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
@@ -137,7 +140,7 @@
         self._should_abort = should_abort
         self._check_interval_s = interval_s
         self._aborts_while_receiving = while_receiving
-        self._checked_at = self._clock.monotonic()
+        self._checked_at = self._returned_at = self._clock.monotonic()
 
     def read_head(self, request_id: str) -> AnswerHead:
         """Return the head of the answer; skip some answers to other requests.
@@ -234,6 +237,8 @@
             self._http.receive_data(self._receive())
 
     def _receive(self) -> bytes:
+        if self._must_check() and self._should_abort():
+            raise SilentError('the upstream fell silent')
         while True:
             data = None
             try:
@@ -241,25 +246,36 @@
                     data = self._receiver.recv(READ_BYTES)
             except OSError as exc:
                 raise BrokenError(f'the connection failed: {exc}') from exc
-            if data:
-                self._received_at = self._clock.monotonic()
-            if self._must_check(data) and self._should_abort():
-                raise SilentError('the upstream fell silent')
             if data is not None:
+                self._returned_at = self._clock.monotonic()
+                self._received_at = self._returned_at if data else self._received_at
                 return data
+            # Bytes that arrived while this process had no turn are read first.
+            if self._is_patient() or self.has_unread_bytes():
+                continue
+            if self._should_abort():
+                raise SilentError('the upstream fell silent')
 
-    def _must_check(self, data: bytes | None) -> bool:
-        """Return whether to ask now if the upstream is still worth waiting for."""
-        if data is None:
-            return True
+    def _must_check(self) -> bool:
+        """Return whether to ask if an upstream that sends bytes is worth waiting for.
+
+        It is asked when all bytes that were read have been handled.
+        """
         now = self._clock.monotonic()
-        if not data or not self._aborts_while_receiving:
+        if now - self._returned_at > HELD_UP_S:
+            # The upstream had to wait too, for the caller or a turn of this process.
+            self._patient_until = now + HELD_UP_S
+        if not self._aborts_while_receiving or self._is_patient():
             return False
         if now - self._checked_at < self._check_interval_s:
             return False
         self._checked_at = now
         return True
 
+    def _is_patient(self) -> bool:
+        """Return whether the upstream gets time to send after it was held up."""
+        return self._clock.monotonic() < self._patient_until
+
     def _write(self, data: bytes) -> None:
         try:
             self._sock.sendall(data)
