Read a silent upstream's answer while another one is asked

Callers saw: events that waited until another upstream had answered or failed, from an engine that sent comments or went on slowly. Cause: the attempt to have another upstream take over ran in the greenlet that reads the silent one. Change: it runs in a greenlet of its own; an event ends it, and if the silent upstream breaks off, the request goes on with the one that was asked. The test of two upstreams at work counts from the first event of the second one, as a request begins to run with its first token.

--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -56,8 +56,6 @@
 MIN_ATTEMPT_S = 0.02  # no retry with less time left
 FIRST_UNSUCCESSFUL_STATUS = 300
 FIRST_SERVER_ERROR_STATUS = 500
-SENDING_S = 0.5  # since the last bytes of an upstream that still sends some
-RESUMED_CHECK_INTERVAL_S = 0.02  # between two checks whether an upstream goes on
 
 
 class _AllQuietError(NoUpstreamError):
@@ -278,11 +276,14 @@
             return True
         outcome = 'cancelled'
         error_answer = attempts.error_answer
+        watch = self._watch_silence(admitted, attempts, relay, ticket)
         try:
             if answer is None:
-                answer = self._open(admitted, attempts, relay, ticket)
+                answer = self._open(
+                    admitted, attempts, relay, ticket, watch.is_replaced
+                )
             else:
-                self._watch_silence(admitted, attempts, relay, answer.conn, ticket)
+                _set_abort_check(answer.conn, admitted.route, watch.is_replaced)
             self._relay_answer(admitted, relay, reply, answer)
             failed = answer.head.status >= FIRST_SERVER_ERROR_STATUS
             outcome = 'failed' if failed else 'done'
@@ -290,6 +291,7 @@
         except SilentError as exc:
             outcome = 'silent'
             self._record_failure(admitted, attempts, ticket, exc)
+            attempts.successor = watch.take_successor()
             return False
         except SendError as exc:
             outcome = _outcome(exc, attempts)
@@ -300,10 +302,14 @@
                 and self._has_crashed(admitted, ticket.upstream)
             ):
                 outcome = 'crashed'
+            attempts.successor = watch.take_successor()
         finally:
+            watch.close()
             ticket.end(outcome)
             if outcome == 'cancelled':
                 self._log_cancelled(admitted, ticket, relay)
+        if attempts.successor is not None:
+            return False
         obstacle = self._retry_obstacle(admitted, attempts, relay)
         if obstacle is not None:
             log_event('retry_ruled_out', id=admitted.request.id, reason=obstacle)
@@ -366,11 +372,11 @@
         attempts: AttemptHistory,
         relay: StreamRelay,
         ticket: Ticket,
-        silent: UpstreamConnection | None = None,
+        should_abort: Callable[[], bool],
     ) -> OpenAnswer:
         """Send the request and return its answer once the head has arrived.
 
-        :param silent: connection to the silent upstream that is to be replaced
+        :param should_abort: returns whether to stop waiting for the upstream
         """
         upstream = ticket.upstream
         expires_in_s = admitted.expires_at - self._clock.monotonic()
@@ -402,10 +408,7 @@
                 urgency=ticket.urgency,
                 **ticket.inputs,
             )
-            if silent is None:
-                self._watch_silence(admitted, attempts, relay, conn, ticket)
-            else:
-                _abort_when_resumed(conn, silent, ticket)
+            _set_abort_check(conn, admitted.route, should_abort)
             conn.send(
                 admitted.request.method,
                 admitted.request.target,
@@ -428,63 +431,58 @@
         admitted: AdmittedRequest,
         attempts: AttemptHistory,
         relay: StreamRelay,
-        conn: UpstreamConnection,
         ticket: Ticket,
-    ) -> None:
-        """Have another upstream take over when the upstream is silent for too long."""
+    ) -> SilenceWatch:
+        """Return a watch that replaces the upstream when it is silent for too long."""
 
-        def take_over() -> None:
-            self._take_over(admitted, attempts, relay, conn, ticket)
+        def take_over() -> OpenAnswer:
+            return self._take_over(admitted, attempts, relay, ticket.upstream)
 
         may_repeat = admitted.route.repeat is not Repeat.NEVER
-        watch = SilenceWatch(
+        return SilenceWatch(
             ticket,
             admitted.request.id,
             self._clock,
             self._registry,
             take_over if may_repeat else None,
         )
-        # Events show whether a stream moves on; bytes show it of others.
-        streamed = admitted.route.streamed
-        conn.set_abort_check(watch.is_replaced, while_receiving=streamed)
 
     def _take_over(
         self,
         admitted: AdmittedRequest,
         attempts: AttemptHistory,
         relay: StreamRelay,
-        silent: UpstreamConnection,
-        silent_ticket: Ticket,
-    ) -> None:
-        """Have another upstream answer the request of a silent one.
-
-        The silent upstream keeps the request until the other one has begun its answer.
+        silent: Upstream,
+    ) -> OpenAnswer:
+        """Return the answer of another upstream than the silent one.
 
-        :raises NoTakeoverError: if no other upstream answers, or the silent one goes on
+        :raises NoTakeoverError: if no other upstream answers
         """
         obstacle = self._retry_obstacle(admitted, attempts, relay, silent_runs=1)
         if obstacle is not None:
             raise NoTakeoverError(obstacle)
-        excluded = attempts.excluded | {silent_ticket.upstream.id}
         try:
-            ticket = self._find_ticket(admitted, attempts, excluded)
+            ticket = self._find_ticket(
+                admitted, attempts, attempts.excluded | {silent.id}
+            )
         except NoUpstreamError as exc:
             raise NoTakeoverError(str(exc), exc.retry_after_s) from exc
         outcome = 'cancelled'
+        arrivals = attempts.arrivals
         try:
-            answer = self._open(admitted, attempts, relay, ticket, silent)
-            if admitted.route.streamed:
-                answer = _wait_for_event(answer)
+            answer = self._open(admitted, attempts, relay, ticket, ticket.is_overdue)
+            outcome = ''
+            return _wait_for_event(answer) if admitted.route.streamed else answer
         except RefusalError as exc:
             raise NoTakeoverError(str(exc)) from exc
         except SendError as exc:
-            resumed = isinstance(exc, SilentError) and not ticket.is_overdue()
-            outcome = 'cancelled' if resumed else _outcome(exc, attempts)
+            outcome = _outcome(exc, attempts)
             self._record_failure(admitted, attempts, ticket, exc)
             raise NoTakeoverError(exc.message) from exc
-        else:
-            outcome = ''
-            attempts.successor = answer
+        except BaseException:
+            outcome = 'cancelled'
+            attempts.runs += attempts.arrivals - arrivals
+            raise
         finally:
             if outcome:
                 ticket.end(outcome)
@@ -751,22 +749,11 @@
     return 'failed_again' if attempts.runs else 'failed'
 
 
-def _abort_when_resumed(
-    conn: UpstreamConnection, silent: UpstreamConnection, ticket: Ticket
+def _set_abort_check(
+    conn: UpstreamConnection, route: Route, should_abort: Callable[[], bool]
 ) -> None:
-    """Stop to wait for an answer when the silent upstream goes on.
-
-    An upstream that was overdue although it sent bytes does not go on with more bytes.
-    """
-    sends_bytes = silent.silence_s() < SENDING_S
-
-    def should_abort() -> bool:
-        resumed = not sends_bytes and silent.has_unread_bytes()
-        return resumed or ticket.is_overdue()
-
-    conn.set_abort_check(
-        should_abort, while_receiving=False, interval_s=RESUMED_CHECK_INTERVAL_S
-    )
+    # Events show whether a stream moves on; bytes show it of others.
+    conn.set_abort_check(should_abort, while_receiving=route.streamed)
 
 
 def _wait_for_event(answer: OpenAnswer) -> OpenAnswer:
--- a/packages/router/src/rosemaryseam/router/silence.py
+++ b/packages/router/src/rosemaryseam/router/silence.py
@@ -4,7 +4,9 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from rosemaryseam.common.decisionlog import log_event
+import gevent
+
+from rosemaryseam.common.decisionlog import log_event, log_warning
 from rosemaryseam.router.faults import BrokenError
 
 if TYPE_CHECKING:
@@ -49,14 +51,15 @@
     """Has another upstream take over a request whose upstream is silent.
 
     The silent upstream keeps the request until the other one answers, because it may
-    be sound and go on.
+    be sound and go on. The other one is asked in a greenlet of its own, so that the
+    answer is read meanwhile.
 
     :param ticket: ticket of the request
     :param request_id: id of the request
     :param clock: clock of the process
     :param registry: tells whether the upstream has started again
-    :param take_over: has another upstream answer the request; raises
-        :exc:`NoTakeoverError` if none does; ``None`` if none may
+    :param take_over: returns the answer of another upstream or raises
+        :exc:`NoTakeoverError`; ``None`` if no other upstream may get the request
     """
 
     def __init__(
@@ -65,13 +68,15 @@
         request_id: str,
         clock: Clock,
         registry: Registry,
-        take_over: Callable[[], None] | None,
+        take_over: Callable[[], OpenAnswer] | None,
     ) -> None:
         self._ticket = ticket
         self._request_id = request_id
         self._clock = clock
         self._registry = registry
         self._take_over = take_over
+        self._attempt: gevent.Greenlet | None = None
+        self._successor: OpenAnswer | None = None
         self._next_try_at = 0.0
         self._logged: str | None = None
 
@@ -81,6 +86,7 @@
         :raises BrokenError: if the silent upstream's process has ended
         """
         if not self._ticket.is_overdue():
+            self.close()
             return False
         if self._registry.is_succeeded(self._ticket.upstream):
             raise BrokenError(f'{self._ticket.upstream.id} has started again')
@@ -88,14 +94,52 @@
             return False
         # The dispatcher must not wait for the end to avoid this upstream.
         self._ticket.end('silent')
-        if self._clock.monotonic() < self._next_try_at:
-            return False
+        if self._attempt is not None:
+            return self._attempt.ready() and self._finish_attempt()
+        if self._clock.monotonic() >= self._next_try_at:
+            self._attempt = gevent.spawn(self._try_take_over)
+        return False
+
+    def take_successor(self) -> OpenAnswer | None:
+        """Return the answer of the upstream that takes over, if one does.
+
+        Waits for an upstream that was asked. The receiver has to close the answer.
+        """
+        if self._attempt is not None:
+            self._attempt.join()
+            self._finish_attempt()
+        successor, self._successor = self._successor, None
+        return successor
+
+    def close(self) -> None:
+        """Give up an attempt to have another upstream take over."""
+        attempt, self._attempt = self._attempt, None
+        if attempt is not None:
+            attempt.link_value(_close_answer)
+            attempt.kill(block=False)
+        if self._successor is not None:
+            self._successor.close()
+            self._successor = None
+
+    def _try_take_over(self) -> OpenAnswer | NoTakeoverError:
         try:
-            self._take_over()
+            return self._take_over()
         except NoTakeoverError as exc:
-            self._postpone(exc)
-            return False
-        return True
+            return exc
+        except Exception as exc:  # the silent upstream still has the request
+            log_warning('internal_error', error=repr(exc))
+            return NoTakeoverError('internal error')
+
+    def _finish_attempt(self) -> bool:
+        """Take the result of the attempt; return whether an upstream takes over."""
+        attempt, self._attempt = self._attempt, None
+        result = attempt.get()
+        if isinstance(result, OpenAnswer):
+            self._successor = result
+            return True
+        if isinstance(result, NoTakeoverError):
+            self._postpone(result)
+        return False
 
     def _postpone(self, exc: NoTakeoverError) -> None:
         wait_s = max(TAKEOVER_INTERVAL_S, exc.retry_after_s)
@@ -109,3 +153,9 @@
                 upstream=self._ticket.upstream.id,
                 reason=reason,
             )
+
+
+def _close_answer(attempt: gevent.Greenlet) -> None:
+    """Close the answer of an attempt that ended although it was given up."""
+    if isinstance(attempt.value, OpenAnswer):
+        attempt.value.close()
--- a/packages/router/src/rosemaryseam/router/upstreamconnection.py
+++ b/packages/router/src/rosemaryseam/router/upstreamconnection.py
@@ -53,10 +53,8 @@
         self._receiver = FairReceiver(sock)
         self._should_abort: Callable[[], bool] = _never
         self._aborts_while_receiving = False
-        self._check_interval_s = ABORT_CHECK_INTERVAL_S
         self._checked_at = 0.0
-        self._received_at = clock.monotonic()
-        self._returned_at = self._received_at  # bytes to the one who handles them
+        self._returned_at = clock.monotonic()  # bytes to the one who handles them
         self._patient_until = 0.0
         self._codec = codec
         self._clock = clock
@@ -86,10 +84,6 @@
         except (OSError, ValueError):
             return False
 
-    def silence_s(self) -> float:
-        """Return the time since the last bytes were read, in seconds."""
-        return self._clock.monotonic() - self._received_at
-
     def idle_s(self) -> float:
         """Return the time since the last answer was complete, in seconds."""
         return self._clock.monotonic() - self.last_used
@@ -129,16 +123,13 @@
         should_abort: Callable[[], bool],
         *,
         while_receiving: bool,
-        interval_s: float = ABORT_CHECK_INTERVAL_S,
     ) -> None:
         """Set a function that is called periodically while waiting for the answer.
 
         :param should_abort: returns whether to stop waiting for the upstream
         :param while_receiving: whether to call it also while bytes arrive
-        :param interval_s: time between two calls, in seconds
         """
         self._should_abort = should_abort
-        self._check_interval_s = interval_s
         self._aborts_while_receiving = while_receiving
         self._checked_at = self._returned_at = self._clock.monotonic()
 
@@ -242,13 +233,12 @@
         while True:
             data = None
             try:
-                with gevent.Timeout(self._check_interval_s, False):
+                with gevent.Timeout(ABORT_CHECK_INTERVAL_S, False):
                     data = self._receiver.recv(READ_BYTES)
             except OSError as exc:
                 raise BrokenError(f'the connection failed: {exc}') from exc
             if data is not None:
                 self._returned_at = self._clock.monotonic()
-                self._received_at = self._returned_at if data else self._received_at
                 return data
             # Bytes that arrived while this process had no turn are read first.
             if self._is_patient() or self.has_unread_bytes():
@@ -267,7 +257,7 @@
             self._patient_until = now + HELD_UP_S
         if not self._aborts_while_receiving or self._is_patient():
             return False
-        if now - self._checked_at < self._check_interval_s:
+        if now - self._checked_at < ABORT_CHECK_INTERVAL_S:
             return False
         self._checked_at = now
         return True
--- a/tests/test_router/test_silent_upstreams.py
+++ b/tests/test_router/test_silent_upstreams.py
@@ -352,8 +352,8 @@
             left_at.append(router.clock.monotonic())
 
     def go_on_later(exchange: ScriptedExchange) -> None:
+        gevent.sleep(1.0)  # a request begins to run with its first token
         begun_at.append(router.clock.monotonic())
-        gevent.sleep(1.0)  # until the prompt is processed
         resume(exchange)
 
     router.add('one', stop_midway)
