Log crashes of all upstreams with the fingerprint of the request

Cause: a crash was looked into only after requests with a prompt, and no event tells that two requests are the same one. Change: upstream_crashed for all upstreams, with a digest of caller, path and body. Result: crashes of app runners are logged; decisions are as before.

--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -22,6 +22,7 @@
     SilentError,
 )
 from rosemaryseam.router.placement import NoUpstreamError, UnplacedRequest
+from rosemaryseam.router.queries import fingerprint
 from rosemaryseam.router.quiet import QuietPeriods
 from rosemaryseam.router.relay import StreamRelay, read_body, relay_answer
 from rosemaryseam.router.reply import CutOffError
@@ -595,21 +596,22 @@
         )
 
     def _has_crashed(self, admitted: AdmittedRequest, upstream: Upstream) -> bool:
-        """Return whether an engine crashed, after it broke off a request.
+        """Return whether an upstream crashed, after it broke off a request.
 
         A process that only failed the request still accepts connections.
         """
-        prompt = admitted.request.prompt
-        if prompt is None or not self._pool.refuses_connections(upstream):
+        if not self._pool.refuses_connections(upstream):
             return False
+        prompt = admitted.request.prompt
         log_event(
             'upstream_crashed',
             id=admitted.request.id,
             upstream=upstream.id,
             born=upstream.born,
-            prompt_parts=[part.digest for part in prompt.parts],
+            fingerprint=f'{fingerprint(admitted.request):016x}',
+            prompt_parts=[part.digest for part in prompt.parts] if prompt else [],
         )
-        return True
+        return prompt is not None
 
     def _retry_obstacle(
         self,
--- a/packages/router/src/rosemaryseam/router/queries.py
+++ b/packages/router/src/rosemaryseam/router/queries.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from rosemaryseam.policy.prefixes import Part
-    from rosemaryseam.router.requests import Prompt
+    from rosemaryseam.router.requests import CallerRequest, Prompt
 
 
 class Query(NamedTuple):
@@ -99,6 +99,24 @@
     )
 
 
+def fingerprint(request: CallerRequest) -> int:
+    """Return a digest that is the same when a caller sends a request again.
+
+    :param request: request of a caller
+    """
+    digest = xxhash.xxh3_64()
+    for field in (
+        request.method,
+        request.host.encode(),
+        request.target,
+        (request.api_key or '').encode(),
+        request.body,
+    ):
+        digest.update(len(field).to_bytes(8, 'big'))
+        digest.update(field)
+    return digest.intdigest()
+
+
 @functools.lru_cache(maxsize=4096)
 def _digest(model: str, digest: str) -> int:
     return xxhash.xxh3_64_intdigest(f'{model}\x00{digest}'.encode())
