Quarantine requests that crash upstream after upstream

Callers saw: refusals of a whole service while one request, sent again and again, crashed each of its runners. Cause: only parts of prompts were suspected of crashes; app runners have none, and nothing related two arrivals of one request. Change: the fingerprint of a request (caller, host, path, body) is a suspect like the shared parts of its prompt, at app runners too.

--- a/packages/policy/src/rosemaryseam/policy/quarantine.py
+++ b/packages/policy/src/rosemaryseam/policy/quarantine.py
@@ -1,4 +1,4 @@
-"""Quarantine of prompt parts that crash the engines that answer them."""
+"""Quarantine of prompt parts and requests that crash the upstreams they reach."""
 
 from __future__ import annotations
 
@@ -152,6 +152,15 @@
         """
         self._begun.record(digests, at)
 
+    def is_suspect(self, digest: int) -> bool:
+        """Return whether a recorded crash may be due to a digest.
+
+        :param digest: digest of a part or of a request
+        """
+        if digest in self._quarantines:
+            return True
+        return any(digest in crash.suspects for crash in self._crashes.values())
+
     def last_answered_at(self, digest: int) -> float:
         """Return when a request with a part was last answered, or minus infinity.
 
--- a/packages/router/src/rosemaryseam/router/crashes.py
+++ b/packages/router/src/rosemaryseam/router/crashes.py
@@ -1,4 +1,4 @@
-"""Evidence of prompts that crash engines, collected here and from other hosts."""
+"""Evidence of requests that crash upstreams, collected here and from other hosts."""
 
 from __future__ import annotations
 
@@ -24,12 +24,12 @@
 
 
 class SuspectPart(NamedTuple):
-    """A part of the prompts that an engine's crash broke off.
+    """A part of the prompts that a crash broke off, or the fingerprint of a request.
 
-    ``position`` is its place in its prompts, 0 first, and ``requests`` the number of
-    requests with it that were broken off. ``answered_s`` and ``begun_s`` tell how long
-    ago a request with the part was last answered and an answer last began, infinite if
-    that is not known.
+    ``position`` is its place in its prompts, 0 first; a fingerprint stands behind all
+    parts. ``requests`` is the number of requests with it that were broken off.
+    ``answered_s`` and ``begun_s`` tell how long ago a request with it was last answered
+    and an answer last began, infinite if that is not known.
     """
 
     digest: int
@@ -40,7 +40,7 @@
 
 
 class CrashReport(NamedTuple):
-    """A crash of an engine's incarnation, ``age_s`` seconds ago."""
+    """A crash of an upstream's incarnation, ``age_s`` seconds ago."""
 
     upstream: str
     born: int
@@ -49,7 +49,7 @@
 
 
 class QuarantinedPart(NamedTuple):
-    """A part that gets no engine for ``left_s`` of ``duration_s`` seconds."""
+    """A part or request that gets no upstream for ``left_s`` of ``duration_s`` s."""
 
     digest: int
     left_s: float
@@ -57,10 +57,14 @@
 
 
 class _Sent(NamedTuple):
-    """A prompt in flight; ``digests`` holds all its parts but the last."""
+    """A request in flight.
 
-    engine: tuple[str, int]
+    ``digests`` holds the parts of its prompt but the last, and its fingerprint.
+    """
+
+    upstream: tuple[str, int]
     digests: tuple[int, ...]
+    fingerprint: int
 
 
 class _Pending(NamedTuple):
@@ -71,7 +75,7 @@
 
 
 class CrashLedger:
-    """Records which prompts engines answered and which they crashed with.
+    """Records which requests upstreams answered and which they crashed with.
 
     :param clock: clock of the process
     """
@@ -83,32 +87,37 @@
         self._pending: OrderedDict[tuple[str, int], _Pending] = OrderedDict()
 
     def check(self, query: Query) -> None:
-        """Check that no part of a prompt is quarantined.
+        """Check that neither a request nor a part of its prompt is quarantined.
 
         :param query: request to place
-        :raises NoUpstreamError: if a part is; no engine should get the request
+        :raises NoUpstreamError: if one is; no upstream should get the request
         """
-        digests = [digest for digest, _ in query.parts[:-1]]
+        digests = _digests(query)
         now = self._clock.monotonic()
         found = self._quarantine.find(digests, now)
-        if found is not None:
+        if found is None:
+            return
+        if found.digest == query.fingerprint:
+            reason = 'the request crashes upstreams'
+        else:
             place = f'part {digests.index(found.digest) + 1} of {len(query.parts)}'
-            raise NoUpstreamError(
-                f'{place} of the prompt crashes engines', found.until - now
-            )
+            reason = f'{place} of the prompt crashes engines'
+        raise NoUpstreamError(reason, found.until - now)
 
     # Requests that this host dispatches.
 
     def record_placement(self, host: str, query: Query, upstream: Upstream) -> None:
-        """Record the engine of a request.
+        """Record the upstream of a request.
 
         :param host: address of the host that sends the request
         :param query: request that was placed
-        :param upstream: engine that gets it
+        :param upstream: upstream that gets it
         """
-        if len(query.parts) > 1:
-            digests = tuple(digest for digest, _ in query.parts[:-1])
-            self._sent[host, query.number] = _Sent(upstream.incarnation, digests)
+        digests = _digests(query)
+        if digests:
+            self._sent[host, query.number] = _Sent(
+                upstream.incarnation, digests, query.fingerprint
+            )
 
     def record_first_event(self, host: str, number: int) -> None:
         """Record that the answer to a request has begun.
@@ -118,7 +127,8 @@
         """
         sent = self._sent.get((host, number))
         if sent is not None:
-            self._quarantine.record_begin(sent.digests, self._clock.monotonic())
+            digests = self._informative(sent)
+            self._quarantine.record_begin(digests, self._clock.monotonic())
 
     def record_end(self, host: str, number: int, outcome: str) -> None:
         """Record the outcome of a request.
@@ -132,7 +142,7 @@
             return
         now = self._clock.monotonic()
         if outcome == 'done':
-            self._record_answer(sent.digests, now)
+            self._record_answer(self._informative(sent), now)
         elif outcome == 'crashed':
             self._record_crash(sent, now)
 
@@ -193,6 +203,17 @@
             if self._quarantine.adopt(entry, now):
                 _log_quarantine(entry, host)
 
+    def _informative(self, sent: _Sent) -> list[int]:
+        """Return the digests of which an answer tells something.
+
+        A fingerprint that no crash is charged with needs no record.
+        """
+        return [
+            digest
+            for digest in sent.digests
+            if digest != sent.fingerprint or self._quarantine.is_suspect(digest)
+        ]
+
     def _record_answer(self, digests: Sequence[int], at: float) -> None:
         for digest in self._quarantine.record_answer(digests, at):
             log_event('prompt_part_released', part=f'{digest:016x}')
@@ -201,8 +222,8 @@
         suspects = {
             digest: Suspect(position, 1) for position, digest in enumerate(sent.digests)
         }
-        self._quarantine.record_crash(sent.engine, suspects, now)
-        pending = self._pending.setdefault(sent.engine, _Pending(now, {})).suspects
+        self._quarantine.record_crash(sent.upstream, suspects, now)
+        pending = self._pending.setdefault(sent.upstream, _Pending(now, {})).suspects
         for digest, suspect in suspects.items():
             known = pending.get(digest, Suspect(0, 0))
             pending[digest] = suspect._replace(requests=known.requests + 1)
@@ -223,6 +244,12 @@
         return CrashReport(*engine, now - pending.at, tuple(parts[:MAX_REPORTED_PARTS]))
 
 
+def _digests(query: Query) -> tuple[int, ...]:
+    """Return what a crash may be due to: shared parts, then the request itself."""
+    parts = tuple(digest for digest, _ in query.parts[:-1])
+    return (*parts, query.fingerprint) if query.fingerprint else parts
+
+
 def _log_decision(quarantine: Quarantine) -> None:
     _log_quarantine(quarantine, None)
 
--- a/packages/router/src/rosemaryseam/router/datagrams.py
+++ b/packages/router/src/rosemaryseam/router/datagrams.py
@@ -183,6 +183,7 @@
         'bodyBytes': query.body_bytes,
         'zone': query.zone,
         'excluded': list(query.excluded),
+        'fingerprint': query.fingerprint,
     }
 
 
@@ -205,6 +206,7 @@
         body_bytes=entry.bodyBytes,
         zone=entry.zone,
         excluded=tuple(entry.excluded),
+        fingerprint=entry.fingerprint,
     )
     return DispatchRequest(entry.slot, query)
 
--- a/packages/router/src/rosemaryseam/router/dispatch.py
+++ b/packages/router/src/rosemaryseam/router/dispatch.py
@@ -19,7 +19,7 @@
     Ticket,
     UnplacedRequest,
 )
-from rosemaryseam.router.queries import Query, hash_parts
+from rosemaryseam.router.queries import Query, fingerprint, hash_parts
 from rosemaryseam.router.tickets import DispatchTicket
 from rosemaryseam.router.upstreamtracker import NO_UPSTREAM_RETRY_S
 
@@ -249,6 +249,7 @@
             body_bytes=len(unplaced.request.body),
             zone=self._zone,
             excluded=tuple(sorted(unplaced.excluded)),
+            fingerprint=fingerprint(unplaced.request),
         )
 
     def _build_ticket(
--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -611,7 +611,7 @@
             fingerprint=f'{fingerprint(admitted.request):016x}',
             prompt_parts=[part.digest for part in prompt.parts] if prompt else [],
         )
-        return prompt is not None
+        return True
 
     def _retry_obstacle(
         self,
--- a/packages/router/src/rosemaryseam/router/peerwire.capnp
+++ b/packages/router/src/rosemaryseam/router/peerwire.capnp
@@ -23,6 +23,7 @@
   zone @14 :Text;
   excluded @15 :List(Text);
   requestId @16 :Text;
+  fingerprint @17 :UInt64;
 }
 
 struct Reply {
--- a/packages/router/src/rosemaryseam/router/queries.py
+++ b/packages/router/src/rosemaryseam/router/queries.py
@@ -20,6 +20,7 @@
     ``pause_s`` is the target for the pause between events. ``due_in_s`` is the time
     until the latency target, ``expires_in_s`` the time until the caller's timeout ends.
     ``excluded`` holds the ids of upstreams that already failed the request.
+    ``fingerprint`` is the same when its caller sends it again, 0 if it is not known.
     """
 
     number: int
@@ -38,6 +39,7 @@
     body_bytes: int
     zone: str
     excluded: tuple[str, ...]
+    fingerprint: int = 0
 
 
 class Placement(NamedTuple):
--- a/packages/router/src/rosemaryseam/router/upstreamtracker.py
+++ b/packages/router/src/rosemaryseam/router/upstreamtracker.py
@@ -105,8 +105,8 @@
         ]
         if not upstreams:
             raise NoUpstreamError('no upstream is registered', NO_UPSTREAM_RETRY_S)
+        self.crashes.check(query)
         if query.parts:
-            self.crashes.check(query)
             return self._place_prompt(host, query, upstreams)
         return self._place_without_prompt(host, query, upstreams)
 
@@ -292,7 +292,7 @@
             ready_at = now + report.expected_first_s
             state.cache.touch(query.parts, state.view.output_tokens, ready_at)
             self._part_uses.touch(query.parts[:-1], now)
-            self.crashes.record_placement(host, query, state.upstream)
+        self.crashes.record_placement(host, query, state.upstream)
 
     # Request lifecycle.
 
