Test requests that arrive as a time limit ends

The work of one turn of the event loop may outlast a connection's time limit while a request arrives. Both cases, the idle time and the time for a head, fail on this code: the connection ended without an answer.

--- a/tests/test_router/test_no_silent_end.py
+++ b/tests/test_router/test_no_silent_end.py
@@ -9,6 +9,7 @@
 import gevent
 import pytest
 from gevent import socket
+from gevent.hub import get_hub
 from routers import (
     KEY,
     ROUTES,
@@ -259,3 +260,29 @@
     assert (response.status, response.complete) == (200, True)
     assert len(response.body) == 4 * len(part)
     running.stop()
+
+
+# Guards against connections closed with a request that came just in time.
+@pytest.mark.parametrize(
+    ('sent_before', 'limits'),
+    [(0, {'idle_s': 0.4}), (HALF, {'head_s': 0.4})],
+    ids=['idle', 'head'],
+)
+def test_a_request_that_arrives_as_a_time_limit_ends_is_answered(
+    sent_before: int, limits: dict[str, float]
+) -> None:
+    running = RunningRouter()
+    put_routes(running, ROUTES, limits=limits)
+    running.start()
+    running.add('one', answer)
+    conn = kept(running)
+    conn.sock.sendall(REQUEST[:sent_before])
+    # The work of one turn of the event loop outlasts the time limit.
+    timers = [get_hub().loop.timer(after_s) for after_s in (0.1, 0.3)]
+    timers[0].start(time.sleep, 0.5)
+    timers[1].start(conn.sock.sendall, REQUEST[sent_before:])
+    assert read_status(conn.sock) == b'200'
+    for timer in timers:
+        timer.close()
+    conn.close()
+    running.stop()
