Read what came in the turn in which a time limit ended

Cause: a connection whose idle time or time for a head ended was closed without a look at bytes that came while the event loop did other work. Change: such bytes are read once more.

--- a/packages/router/src/rosemaryseam/router/callers.py
+++ b/packages/router/src/rosemaryseam/router/callers.py
@@ -253,14 +253,7 @@
 
     def has_unserved_bytes(self) -> bool:
         """Return whether the caller sent bytes that belong to no request yet."""
-        if self._http.trailing_data[0]:
-            return True
-        descriptor = self._sock.fileno()
-        if descriptor < 0:
-            return False
-        poller = select.poll()
-        poller.register(descriptor, select.POLLIN)
-        return bool(poller.poll(0))
+        return bool(self._http.trailing_data[0]) or self._is_readable()
 
     def cut_off(self) -> None:
         """End the request in flight; called by the event loop."""
@@ -395,11 +388,26 @@
         try:
             if wait <= 0:
                 return False
-            self._receive(wait)
+            try:
+                self._receive(wait)
+            except TimeoutError:
+                # The bytes may have come in the turn in which the wait ended.
+                if not self._is_readable():
+                    return False
+                self._receive(wait)
         except OSError:
             return False
         return True
 
+    def _is_readable(self) -> bool:
+        """Return whether the caller sent bytes, or the end, that were not received."""
+        descriptor = self._sock.fileno()
+        if descriptor < 0:
+            return False
+        poller = select.poll()
+        poller.register(descriptor, select.POLLIN)
+        return bool(poller.poll(0))
+
     def _receive(self, wait_s: float) -> None:
         self._sock.settimeout(wait_s)
         data = self._receiver.recv(READ_BYTES)
