--- a/tests/test_router/test_no_silent_end.py
+++ b/tests/test_router/test_no_silent_end.py
@@ -286,3 +286,40 @@
         timer.close()
     conn.close()
     running.stop()
+
+
+# A router that had no turn while its engines worked on.
+
+ENGINE = {'batch_slots': 4, 'cache_tokens': 1000}
+PROMPT = {'X-Token-Counts': '30,10', 'X-Prompt-Parts': 'aa:20,bb:10'}
+
+
+# Guards against pauses of the router that count as silence of its engines.
+@pytest.mark.parametrize(
+    ('events_before', 'pause_s'),
+    [(0, 4.0), (2, 1.3)],
+    ids=['before-the-first-event', 'between-events'],
+)
+def test_a_stream_whose_events_arrived_during_a_pause_is_not_given_up(
+    events_before: int, pause_s: float
+) -> None:
+    def script(exchange: ScriptedExchange) -> None:
+        exchange.start_stream()
+        for number in range(1, events_before + 1):
+            exchange.event(number)
+            gevent.sleep(0.1)
+        exchange.event(events_before + 1)
+        time.sleep(pause_s)  # nothing in this process gets a turn
+        exchange.event(events_before + 2)
+        exchange.end_stream()
+
+    running = RunningRouter()
+    services = [{'name': 'work', 'engine': ENGINE}]
+    put_routes(running, ROUTES, services=services)
+    running.start()
+    running.add('one', script)
+    response = running.call('long', headers=PROMPT, patience_ms=15_000)
+    assert (response.status, response.complete) == (200, True)
+    assert response.events() == list(range(1, events_before + 3))
+    assert len(running.upstreams['one'].requests) == 1
+    running.stop()
