--- a/tests/test_router/test_no_silent_end.py
+++ b/tests/test_router/test_no_silent_end.py
@@ -323,3 +323,28 @@
     assert response.events() == list(range(1, events_before + 3))
     assert len(running.upstreams['one'].requests) == 1
     running.stop()
+
+
+# Guards against pauses of a caller that count as silence of the engine.
+def test_a_stream_to_a_caller_that_reads_late_is_not_given_up() -> None:
+    count, size = 1500, 8000
+
+    def script(exchange: ScriptedExchange) -> None:
+        exchange.start_stream()
+        for number in range(1, count + 1):
+            exchange.event(number, 'x' * size)
+        exchange.end_stream()
+
+    running = RunningRouter()
+    put_routes(running, ROUTES, services=[{'name': 'work', 'engine': ENGINE}])
+    running.start()
+    running.add('one', script)
+    conn = HttpCaller(running.cfg.callers)
+    call = gevent.spawn(conn.call, 'long', headers=PROMPT, patience_ms=15_000)
+    read, conn.read = conn.read, lambda: (gevent.sleep(1.5), read())[1]
+    response = call.get(timeout=8.0)
+    assert (response.status, response.complete) == (200, True)
+    assert response.events() == list(range(1, count + 1))
+    assert len(running.upstreams['one'].requests) == 1
+    conn.close()
+    running.stop()
