Reserve a retry when it is allowed

Cause: the budget was checked before the placement and counted after the connection was made; the callers of an engine that falls silent ask in the same 100 ms, and all passed the check.

--- a/packages/policy/src/rosemaryseam/policy/retrybudget.py
+++ b/packages/policy/src/rosemaryseam/policy/retrybudget.py
@@ -59,6 +59,14 @@
         """
         self._retries.append(now)
 
+    def withdraw_retry(self, counted_at: float) -> None:
+        """Undo the count of a retry that was not sent.
+
+        :param counted_at: time at which it was counted
+        """
+        if counted_at in self._retries:
+            self._retries.remove(counted_at)
+
     def _drop_expired(self, now: float) -> None:
         horizon = now - self._limits.window_s
         for times in (self._first_attempts, self._retries):
--- a/packages/router/src/rosemaryseam/router/admission.py
+++ b/packages/router/src/rosemaryseam/router/admission.py
@@ -37,6 +37,7 @@
 
     def __init__(self) -> None:
         self.arrivals = 0  # attempts that reached an upstream
+        self.reserved_at: float | None = None  # a retry that was not sent yet
         self.runs = 0  # attempts that may have run
         self.excluded: frozenset[str] = frozenset()
         self.failure: SendError | None = None
--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -240,6 +240,7 @@
             )
             raise self._final_refusal(attempts, timed_out=True) from exc
         finally:
+            self._return_retry(admitted, attempts)
             if attempts.successor is not None:
                 attempts.successor.close()
 
@@ -462,12 +463,16 @@
         obstacle = self._retry_obstacle(admitted, attempts, relay, silent_runs=1)
         if obstacle is not None:
             raise NoTakeoverError(obstacle)
+        ticket = None
         try:
             ticket = self._find_ticket(
                 admitted, attempts, attempts.excluded | {silent.id}
             )
         except NoUpstreamError as exc:
             raise NoTakeoverError(str(exc), exc.retry_after_s) from exc
+        finally:
+            if ticket is None:
+                self._return_retry(admitted, attempts)
         outcome = 'cancelled'
         arrivals = attempts.arrivals
         try:
@@ -485,6 +490,7 @@
             attempts.runs += attempts.arrivals - arrivals
             raise
         finally:
+            self._return_retry(admitted, attempts)
             if outcome:
                 ticket.end(outcome)
 
@@ -560,12 +566,21 @@
     ) -> None:
         budget = self._budget(admitted.service.name)
         now = self._clock.monotonic()
+        self._return_retry(admitted, attempts)
         if attempts.arrivals:
             budget.record_retry(now)
         else:
             budget.record_request(now)
         attempts.arrivals += 1
 
+    def _return_retry(
+        self, admitted: AdmittedRequest, attempts: AttemptHistory
+    ) -> None:
+        """Return a retry to the budget that was reserved and not sent."""
+        reserved_at, attempts.reserved_at = attempts.reserved_at, None
+        if reserved_at is not None:
+            self._budget(admitted.service.name).withdraw_retry(reserved_at)
+
     def _budget(self, service: str) -> FleetRetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
@@ -622,6 +637,8 @@
     ) -> str | None:
         """Return why a request may not be sent again, or ``None`` if it may.
 
+        A retry is then reserved, as others may be allowed before it is sent.
+
         :param silent_runs: runs at silent upstreams, which have not failed yet
         """
         now = self._clock.monotonic()
@@ -637,8 +654,11 @@
         if relay.started and not resumes:
             return 'its answer has begun'
         budget = self._budget(admitted.service.name)
-        if attempts.arrivals and not budget.allows_retry(now, self._count_hosts()):
-            return 'the retry budget is used up'
+        if attempts.arrivals and attempts.reserved_at is None:
+            if not budget.allows_retry(now, self._count_hosts()):
+                return 'the retry budget is used up'
+            budget.record_retry(now)
+            attempts.reserved_at = now
         return None
 
     def _report_failure(
--- a/tests/test_router/test_silent_upstreams.py
+++ b/tests/test_router/test_silent_upstreams.py
@@ -464,3 +464,24 @@
         response = read()
     assert (len(response.events()), response.complete) == (events, True)
     assert not two.requests
+
+
+# Guards against a retry budget that is overrun when an engine falls silent.
+def test_callers_of_one_silent_upstream_share_the_retry_budget(
+    start_router: Callable[..., RunningRouter],
+) -> None:
+    callers = 12
+    router = start_router(retry_budget_limits=RetryBudgetLimits(0.0, 5.0, 10.0))
+
+    def stop_midway(exchange: ScriptedExchange) -> None:
+        exchange.start_stream()
+        exchange.event(1)
+        exchange.wait_for_caller_close(6.0)
+
+    router.add('one', stop_midway)
+    sent = [gevent.spawn(call, router, 'long') for _ in range(callers)]
+    router.wait(lambda: len(router.upstreams['one'].requests) == callers)
+    two = router.add('two', resume)
+    gevent.sleep(2.5)
+    gevent.killall(sent)
+    assert 1 <= len(two.requests) <= 5
