--- a/tests/test_policy/test_retrybudget.py
+++ b/tests/test_policy/test_retrybudget.py
@@ -60,3 +60,15 @@
         spent = sum(1 for at in retries if at > now - LIMITS.window_s)
         asked = sum(1 for at in first_attempts if at > now - LIMITS.window_s)
         assert spent <= LIMITS.ratio * asked + LIMITS.slack
+
+
+# Guards against retries that were allowed, were not sent and still count.
+def test_a_withdrawn_retry_is_allowed_again() -> None:
+    budget = FleetRetryBudget(RetryBudgetLimits(0.0, 1.0 / 0.8, 10.0))
+    budget.record_retry(1.0)
+    assert not budget.allows_retry(1.0, 1)
+    budget.withdraw_retry(1.0)
+    assert budget.allows_retry(1.0, 1)
+    budget.withdraw_retry(1.0)
+    budget.record_retry(2.0)
+    assert not budget.allows_retry(2.0, 1)
--- a/tests/test_router/test_upstreams.py
+++ b/tests/test_router/test_upstreams.py
@@ -170,3 +170,32 @@
 
 TestRegistryMachine = RegistryMachine.TestCase
 TestRegistryMachine.settings = settings(max_examples=80, stateful_step_count=30)
+
+
+SUCCESSORS = [
+    ('none', [], False),
+    ('itself', [upstream()], False),
+    ('later-start-under-its-id', [upstream(born=2)], True),
+    ('later-start-under-another-id', [upstream('b', 2)], True),
+    ('earlier-start-at-its-address', [upstream('b', 0)], False),
+    (
+        'later-start-at-another-address',
+        [upstream('b', 2, address=Address('10.0.0.2', 80))],
+        False,
+    ),
+]
+
+
+# Guards against requests that are given up although their upstream still runs.
+@pytest.mark.parametrize(
+    ('entries', 'expected'),
+    [row[1:] for row in SUCCESSORS],
+    ids=[row[0] for row in SUCCESSORS],
+)
+def test_an_address_belongs_to_the_latest_start(
+    entries: list[Upstream], expected: bool
+) -> None:
+    registry = Registry()
+    for entry in entries:
+        registry.put(Registration(entry, leaving=False))
+    assert registry.is_succeeded(upstream()) is expected
