Pass messages of further parts between hosts, and read their settings

Cause: each new part would need fields of its own in the datagrams. Change: messages with a kind and a body of JSON types, handlers by kind, the settings of duties, of the stable window and of the relay port. Result: tests of datagrams, handover and the platform folder pass.

--- a/packages/experiments/src/rosemaryseam/experiments/hosts.py
+++ b/packages/experiments/src/rosemaryseam/experiments/hosts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.router.datagrams import Datagram
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from rosemaryseam.experiments.simulatedclock import SimulatedClock
     from rosemaryseam.router.datagrams import (
@@ -57,6 +57,7 @@
         self._registry = registry
         self._known_upstreams: tuple[Upstream, ...] = ()
         self.name = name
+        self.handlers: dict[str, Callable[[str, Any], None]] = {}
         self.tracker = UpstreamTracker(clock, lambda _: service, rng)
         self.dispatcher = Dispatcher(self.tracker, registry, metrics)
         self.placer = DispatchPlacer(
@@ -76,6 +77,17 @@
         self.apply_registry_changes()
         return self.placer.place(unplaced, upstreams)
 
+    def handle_message(self, host: str, kind: str, body: Any) -> None:
+        """Pass a message of another host to the part that handles its kind.
+
+        :param host: address of the other host
+        :param kind: name of the part
+        :param body: content, of JSON types
+        """
+        handle = self.handlers.get(kind)
+        if handle is not None:
+            handle(host, body)
+
     def apply_registry_changes(self) -> None:
         """Pass registry changes to the tracker and the placer, as the feed does."""
         if self._registry.all() != self._known_upstreams:
@@ -140,6 +152,11 @@
     def send_origin_lookup(self, host: str, request_id: str) -> None:
         """Do nothing; callers of the simulation take up no streams."""
 
+    def send_message(self, host: str, kind: str, body: Any) -> None:
+        """Pass a message to the same part of another host."""
+        if host in self._hosts:
+            self._hosts[host].handle_message(self._host.name, kind, body)
+
     def _deliver(self, host: str, datagram: Datagram) -> list:
         if host not in self._hosts:
             return []
--- a/packages/router/src/rosemaryseam/router/datagrams.py
+++ b/packages/router/src/rosemaryseam/router/datagrams.py
@@ -6,7 +6,7 @@
 import math
 import pathlib
 import zlib
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import capnp
 
@@ -67,6 +67,16 @@
     born: int
 
 
+class PartMessage(NamedTuple):
+    """A message of one part of the router to the same part of another host.
+
+    ``kind`` names the part, ``body`` consists of JSON types.
+    """
+
+    kind: str
+    body: Any
+
+
 class Datagram(NamedTuple):
     """A batch of messages from one host to another.
 
@@ -77,7 +87,7 @@
     ``limits`` holds the request limits that upstreams stated to the sender. ``origins``
     holds what the sender knows of the beginning of streams, ``origin_lookups`` the ids
     of the requests that began the streams it asks about. The receiver writes
-    ``origins_to_write`` to the store.
+    ``origins_to_write`` to the store. ``messages`` are those of other parts.
     """
 
     host: str
@@ -98,6 +108,7 @@
     origins: tuple[StreamOrigin, ...] = ()
     origin_lookups: tuple[str, ...] = ()
     origins_to_write: tuple[StreamOrigin, ...] = ()
+    messages: tuple[PartMessage, ...] = ()
 
 
 def encode(datagram: Datagram) -> bytes:
@@ -124,6 +135,10 @@
         origins=[_encode_origin(entry) for entry in datagram.origins],
         originLookups=list(datagram.origin_lookups),
         originsToWrite=[_encode_origin(entry) for entry in datagram.origins_to_write],
+        messages=[
+            {'kind': kind, 'body': json.dumps(body, separators=(',', ':'))}
+            for kind, body in datagram.messages
+        ],
     )
     # The packed format of the library is smaller still, but its reader aborts the
     # process when a message is malformed.
@@ -175,6 +190,10 @@
         origins_to_write=tuple(
             _decode_origin(entry) for entry in message.originsToWrite
         ),
+        messages=tuple(
+            PartMessage(entry.kind, json.loads(entry.body))
+            for entry in message.messages
+        ),
     )
 
 
--- a/packages/router/src/rosemaryseam/router/hostlink.py
+++ b/packages/router/src/rosemaryseam/router/hostlink.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import abc
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -104,3 +104,12 @@
         :param host: address of the dispatcher
         :param placed: prompt with its engine and age
         """
+
+    @abc.abstractmethod
+    def send_message(self, host: str, kind: str, body: Any) -> None:
+        """Send a message of one part of the router to the same part of another host.
+
+        :param host: address of the host
+        :param kind: name of the part
+        :param body: content, of JSON types
+        """
--- a/packages/router/src/rosemaryseam/router/peers.py
+++ b/packages/router/src/rosemaryseam/router/peers.py
@@ -4,7 +4,7 @@
 
 import json
 from collections import deque
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import gevent
 from gevent import socket
@@ -18,6 +18,7 @@
 from rosemaryseam.router.datagrams import (
     MAX_DATAGRAM_BYTES,
     Datagram,
+    PartMessage,
     decode,
     encode,
 )
@@ -75,6 +76,7 @@
         self.origins: list[StreamOrigin] = []
         self.origins_to_write: list[StreamOrigin] = []
         self.origin_lookups: list[str] = []
+        self.messages: list[PartMessage] = []
 
 
 class PeerLink(HostLink):
@@ -114,6 +116,7 @@
     ) -> None:
         self._address = address
         self._on_left = on_left
+        self._handlers: dict[str, Callable[[str, Any], None]] = {}
         self._capacity = capacity
         self._store = store
         self._clock = clock
@@ -291,6 +294,18 @@
         """Ask another host which software began a stream."""
         self._outbox(host).origin_lookups.append(request_id)
 
+    def send_message(self, host: str, kind: str, body: Any) -> None:
+        """Send a message of one part of the router to the same part of another host."""
+        self._outbox(host).messages.append(PartMessage(kind, body))
+
+    def subscribe(self, kind: str, handle: Callable[[str, Any], None]) -> None:
+        """Set the handler of a kind of message.
+
+        :param kind: name of the part
+        :param handle: called with the address of the sending host and the content
+        """
+        self._handlers[kind] = handle
+
     def send_in_flight(self, host: str, report: InFlightReport) -> None:
         """Report an in-flight request to a new dispatcher."""
         self._outbox(host).in_flight.append(report)
@@ -326,6 +341,7 @@
                 limits=tuple(outbox.limits),
                 origin_lookups=tuple(outbox.origin_lookups),
             )
+            self._send_messages(host, outbox.messages)
             if rest != Datagram(self._address.ip, self._incarnation):
                 self._send(host, rest)
 
@@ -358,6 +374,13 @@
                 Datagram(self._address.ip, self._incarnation, origins_to_write=origins),
             )
 
+    def _send_messages(self, host: str, messages: list[PartMessage]) -> None:
+        for start in range(0, len(messages), MAX_HANDOVER_ENTRIES):
+            batch = tuple(messages[start : start + MAX_HANDOVER_ENTRIES])
+            self._send(
+                host, Datagram(self._address.ip, self._incarnation, messages=batch)
+            )
+
     def _sync(self) -> None:
         gevent.sleep(SYNC_INTERVAL_S * self._rng.uniform(0.9, 1.1))
         for host in self._placer.handover.dispatchers():
@@ -440,15 +463,37 @@
         for report in datagram.crashes:
             self._tracker.crashes.apply_report(report)
         self._tracker.crashes.adopt(host, datagram.quarantined)
+        self._handle_origins(host, datagram)
+        for reply in self._dispatcher.handle_datagram(datagram):
+            self._outbox(host).replies.append(reply)
+        self._send_crash_reports()
+        for message in datagram.messages:
+            self._handle_message(host, message)
+
+    def _handle_origins(self, host: str, datagram: Datagram) -> None:
         for origin in datagram.origins:
             self._origins.handle(host, origin)
         for origin in datagram.origins_to_write:
             self._origin_log.add(origin)
         for request_id in datagram.origin_lookups:
             self._outbox(host).origins.append(self._origins.answer(request_id))
-        for reply in self._dispatcher.handle_datagram(datagram):
-            self._outbox(host).replies.append(reply)
-        self._send_crash_reports()
+
+    def _handle_message(self, host: str, message: PartMessage) -> None:
+        """Pass a message to its part; hosts of another version may send others."""
+        handle = self._handlers.get(message.kind)
+        if handle is None:
+            self._metrics.count('peer_messages_unknown', kind='other')
+            return
+        try:
+            handle(host, message.body)
+        except Exception as exc:  # a message must not end the receipt of others
+            self._metrics.count('peer_unreadable')
+            log_warning(
+                'peer_message_unreadable',
+                peer=host,
+                kind=message.kind,
+                reason=repr(exc),
+            )
 
     def _is_current(self, host: str, incarnation: int) -> bool:
         """Return whether a host's current process sent the datagram.
--- a/packages/router/src/rosemaryseam/router/peerwire.capnp
+++ b/packages/router/src/rosemaryseam/router/peerwire.capnp
@@ -112,6 +112,11 @@
   version @3 :Text;
 }
 
+struct PartMessage {
+  kind @0 :Text;
+  body @1 :Text;
+}
+
 struct Datagram {
   host @0 :Text;
   incarnation @1 :UInt64;
@@ -131,4 +136,5 @@
   origins @15 :List(Origin);
   originLookups @16 :List(Text);
   originsToWrite @17 :List(Origin);
+  messages @18 :List(PartMessage);
 }
--- a/packages/router/src/rosemaryseam/router/settings.py
+++ b/packages/router/src/rosemaryseam/router/settings.py
@@ -11,6 +11,23 @@
 MBPS_PER_CORE = 20.0  # with less bandwidth for each core, the link is the bottleneck
 
 
+class DutySettings(NamedTuple):
+    """What one host at a time does for all through the platform's API.
+
+    ``names`` are the duties in force, ``calls_per_s`` the number of calls that the API
+    accepts from all hosts. Within ``lease_s`` a duty may not return to an earlier
+    holder. A usage window lasts ``window_s``; its report is due ``report_due_s`` after
+    its end.
+    """
+
+    api: Address
+    names: tuple[str, ...]
+    calls_per_s: float
+    lease_s: float
+    window_s: float
+    report_due_s: float
+
+
 class RouterSettings(NamedTuple):
     """Addresses and resource limits of one host's router.
 
@@ -18,7 +35,10 @@
     refused, since a key may have been revoked meanwhile. ``grace_s`` is the time from
     SIGTERM to the kill. ``peer_port`` is the same on all hosts. ``cores`` and
     ``link_mbps`` are the CPU and network shares of the process, ``descriptors`` its
-    limit on open files.
+    limit on open files. From ``stable_window_s`` after an upstream says that it is
+    brittle, and after a host lost its upstreams, the promises for that state hold.
+    Other hosts reach upstreams through this one at ``relay_port``, ``None`` if they
+    don't.
     """
 
     host: str
@@ -37,6 +57,9 @@
     retry_budget_limits: RetryBudgetLimits
     cores: float = 1.0
     link_mbps: float = 1000.0
+    stable_window_s: float = 3.0
+    relay_port: int | None = None
+    duties: DutySettings | None = None
 
     @property
     def capacity(self) -> float:
--- a/tests/test_router/test_datagrams.py
+++ b/tests/test_router/test_datagrams.py
@@ -14,6 +14,7 @@
     DispatchRequest,
     EndedRequest,
     Incarnation,
+    PartMessage,
     Reply,
     decode,
     encode,
@@ -77,6 +78,9 @@
     Datagram(
         '10.0.0.1', 1, origins_to_write=(StreamOrigin('r7', Software('work', 'v1')),)
     ),
+    Datagram(
+        '10.0.0.1', 1, messages=(PartMessage('load', {'one': [1, 2.5, None, 'a']}),)
+    ),
 ]
 
 
--- a/tests/test_router/test_handover.py
+++ b/tests/test_router/test_handover.py
@@ -69,6 +69,9 @@
     def send_placed(self, host: str, placed: PlacedPrompt) -> None:
         self.placed.append((host, placed.upstream))
 
+    def send_message(self, host: str, kind: str, body: object) -> None:
+        raise AssertionError('unexpected message')
+
 
 class RecordingTracker:
     """Records the calls to this host's own upstream tracker."""
