Write to the store only at expected revisions

Cause: a duty is claimed by a write that must fail if the key exists, and a claim whose answer was lost is resolved by a read. Change: expected revisions with ConflictError, the read of a key and the end of a lease in the store's interface, its client and its stand-in; the stand-in also executes writes late and expires leases during watches.

--- a/packages/common/src/rosemaryseam/common/rangestore.py
+++ b/packages/common/src/rosemaryseam/common/rangestore.py
@@ -23,6 +23,17 @@
     """Raised when the store refused a call; nothing was changed."""
 
 
+class ConflictError(RefusedError):
+    """Raised when a key was not at the revision that a write expected.
+
+    :param items: the keys with expected revisions in their current state
+    """
+
+    def __init__(self, items: tuple[Item, ...]) -> None:
+        super().__init__('a key is at another revision than expected')
+        self.items = items
+
+
 class StorePosition(NamedTuple):
     """A revision of the store within an era; positions are ordered.
 
@@ -83,6 +94,26 @@
     freshness: Freshness | None = None
 
 
+class KeyState(NamedTuple):
+    """The state of one key; ``item`` is ``None`` if the key does not exist.
+
+    ``created`` is the revision at which the key was created, ``lease`` the id of its
+    lease, 0 without one. ``era`` is the era of the answer.
+    """
+
+    item: Item | None
+    created: int
+    lease: int
+    era: int
+
+
+class Expected(NamedTuple):
+    """The revision at which a key must be; 0 if it must not exist."""
+
+    key: str
+    revision: int
+
+
 class Write(NamedTuple):
     """A value to write; with ``lease`` 0 it stays until it is removed."""
 
@@ -130,14 +161,35 @@
         :raises PlatformError: the store did not answer, or refused
         """
 
+    @abc.abstractmethod
+    def read_key(self, key: str) -> KeyState:
+        """Return the state of one key.
+
+        :param key: the key
+        :raises PlatformError: the store did not answer, or refused
+        """
+
+    @abc.abstractmethod
+    def end_lease(self, lease: Lease) -> None:
+        """End a lease, which removes its keys. Ids are reused in a later era.
+
+        :param lease: lease to end
+        :raises PlatformError: the store did not answer, or refused
+        """
+
     @abc.abstractmethod
     def write(
-        self, writes: Sequence[Write], removals: Sequence[str] = ()
+        self,
+        writes: Sequence[Write],
+        removals: Sequence[str] = (),
+        expected: Sequence[Expected] = (),
     ) -> StorePosition:
         """Write and remove keys atomically and return the position of the change.
 
         :param writes: values to write
         :param removals: keys to remove
-        :raises RefusedError: nothing was changed
+        :param expected: revisions at which keys must be
+        :raises ConflictError: a key was at another revision; nothing was changed
+        :raises RefusedError: nothing was changed, also if a lease does not exist
         :raises UnknownOutcomeError: the writes may have taken effect, or may do later
         """
--- a/packages/router/src/rosemaryseam/router/relayedstore.py
+++ b/packages/router/src/rosemaryseam/router/relayedstore.py
@@ -14,7 +14,9 @@
 from rosemaryseam.common.rangestore import (
     Changes,
     EraChangedError,
+    Expected,
     HistoryLostError,
+    KeyState,
     Lease,
     RangeStore,
     Snapshot,
@@ -124,11 +126,22 @@
         """Renew a lease and return whether it still held."""
         return self._store.renew_lease(lease)
 
+    def read_key(self, key: str) -> KeyState:
+        """Return the state of one key, as the store itself knows it."""
+        return self._store.read_key(key)
+
+    def end_lease(self, lease: Lease) -> None:
+        """End a lease, which removes its keys."""
+        self._store.end_lease(lease)
+
     def write(
-        self, writes: Sequence[Write], removals: Sequence[str] = ()
+        self,
+        writes: Sequence[Write],
+        removals: Sequence[str] = (),
+        expected: Sequence[Expected] = (),
     ) -> StorePosition:
         """Write and remove keys atomically and return the position of the change."""
-        return self._store.write(writes, removals)
+        return self._store.write(writes, removals, expected)
 
     def _readers_to_try(self) -> list[str]:
         """Return the readers to try; none when this host reads directly."""
--- a/packages/standins/src/rosemaryseam/standins/rangestore.py
+++ b/packages/standins/src/rosemaryseam/standins/rangestore.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections import Counter
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import gevent
 from gevent.event import Event
@@ -11,9 +12,12 @@
 from rosemaryseam.common.errors import PlatformError, UnknownOutcomeError
 from rosemaryseam.common.rangestore import (
     Changes,
+    ConflictError,
     EraChangedError,
+    Expected,
     HistoryLostError,
     Item,
+    KeyState,
     Lease,
     RangeStore,
     RefusedError,
@@ -28,6 +32,7 @@
     from rosemaryseam.common.clock import Clock
 
 SILENT_DELAY_S = 0.2  # delay before a silent store raises the error of a timeout
+LATE_WRITE_S = 0.5  # after which a write is executed whose caller got no answer
 
 
 class StoreCopy(NamedTuple):
@@ -36,6 +41,7 @@
     items: dict[str, Item]
     leases: dict[int, tuple[float, float]]
     lease_by_key: dict[str, int]
+    created: dict[str, int]
     history: tuple[Item, ...]
     revision: int
 
@@ -49,6 +55,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._items: dict[str, Item] = {}
+        self._created: dict[str, int] = {}
         self._leases: dict[int, tuple[float, float]] = {}
         self._lease_by_key: dict[str, int] = {}
         self._history: list[Item] = []
@@ -56,7 +63,7 @@
         self.revision = 1
         self.era = 0  # rises when the store is restored
         self.oldest_revision = 1  # earlier history is compacted
-        self.mode = 'up'  # or 'refuse', 'silent', 'lose'
+        self.mode = 'up'  # or 'refuse', 'silent', 'lose', 'late'
         self.calls: Counter[str] = Counter()
 
     # Operations of operators and upstreams.
@@ -91,6 +98,7 @@
             dict(self._items),
             dict(self._leases),
             dict(self._lease_by_key),
+            dict(self._created),
             tuple(self._history),
             self.revision,
         )
@@ -103,6 +111,7 @@
         :param copy: earlier state of this store
         """
         self._items = dict(copy.items)
+        self._created = dict(copy.created)
         self._leases = dict(copy.leases)
         self._lease_by_key = dict(copy.lease_by_key)
         self._history = list(copy.history)
@@ -118,7 +127,8 @@
     def set_mode(self, mode: str) -> None:
         """Set the fault, also for pending watches.
 
-        :param mode: ``up``, ``refuse``, ``silent`` or ``lose``
+        :param mode: ``up``, ``refuse``, ``silent``, ``lose`` (the answers of writes)
+            or ``late`` (writes are executed after their callers gave up)
         """
         self.mode = mode
         self._wake_watches()
@@ -151,7 +161,8 @@
             left = deadline - self._clock.monotonic()
             if changes or left <= 0:
                 return Changes(tuple(changes), self.position)
-            self._changed.wait(left)
+            self._changed.wait(min(left, self._next_expiry_s()))
+            self._expire_leases()
             if self.mode != 'up':
                 self._begin_call('watch')
 
@@ -172,8 +183,27 @@
         self._leases[lease.id] = (ttl_s, self._clock.monotonic() + ttl_s)
         return lease.era == self.era
 
+    def read_key(self, key: str) -> KeyState:
+        """Return the state of one key."""
+        self._begin_call('key')
+        self._expire_leases()
+        item = self._items.get(key)
+        if item is None:
+            return KeyState(None, 0, 0, self.era)
+        lease = self._lease_by_key.get(key, 0)
+        return KeyState(item, self._created[key], lease, self.era)
+
+    def end_lease(self, lease: Lease) -> None:
+        """End a lease, which removes its keys."""
+        self._begin_call('end_lease')
+        if self._leases.pop(lease.id, None) is not None:
+            self._delete_keys_of({lease.id})
+
     def write(
-        self, writes: Sequence[Write], removals: Sequence[str] = ()
+        self,
+        writes: Sequence[Write],
+        removals: Sequence[str] = (),
+        expected: Sequence[Expected] = (),
     ) -> StorePosition:
         """Write and remove keys atomically and return the position of the change."""
         if self.mode == 'refuse':
@@ -182,13 +212,39 @@
             gevent.sleep(SILENT_DELAY_S)
             raise UnknownOutcomeError('no answer')
         self.calls['write'] += 1
+        if self.mode == 'late':
+            gevent.spawn_later(
+                LATE_WRITE_S, self._execute_late, writes, removals, expected
+            )
+            gevent.sleep(SILENT_DELAY_S)
+            raise UnknownOutcomeError('no answer')
+        position = self._execute(writes, removals, expected)
+        if self.mode == 'lose':
+            raise UnknownOutcomeError('the answer was lost')
+        return position
+
+    def _execute_late(self, *arguments: Sequence[Any]) -> None:
+        with contextlib.suppress(RefusedError):
+            self._execute(*arguments)
+
+    def _execute(
+        self,
+        writes: Sequence[Write],
+        removals: Sequence[str],
+        expected: Sequence[Expected],
+    ) -> StorePosition:
+        self._expire_leases()
+        absent = [Item(key, None, 0) for key, _ in expected]
+        current = [self._items.get(item.key, item) for item in absent]
+        if [item.revision for item in current] != [entry[1] for entry in expected]:
+            raise ConflictError(tuple(current))
+        if any(entry.lease and entry.lease not in self._leases for entry in writes):
+            raise RefusedError('no such lease')
         for entry in writes:
             self.put(entry.key, entry.value)
             self._lease_by_key[entry.key] = entry.lease
         for key in removals:
             self.delete(key)
-        if self.mode == 'lose':
-            raise UnknownOutcomeError('the answer was lost')
         return self.position
 
     def _begin_call(self, kind: str) -> None:
@@ -202,8 +258,10 @@
     def _append_change(self, item: Item) -> None:
         if item.value is None:
             self._items.pop(item.key, None)
+            self._created.pop(item.key, None)
         else:
             self._items[item.key] = item
+            self._created.setdefault(item.key, item.revision)
         self._lease_by_key.pop(item.key, None)
         self._history.append(item)
         self._wake_watches()
@@ -217,5 +275,14 @@
         ended = {lease for lease, (_, until) in self._leases.items() if until <= now}
         for lease in ended:
             del self._leases[lease]
-        for key in [key for key, lease in self._lease_by_key.items() if lease in ended]:
+        self._delete_keys_of(ended)
+
+    def _delete_keys_of(self, leases: set[int]) -> None:
+        for key in [key for key, own in self._lease_by_key.items() if own in leases]:
             self.delete(key)
+
+    def _next_expiry_s(self) -> float:
+        now = self._clock.monotonic()
+        return max(
+            0.0, min((end - now for _, end in self._leases.values()), default=60.0)
+        )
--- a/tests/test_platform/storeserver.py
+++ b/tests/test_platform/storeserver.py
@@ -11,9 +11,12 @@
 from rosemaryseam.common.addresses import Address
 from rosemaryseam.common.clock import SystemClock
 from rosemaryseam.common.rangestore import (
+    ConflictError,
+    Expected,
     HistoryLostError,
     Item,
     Lease,
+    RefusedError,
     StorePosition,
     Write,
 )
@@ -55,6 +58,8 @@
         application.add_route('/-/kv-range', self, suffix='range')
         application.add_route('/-/kv-watch', self, suffix='watch')
         application.add_route('/-/kv-txn', self, suffix='txn')
+        application.add_route('/-/kv-key', self, suffix='key')
+        application.add_route('/-/kv-lease-end/{lease:int}', self, suffix='lease_end')
         application.add_route('/-/kv-lease', self, suffix='lease')
         application.add_route('/-/kv-keep/{lease:int}', self, suffix='keep')
         self._server = HttpServer(
@@ -103,10 +108,38 @@
             Write(entry['key'], base64.b64decode(entry['value']), entry['lease'])
             for entry in body['writes']
         ]
-        position = self.store.write(writes, body['remove'])
+        expected = [Expected(**entry) for entry in body['expectedRev']]
+        try:
+            position = self.store.write(writes, body['remove'], expected)
+        except ConflictError as exc:
+            resp.status = falcon.HTTP_412
+            resp.media = {'items': [_encode_item(item) for item in exc.items]}
+            return
+        except RefusedError:
+            raise falcon.HTTPNotFound() from None
         self._inject_fault_after_write()
         resp.media = {'revision': position.revision}
 
+    def on_get_key(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Return one key."""
+        self._inject_fault()
+        state = self.store.read_key(req.get_param('key'))
+        if state.item is None:
+            raise falcon.HTTPNotFound()
+        resp.media = {
+            **_encode_item(state.item),
+            'createdRev': state.created,
+            'lease': state.lease,
+            'asOf': self.store.revision,
+        }
+
+    def on_delete_lease_end(
+        self, req: falcon.Request, resp: falcon.Response, lease: int
+    ) -> None:
+        """End a lease."""
+        self._inject_fault()
+        self.store.end_lease(Lease(lease, self.store.era))
+
     def on_post_lease(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Grant a lease."""
         self._inject_fault()
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -11,7 +11,9 @@
 from rosemaryseam.common.errors import PlatformError, UnknownOutcomeError
 from rosemaryseam.common.exchange import Answer
 from rosemaryseam.common.rangestore import (
+    ConflictError,
     EraChangedError,
+    Expected,
     HistoryLostError,
     RefusedError,
     StorePosition,
@@ -111,6 +113,42 @@
     assert client.renew_lease(others)
 
 
+@pytest.mark.parametrize('offset', [None, -1, 0], ids=['absent', 'older', 'equal'])
+def test_a_write_takes_place_only_at_the_expected_revision(
+    server: StoreServer, client: PlatformStore, offset: int | None
+) -> None:
+    """Without the condition, two hosts would own the same duty."""
+    revision = server.store.put('x/1', b'one')
+    expected = (Expected('x/1', 0 if offset is None else revision + offset),)
+    if offset == 0:
+        position = client.write((Write('x/1', b'two'),), (), expected)
+        assert client.read_key('x/1')[:2] == (('x/1', b'two', position[1]), revision)
+    else:
+        with pytest.raises(ConflictError) as caught:
+            client.write((Write('x/1', b'two'),), (), expected)
+        assert caught.value.items == (('x/1', b'one', revision),)
+
+
+def test_a_conflict_about_an_absent_key_says_so(client: PlatformStore) -> None:
+    with pytest.raises(ConflictError) as caught:
+        client.write((), ('x/1',), (Expected('x/1', 4),))
+    assert caught.value.items == (('x/1', None, 0),)
+    assert client.read_key('x/1').item is None
+
+
+def test_keys_go_with_their_lease_and_cannot_join_an_ended_one(
+    client: PlatformStore,
+) -> None:
+    """A claim that is executed late must not outlive a process that gave up."""
+    lease = client.grant_lease(10.0)
+    client.write((Write('x/1', b'one', lease.id),))
+    assert client.read_key('x/1').lease == lease.id
+    client.end_lease(lease)
+    assert client.read_key('x/1').item is None
+    with pytest.raises(RefusedError):
+        client.write((Write('x/1', b'one', lease.id),))
+
+
 UNREADABLE_ANSWERS = [
     b'',
     b'[]',
@@ -138,6 +176,8 @@
         client.grant_lease(1.0)
     with pytest.raises(PlatformError):
         client.write(())
+    with pytest.raises(PlatformError):
+        client.read_key('a')
 
 
 READ_FAULTS = [(503, RefusedError), (429, RefusedError), ('silent', PlatformError)]
--- a/tests/test_router/test_feed.py
+++ b/tests/test_router/test_feed.py
@@ -15,6 +15,7 @@
     Changes,
     HistoryLostError,
     Item,
+    KeyState,
     Lease,
     RangeStore,
     Snapshot,
@@ -70,7 +71,16 @@
         """Do nothing."""
         return True
 
-    def write(self, writes: Any, removals: Any = ()) -> StorePosition:
+    def read_key(self, key: str) -> KeyState:
+        """Return that the key does not exist."""
+        return KeyState(None, 0, 0, 0)
+
+    def end_lease(self, lease: Lease) -> None:
+        """Do nothing."""
+
+    def write(
+        self, writes: Any, removals: Any = (), expected: Any = ()
+    ) -> StorePosition:
         """Do nothing."""
         return at(1)
 
--- a/tests/test_router/test_feed_model.py
+++ b/tests/test_router/test_feed_model.py
@@ -29,6 +29,7 @@
     Freshness,
     HistoryLostError,
     Item,
+    KeyState,
     Lease,
     RangeStore,
     Snapshot,
@@ -195,7 +196,16 @@
     def renew_lease(self, lease: Lease) -> bool:
         return True
 
-    def write(self, writes: object, removals: object = ()) -> StorePosition:
+    def read_key(self, key: str) -> KeyState:
+        """Return that the key does not exist."""
+        return KeyState(None, 0, 0, 0)
+
+    def end_lease(self, lease: Lease) -> None:
+        """Do nothing."""
+
+    def write(
+        self, writes: object, removals: object = (), expected: object = ()
+    ) -> StorePosition:
         return self.model.position
 
 
