Hold duties and report usage

Cause: the platform wants each window's requests by workspace from one host at a time. Change: claims, renewals and hand-over of a duty's key, counts of each host, their merge, the record in the store before each report, the client of the API and a stand-in that checks its rules; wired only if the settings have duties.

--- a/packages/router/src/rosemaryseam/router/admission.py
+++ b/packages/router/src/rosemaryseam/router/admission.py
@@ -37,6 +37,8 @@
 
     def __init__(self) -> None:
         self.arrivals = 0  # attempts that reached an upstream
+        self.sent_at = 0.0  # monotonic time of the latest of them
+        self.counted = False  # as usage of its workspace
         self.reserved_at: float | None = None  # a retry that was not sent yet
         self.runs = 0  # attempts that may have run
         self.excluded: frozenset[str] = frozenset()
--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -29,6 +29,7 @@
 from rosemaryseam.router.requests import UpstreamCall
 from rosemaryseam.router.routes import Repeat, pick_service
 from rosemaryseam.router.silence import NoTakeoverError, OpenAnswer, SilenceWatch
+from rosemaryseam.router.usagecounts import NoRequestCounter
 
 if TYPE_CHECKING:
     import random
@@ -48,6 +49,7 @@
     from rosemaryseam.router.routes import Route, RoutingTable, Workspace
     from rosemaryseam.router.upstreamconnection import UpstreamConnection
     from rosemaryseam.router.upstreams import Registry, Upstream
+    from rosemaryseam.router.usagecounts import RequestCounter
 
 DEFAULT_TIMEOUT_S = 30.0  # for requests that state no deadline
 OTHER_HOST_RETRY_AFTER_S = 0.25  # for refusals that may not apply to other hosts
@@ -80,6 +82,7 @@
     :param max_key_staleness_s: staleness of the table in seconds from which API keys
         are not accepted
     :param rng: random numbers for the choice between weighted services
+    :param counter: counts the requests that upstreams began to execute
     """
 
     def __init__(
@@ -96,6 +99,7 @@
         hosts: Callable[[], int],
         max_key_staleness_s: float,
         rng: random.Random,
+        counter: RequestCounter | None = None,
     ) -> None:
         self._feed = feed
         self._registry = registry
@@ -109,6 +113,7 @@
         self._count_hosts = hosts
         self._max_key_staleness_s = max_key_staleness_s
         self._rng = rng
+        self._counter = counter or NoRequestCounter()
         self._budgets: dict[str, FleetRetryBudget] = {}
         self._quiet = QuietPeriods(clock)
         self._stops_at: float | None = None
@@ -232,10 +237,12 @@
 
     def _forward(self, admitted: AdmittedRequest, reply: Reply) -> None:
         attempts = AttemptHistory()
-        relay = StreamRelay(
-            reply,
-            lambda upstream: self._resumption.record_begin(admitted, upstream),
-        )
+
+        def record_begin(upstream: Upstream) -> None:
+            self._counter.began(admitted, attempts)
+            self._resumption.record_begin(admitted, upstream)
+
+        relay = StreamRelay(reply, record_begin)
         expires_in_s = admitted.expires_at - self._clock.monotonic()
         try:
             with gevent.Timeout(max(0.0, expires_in_s)):
@@ -294,7 +301,7 @@
                 )
             else:
                 _set_abort_check(answer.conn, admitted.route, watch.is_replaced)
-            self._relay_answer(admitted, relay, reply, answer)
+            self._relay_answer(admitted, attempts, relay, reply, answer)
             failed = answer.head.status >= FIRST_SERVER_ERROR_STATUS
             outcome = 'failed' if failed else 'done'
             return True
@@ -564,6 +571,7 @@
     def _relay_answer(
         self,
         admitted: AdmittedRequest,
+        attempts: AttemptHistory,
         relay: StreamRelay,
         reply: Reply,
         answer: OpenAnswer,
@@ -573,6 +581,7 @@
             if admitted.route.streamed and head.status < 300:
                 relay.relay_stream(head, chunks, ticket)
             else:
+                self._counter.answered(admitted, attempts)
                 bodyless = admitted.request.method == b'HEAD'
                 relay_answer(head, chunks, reply, bodyless=bodyless)
         except BaseException:
@@ -594,6 +603,7 @@
         else:
             budget.record_request(now)
         attempts.arrivals += 1
+        attempts.sent_at = now
 
     def _return_retry(
         self, admitted: AdmittedRequest, attempts: AttemptHistory
@@ -620,6 +630,7 @@
         attempts.excluded |= {ticket.upstream.id}
         if isinstance(exc, BrokenError):
             attempts.runs += 1
+            self._counter.broken_off(admitted, attempts)
         if isinstance(exc, DeclinedError) and exc.head.status == 421:
             self._mark_left(ticket.upstream)
         self._metrics.count('upstream_failures', kind=type(exc).__name__)
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -19,6 +19,7 @@
 from rosemaryseam.router.callers import BodyMemoryBudget, CallerServer
 from rosemaryseam.router.dispatch import DispatchPlacer
 from rosemaryseam.router.dispatcher import Dispatcher
+from rosemaryseam.router.duties import Duties
 from rosemaryseam.router.feed import StateFeed
 from rosemaryseam.router.forwarder import Forwarder
 from rosemaryseam.router.mirror import Mirror, build_mirror_app
@@ -33,6 +34,7 @@
 from rosemaryseam.router.status import build_metrics_app, build_readiness_app
 from rosemaryseam.router.upstreams import Registry
 from rosemaryseam.router.upstreamtracker import UpstreamTracker
+from rosemaryseam.router.usagereporter import is_usage_record
 
 if TYPE_CHECKING:
     import socket
@@ -42,6 +44,7 @@
     from rosemaryseam.common.rangestore import RangeStore
     from rosemaryseam.router.codec import HttpCodec, StateCodec
     from rosemaryseam.router.datagrams import Incarnation
+    from rosemaryseam.router.dutyport import DutyPort
     from rosemaryseam.router.feed import OtherItems
     from rosemaryseam.router.routes import Service
     from rosemaryseam.router.settings import RouterSettings
@@ -68,6 +71,7 @@
     :param http: codec of HTTP heads
     :param state: decoder of the store's values
     :param listener: listening socket for callers, if it is open already
+    :param duty_port: makes the calls of the duties in the settings, if there are any
     """
 
     def __init__(
@@ -78,6 +82,7 @@
         http: HttpCodec,
         state: StateCodec,
         listener: socket.socket | None = None,
+        duty_port: DutyPort | None = None,
     ) -> None:
         self._cfg = cfg
         self._clock = clock
@@ -145,7 +150,7 @@
         self.mirror = Mirror(
             lambda: self.feed.staleness_s(),
             self.store_prober.since_contact_s,
-            lambda key: not is_origin_entry(key),
+            lambda key: not (is_origin_entry(key) or is_usage_record(key)),
         )
         self.feed = StateFeed(
             self.relayed_store,
@@ -170,6 +175,16 @@
             self._rng,
         )
         self.software.connect(self.peers, self._on_versions_changed)
+        self.duties = Duties(
+            cfg,
+            duty_port,
+            store,
+            self.peers,
+            self.feed.era,
+            self._rng.getrandbits(53),
+            clock,
+            self.metrics,
+        )
         self._forwarder = Forwarder(
             self.feed,
             self.registry,
@@ -183,6 +198,7 @@
             self.peers.host_count,
             cfg.max_key_staleness_s,
             self._rng,
+            self.duties.counter,
         )
         self.callers = CallerServer(
             cfg.callers,
@@ -231,6 +247,7 @@
                 lambda: self.store_prober.step(self.mirror),
                 self.metrics,
             ),
+            *self.duties.start(),
         ]
         self._start_listener('peer_port', self._start_peers)
         log_event('started', zone=cfg.zone, callers=str(cfg.callers))
@@ -246,6 +263,7 @@
         cutoff_at = began + self._cfg.grace_s - CUTOFF_MARGIN_S
         log_event('stopping', busy=self.callers.busy_connections)
         self.callers.begin_drain()
+        gevent.spawn(self.duties.release)
         self.peers.leave()
         self._forwarder.begin_drain(cutoff_at)
         gevent.sleep(min(READINESS_LAG_S, self._cfg.grace_s / 2))
@@ -256,6 +274,7 @@
         self._serve_last_connections(cutoff_at)
         log_event('stopped', cut_off=self.callers.busy_connections)
         self.callers.cut_off()
+        self.duties.send_last_counts()
         gevent.sleep(CUTOFF_S)
         gevent.killall(self._background, block=False)
 
@@ -302,6 +321,7 @@
             ],
             'software_last_registered_s': self.software.dump(),
             'stream_origins': self._origins.size(),
+            'duties': self.duties.dump(),
             'idle_upstream_connections': self._pool.size(),
             'counters': self.metrics.dump(),
         }
@@ -342,6 +362,7 @@
         self.peers.apply_host_entries(others)
         self.software.apply_items(others)
         self._origin_log.apply_items(others)
+        self.duties.apply_items(others)
 
     def _on_versions_changed(self) -> None:
         table = self.feed.table
