Order upstreams for the expected demand, spot ones first

Cause: each upstream is billed by the second, and spot upstreams cost a fraction of ordinary ones but may be reclaimed. Change: the limits and prices of a service, the kind of an upstream and the time that it has left are decoded; hosts count demand and report it once a second; the holder of the duty compares the value of one more upstream with its price, orders spot upstreams first and reduces ordinary ones once others serve; upstreams that leave before a request may end are avoided. The loop is not connected to the ownership of the duty yet.

--- a/packages/router/src/rosemaryseam/router/feed.py
+++ b/packages/router/src/rosemaryseam/router/feed.py
@@ -252,7 +252,7 @@
             changes = self._registry.remove(upstream_id, now, after_outage=after_outage)
         else:
             entry = self._decode_registration(item)
-            changes = [] if entry is None else self._registry.put(entry)
+            changes = [] if entry is None else self._registry.put(entry, now)
         self._publish(changes)
         return False
 
--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -39,6 +39,7 @@
     from rosemaryseam.policy.retrybudget import RetryBudgetLimits
     from rosemaryseam.router.callers import ReceivedRequest
     from rosemaryseam.router.codec import HttpCodec
+    from rosemaryseam.router.demandcounts import DemandCounts
     from rosemaryseam.router.feed import StateFeed
     from rosemaryseam.router.placement import Placer, Ticket
     from rosemaryseam.router.pool import ConnectionPool
@@ -80,6 +81,7 @@
     :param max_key_staleness_s: staleness of the table in seconds from which API keys
         are not accepted
     :param rng: random numbers for the choice between weighted services
+    :param demand: counts the demand for services
     """
 
     def __init__(
@@ -96,6 +98,7 @@
         hosts: Callable[[], int],
         max_key_staleness_s: float,
         rng: random.Random,
+        demand: DemandCounts,
     ) -> None:
         self._feed = feed
         self._registry = registry
@@ -109,6 +112,7 @@
         self._count_hosts = hosts
         self._max_key_staleness_s = max_key_staleness_s
         self._rng = rng
+        self._demand = demand
         self._budgets: dict[str, FleetRetryBudget] = {}
         self._quiet = QuietPeriods(clock)
         self._stops_at: float | None = None
@@ -334,13 +338,17 @@
         :raises RefusalError: if there is no upstream for the first attempt
         """
         try:
-            return self._find_ticket(admitted, attempts, relay, attempts.excluded)
+            ticket = self._find_ticket(admitted, attempts, relay, attempts.excluded)
+            if attempts.failure is None:
+                self._demand.record_placed(admitted, ticket.inputs)
+            return ticket
         except NoUpstreamError as exc:
             if isinstance(exc, _AllQuietError):
                 attempts.retry_after_s = exc.retry_after_s
             if attempts.failure is not None:
                 log_event('retry_ruled_out', id=admitted.request.id, reason=str(exc))
                 return None
+            self._demand.record_refused(admitted)
             raise RefusalError(
                 503, ResultCode.NO_UPSTREAM, str(exc), exc.retry_after_s
             ) from exc
@@ -366,6 +374,12 @@
                 reason = f'no upstream of version {version} is registered'
                 raise NoUpstreamError(reason, NO_UPSTREAM_RETRY_AFTER_S)
         excluded |= self._quiet.names(usable)
+        excluded |= self._registry.leaving_too_soon(
+            usable,
+            excluded,
+            admitted.expires_at,
+            admitted.request.arrived + admitted.route.first_byte_target_s,
+        )
         if usable and all(entry.id in excluded for entry in usable):
             # Nothing can be sent before the first of them wants requests again.
             wait_s = self._quiet.shortest_s(usable) or NO_UPSTREAM_RETRY_AFTER_S
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -16,6 +16,7 @@
 from rosemaryseam.common.fairness import run_repeatedly
 from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.common.wsgi import HttpServer, ServerTimeouts
+from rosemaryseam.router.autoscaler import Autoscaler
 from rosemaryseam.router.callers import BodyMemoryBudget, CallerServer
 from rosemaryseam.router.dispatch import DispatchPlacer
 from rosemaryseam.router.dispatcher import Dispatcher
@@ -170,6 +171,16 @@
             self._rng,
         )
         self.software.connect(self.peers, self._on_versions_changed)
+        self.autoscaler = Autoscaler(
+            cfg.ip,
+            cfg.capacity,
+            self.registry,
+            lambda: self.feed.table,
+            lambda: self.feed.staleness_s(),
+            clock,
+            self.metrics,
+            self._rng,
+        )
         self._forwarder = Forwarder(
             self.feed,
             self.registry,
@@ -183,6 +194,7 @@
             self.peers.host_count,
             cfg.max_key_staleness_s,
             self._rng,
+            self.autoscaler.counts,
         )
         self.callers = CallerServer(
             cfg.callers,
@@ -302,6 +314,7 @@
             ],
             'software_last_registered_s': self.software.dump(),
             'stream_origins': self._origins.size(),
+            'upstream_orders': self.autoscaler.dump(),
             'idle_upstream_connections': self._pool.size(),
             'counters': self.metrics.dump(),
         }
--- a/packages/router/src/rosemaryseam/router/routes.py
+++ b/packages/router/src/rosemaryseam/router/routes.py
@@ -66,13 +66,33 @@
     shares_cache: bool
 
 
+class ScalingLimits(NamedTuple):
+    """How many upstreams of a service may be ordered, and what they cost.
+
+    ``minimum`` and ``maximum`` hold for each zone, ordinary and spot upstreams
+    together. A new upstream serves after ``boot_s``. ``zone_prices`` is the price of
+    an upstream's second by zone; that of a spot upstream is ``spot_price`` times as
+    high, ``None`` if there are no spot upstreams.
+    """
+
+    minimum: int
+    maximum: int
+    boot_s: float
+    spot_price: float | None
+    zone_prices: Mapping[str, float]
+
+
 class Service(NamedTuple):
-    """A group of upstreams that answer the same requests."""
+    """A group of upstreams that answer the same requests.
+
+    Upstreams are ordered only if the service has ``scaling``.
+    """
 
     name: str
     health_path: str
     max_connections: int
     engine: EngineProfile | None
+    scaling: ScalingLimits | None = None
 
 
 class CallerLimits(NamedTuple):
--- a/packages/router/src/rosemaryseam/router/upstreams.py
+++ b/packages/router/src/rosemaryseam/router/upstreams.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Collection, Iterable, Mapping
 
     from rosemaryseam.common.addresses import Address
 
@@ -19,7 +20,8 @@
     """One incarnation of an upstream.
 
     ``born`` distinguishes restarts under one id. ``version`` is the version of the
-    upstream's software, empty if it is not stated.
+    upstream's software, empty if it is not stated. A ``spot`` upstream may be
+    reclaimed by the platform at short notice.
     """
 
     id: str
@@ -29,6 +31,7 @@
     zone: str
     slots: int
     version: str = ''
+    spot: bool = False
 
     @property
     def incarnation(self) -> tuple[str, int]:
@@ -37,10 +40,14 @@
 
 
 class Registration(NamedTuple):
-    """A registry entry; an upstream that is ``leaving`` gets no new requests."""
+    """A registry entry; an upstream that is ``leaving`` gets no new requests.
+
+    ``leaves_in_s`` is the time that it has left, ``None`` if it does not state one.
+    """
 
     upstream: Upstream
     leaving: bool
+    leaves_in_s: float | None = None
 
 
 class UpstreamChange(NamedTuple):
@@ -69,6 +76,7 @@
         self._lapsed: dict[str, float] = {}
         self._by_service: dict[str, tuple[Upstream, ...]] = {}
         self._versions: dict[str, frozenset[str]] = {}
+        self._leaves_at: dict[tuple[str, int], float] = {}
 
     def usable(self, service: str) -> tuple[Upstream, ...]:
         """Return the upstreams of a service that may get new requests.
@@ -91,6 +99,29 @@
         """
         return self._versions.get(service, frozenset())
 
+    def leaving_too_soon(
+        self,
+        upstreams: Collection[Upstream],
+        excluded: frozenset[str],
+        expires_at: float,
+        due_at: float,
+    ) -> frozenset[str]:
+        """Return the ids of the upstreams that leave before a request may end.
+
+        If no others are left, these are only those that leave before it is due.
+
+        :param upstreams: upstreams that may serve the request
+        :param excluded: ids of upstreams that may not serve it for other reasons
+        :param expires_at: time at which the request ends at the latest
+        :param due_at: time at which it should have an answer
+        """
+        if not self._leaves_at:
+            return frozenset()
+        leaving = self._leaving_before(upstreams, expires_at)
+        if all(entry.id in excluded | leaving for entry in upstreams):
+            return self._leaving_before(upstreams, due_at)
+        return leaving
+
     def is_succeeded(self, upstream: Upstream) -> bool:
         """Return whether a later incarnation has taken an upstream's address.
 
@@ -136,14 +167,17 @@
                 changes += self._drop(missing, 'unregistered')
         for entry in entries.values():
             changes += self._accept(entry)
+            self._record_leaving_time(entry, now)
         self._index()
         return changes
 
-    def put(self, entry: Registration) -> list[UpstreamChange]:
+    def put(self, entry: Registration, now: float = 0.0) -> list[UpstreamChange]:
         """Apply one entry.
 
         :param entry: current entry of the registry
+        :param now: seconds on the monotonic clock, from which an entry's time left runs
         """
+        self._record_leaving_time(entry, now)
         self._held_back.pop(entry.upstream.id, None)
         changes = self._accept(entry)
         self._index()
@@ -197,6 +231,23 @@
         self._index()
         return changes
 
+    def _leaving_before(
+        self, upstreams: Iterable[Upstream], time: float
+    ) -> frozenset[str]:
+        """Return the ids of the upstreams that stated that they leave by a time."""
+        return frozenset(
+            entry.id
+            for entry in upstreams
+            if self._leaves_at.get(entry.incarnation, math.inf) < time
+        )
+
+    def _record_leaving_time(self, entry: Registration, now: float) -> None:
+        """Record when an upstream leaves; a later reading does not extend the time."""
+        if entry.leaves_in_s is not None:
+            key = entry.upstream.incarnation
+            leaves_at = min(now + entry.leaves_in_s, self._leaves_at.get(key, math.inf))
+            self._leaves_at[key] = leaves_at
+
     def _hold_back(self, entries: Mapping[str, Registration], now: float) -> None:
         """Hold back the entries of incarnations that were removed before."""
         until = now + RESTORED_HOLD_S
@@ -218,7 +269,7 @@
         if entry.leaving:
             self._left.add(upstream.incarnation)
         self._entries[upstream.id] = entry
-        if known == entry:
+        if known is not None and known._replace(leaves_in_s=entry.leaves_in_s) == entry:
             return []
         return [UpstreamChange(upstream, 'leaving' if entry.leaving else 'registered')]
 
@@ -227,6 +278,7 @@
         entry = self._entries.pop(key, None)
         if entry is None:
             return []
+        self._leaves_at.pop(entry.upstream.incarnation, None)
         self._removed[entry.upstream.incarnation] = None
         if len(self._removed) > MAX_KEPT_REMOVALS:
             self._removed.popitem(last=False)
