Test upstream orders against a platform that starts and reclaims upstreams

Cause: orders of the wrong number lose requests or are billed for nothing. Change: a simulated platform with start times, reclaimed spot upstreams and zones without any; tables of demand and losses; tests of the loop, of the messages of demand and of the time that an upstream has left; the product's own documents have the limits too. Result: the new tests and those of the platform's state, the registry and the forwarder pass.

--- a/packages/router/src/rosemaryseam/router/documentcodec.py
+++ b/packages/router/src/rosemaryseam/router/documentcodec.py
@@ -20,6 +20,7 @@
     Repeat,
     Route,
     RoutingTable,
+    ScalingLimits,
     Service,
     ServiceShare,
     Workspace,
@@ -70,13 +71,24 @@
     shares_cache: bool = False
 
 
+class ScalingEntry(NamedTuple):
+    """Limits of the upstreams ordered in each zone, and their prices."""
+
+    minimum: Count
+    maximum: Count
+    boot_s: Seconds
+    spot_price: Annotated[float, Field(ge=0)] | None
+    zone_prices: dict[Name, Annotated[float, Field(ge=0)]]
+
+
 class ServiceEntry(NamedTuple):
-    """A service with its health check, connection limit and engines."""
+    """A service with its health check, connection limit, engines and scaling."""
 
     name: Name
     health_path: str = '/health'
     max_connections: Count = 0
     engine: EngineEntry | None = None
+    scaling: ScalingEntry | None = None
 
 
 class WorkspaceEntry(NamedTuple):
@@ -116,6 +128,8 @@
     born: Count = 0
     leaving: bool = False
     version: str = ''
+    spot: bool = False
+    leaves_in_s: Annotated[float, Field(ge=0)] | None = None
 
 
 class DocumentStateCodec(StateCodec):
@@ -155,8 +169,9 @@
             entry.zone,
             entry.slots,
             entry.version,
+            entry.spot,
         )
-        return Registration(upstream, entry.leaving)
+        return Registration(upstream, entry.leaving, entry.leaves_in_s)
 
 
 def _parse_entry(value: bytes, entry_type: type[T]) -> T:
@@ -185,7 +200,10 @@
 
 def _build_service(entry: ServiceEntry) -> Service:
     engine = None if entry.engine is None else EngineProfile(*entry.engine)
-    return Service(entry.name, entry.health_path, entry.max_connections, engine)
+    scaling = None if entry.scaling is None else ScalingLimits(*entry.scaling)
+    return Service(
+        entry.name, entry.health_path, entry.max_connections, engine, scaling
+    )
 
 
 def _index_workspaces(
--- a/tests/test_platform/test_state.py
+++ b/tests/test_platform/test_state.py
@@ -80,6 +80,27 @@
     assert engine == (64, 1000, 5, True)
 
 
+SCALING = {
+    'min': 1,
+    'max': 28,
+    'bootS': 4.0,
+    'spotPrice': 0.15,
+    'zonePrices': {'zone-a': 1.0, 'zone-b': 0.8},
+}
+SCALINGS = [
+    (None, None),
+    (SCALING, (1, 28, 4.0, 0.15, {'zone-a': 1.0, 'zone-b': 0.8})),
+    ({'max': 3, 'zonePrices': {'q': 2}, 'new': []}, (0, 3, 4.0, None, {'q': 2})),
+]
+
+
+# Guards against upstreams ordered beyond the limits, or of services without any.
+@pytest.mark.parametrize(('scaling', 'expected'), SCALINGS)
+def test_scaling_is_decoded(scaling: Any, expected: Any) -> None:
+    services = decode(services=[{**SERVICE, 'scaling': scaling}]).services
+    assert services['desk'].scaling == expected
+
+
 KINDS = [
     ('safe', False, Repeat.WHOLE, False),
     ('unsafe', False, Repeat.NEVER, False),
@@ -181,6 +202,26 @@
     assert CODEC.decode_registration('i-1', value).leaving
 
 
+# Guards against entries that are rejected, and their upstreams lost, for new fields.
+@pytest.mark.parametrize(
+    ('fields', 'spot', 'leaves_in_s'),
+    [
+        ({}, False, None),
+        ({'spot': True}, True, None),
+        ({'spot': True, 'state': 'draining', 'leaves_ms': 2400}, True, 2.4),
+        ({'spot': None, 'leaves_ms': -5}, False, 0.0),
+        ({'spot': 'perhaps', 'leaves_ms': 'soon'}, False, None),
+        ({'spot': 1, 'leaves_ms': True}, False, None),
+    ],
+)
+def test_kind_and_time_left_are_decoded(
+    fields: dict[str, Any], spot: bool, leaves_in_s: float | None
+) -> None:
+    entry = CODEC.decode_registration('i-1', json.dumps({**ENTRY, **fields}).encode())
+    assert entry.upstream.spot is spot
+    assert entry.leaves_in_s == leaves_in_s
+
+
 KEYS = [
     ('op/config', True, None),
     ('servers/i-1', False, 'i-1'),
--- /dev/null
+++ b/tests/test_router/test_autoscaler.py
@@ -0,0 +1,360 @@
+"""Tests of the demand that hosts report and of the orders that the holder sends."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Any
+
+import pytest
+from routers import RunningRouter, configuration
+from upstreamcloud import Cloud
+
+from rosemaryseam.common.addresses import Address
+from rosemaryseam.common.clock import ManualClock
+from rosemaryseam.common.metrics import Metrics
+from rosemaryseam.policy.dutylease import Permission
+from rosemaryseam.policy.upstreamorders import Line
+from rosemaryseam.router.autoscaler import CALL_SHARE, Autoscaler
+from rosemaryseam.router.demandcounts import (
+    HOST_TIMEOUT_S,
+    KIND,
+    MIN_INTERVAL_S,
+    DemandTable,
+)
+from rosemaryseam.router.documentcodec import CONFIGURATION_KEY
+from rosemaryseam.router.dutyport import DutyPort, DutyResult
+from rosemaryseam.router.routes import (
+    CallerLimits,
+    EngineProfile,
+    RoutingTable,
+    ScalingLimits,
+    Service,
+)
+from rosemaryseam.router.upstreams import Registration, Registry, Upstream
+
+if TYPE_CHECKING:
+    from rosemaryseam.standins.scripted import ScriptedExchange
+
+ENGINE = 54_000 * 0.65  # prompt tokens per second that fill an engine
+SCALING = ScalingLimits(1, 28, 4.0, 0.15, {'a': 1.0, 'b': 0.8, 'c': 1.0, 'd': 0.9})
+SERVICE = Service('work', '/health', 0, EngineProfile(64, 300_000, 5, True), SCALING)
+FIXED = Service('fixed', '/health', 0, None)
+CALLS_PER_S = 10.0
+
+
+class Duty:
+    """The ownership of the duty, which the test moves."""
+
+    def __init__(self, holder: str | None = '10.0.0.1') -> None:
+        self.address = holder
+        self.fence: int | None = 7
+
+    def permission(self) -> Permission | None:
+        """Return the permission, if this host is the holder."""
+        return None if self.fence is None else Permission(self.fence, 1e9)
+
+    def holder(self) -> str | None:
+        """Return the address of the holder."""
+        return self.address
+
+
+class Link:
+    """Keeps the messages to other hosts."""
+
+    def __init__(self) -> None:
+        self.messages: list[tuple[str, str, Any]] = []
+
+    def known_hosts(self) -> dict[str, float]:
+        """Return two other hosts; the larger one is the first candidate."""
+        return {'10.0.0.2': 9.0, '10.0.0.3': 1.0}
+
+    def send_message(self, host: str, kind: str, body: Any) -> None:
+        """Record a message."""
+        self.messages.append((host, kind, body))
+
+
+class CloudPort(DutyPort):
+    """Passes orders to a platform of the test's process, or refuses them."""
+
+    def __init__(self, cloud: Cloud) -> None:
+        self.cloud = cloud
+        self.results: list[DutyResult] = []  # of the next calls
+        self.calls: list[tuple[Line, int, int, DutyResult]] = []
+
+    def report_usage(self, window: int, counts: Any, permission: Permission) -> Any:
+        """Refuse, as there is no usage in these tests."""
+        raise AssertionError
+
+    def order_upstreams(
+        self, service: str, zone: str, count: int, spot: bool, permission: Permission
+    ) -> DutyResult:
+        """Carry out an order."""
+        assert service == 'work'
+        line = Line(zone, spot)
+        result = self.results.pop(0) if self.results else None
+        if result is None:
+            accepted = self.cloud.order(line, count)
+            result = DutyResult.ACCEPTED if accepted else DutyResult.NONE_AVAILABLE
+        self.calls.append((line, count, permission.fence, result))
+        return result
+
+
+class Holder:
+    """A host that holds the duty, its platform and a clock that the test moves."""
+
+    def __init__(self, initial: int = 14) -> None:
+        self.clock = ManualClock()
+        self.cloud = Cloud(initial)
+        self.port = CloudPort(self.cloud)
+        self.duty = Duty()
+        self.link = Link()
+        self.registry = Registry()
+        self.metrics = Metrics()
+        self.staleness_s = 0.0
+        self.demand = 32.0
+        self.services = [SERVICE, FIXED]
+        self.autoscaler = Autoscaler(
+            '10.0.0.1',
+            1.0,
+            self.registry,
+            lambda: RoutingTable(1, [], self.services, None, CallerLimits()),
+            lambda: self.staleness_s,
+            self.clock,
+            self.metrics,
+            random.Random(1),
+        )
+        self.autoscaler.connect(self.link, self.duty, self.port, CALLS_PER_S)
+        self.number = 0
+        self.register()
+
+    def register(self) -> None:
+        """Write the platform's upstreams to the registry."""
+        entries = {}
+        for line, count in self.cloud.registered().items():
+            for number in range(count):
+                name = f'{line.zone}-{line.spot}-{number}'
+                upstream = Upstream(
+                    name,
+                    1,
+                    'work',
+                    Address('10.1.0.1', 1),
+                    line.zone,
+                    64,
+                    '',
+                    line.spot,
+                )
+                entries[name] = Registration(upstream, leaving=False)
+        self.registry.replace(entries, self.clock.monotonic(), after_outage=False)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass in steps of the loop."""
+        for _ in range(int(seconds * 2)):
+            self.clock.advance(0.5)
+            self.cloud.advance(0.5)
+            self.register()
+            self.number += 1
+            body = message(self.number, self.demand * ENGINE)
+            self.autoscaler.table.receive('10.0.0.9', body)
+            self.autoscaler.decide()
+
+
+def message(number: int, prefill: float, incarnation: int = 1) -> dict[str, Any]:
+    """Return a message of a host's demand."""
+    ranks = [[0, 10.0, prefill * 0.3, 0.0, 0.0], [1, 20.0, prefill * 0.7, 0.0, 0.0]]
+    services = {'work': ranks}
+    return {'incarnation': incarnation, 'number': number, 'services': services}
+
+
+# Guards against a loop that replaces no ordinary upstreams, or sends unchanged orders.
+def test_holder_replaces_ordinary_upstreams() -> None:
+    holder = Holder()
+    holder.run(40.0)
+    calls = len(holder.port.calls)
+    counts = {line: count for line, count, _, _ in holder.port.calls}
+    ordinary = sum(count for line, count in counts.items() if not line.spot)
+    assert 16 <= ordinary <= 32
+    assert holder.cloud.serving() >= 32
+    holder.run(20.0)
+    assert len(holder.port.calls) - calls <= 2
+    dump = holder.autoscaler.dump()['work']
+    assert dump['in_force']['a spot'] == counts[Line('a', True)]
+    assert holder.metrics.value('upstream_seconds', service='work', kind='spot') > 100
+    accepted = {'kind': 'spot', 'result': 'accepted'}
+    assert holder.metrics.value('upstream_orders', **accepted) >= 4
+
+
+# Guards against calls beyond what the platform accepts from all hosts together.
+def test_calls_stay_within_their_rate() -> None:
+    holder = Holder()
+    for second in range(20):
+        holder.demand = 20.0 if second % 2 else 100.0
+        holder.cloud.dry = {'a', 'b'}
+        calls = len(holder.port.calls)
+        holder.run(1.0)
+        assert len(holder.port.calls) - calls <= 2 * CALLS_PER_S * CALL_SHARE
+    assert len(holder.port.calls) <= 20 * CALLS_PER_S * CALL_SHARE
+
+
+REFUSALS = [
+    ('refused', [DutyResult.REFUSED]),
+    ('several times', [DutyResult.REFUSED] * 3),
+    ('unknown', [DutyResult.UNKNOWN]),
+    ('second', [DutyResult.ACCEPTED, DutyResult.REFUSED]),
+]
+
+
+# Guards against orders that are lost, or overtaken by later ones, after a refusal.
+@pytest.mark.parametrize(
+    ('name', 'results'), REFUSALS, ids=[row[0] for row in REFUSALS]
+)
+def test_refused_orders_are_sent_again_in_order(
+    name: str, results: list[DutyResult]
+) -> None:
+    holder = Holder()
+    holder.port.results = list(results)
+    holder.run(8.0)
+    refused = [
+        index
+        for index, (*_, result) in enumerate(holder.port.calls)
+        if result in (DutyResult.REFUSED, DutyResult.UNKNOWN)
+    ]
+    assert refused
+    for index in refused:
+        line, count, _, _ = holder.port.calls[index]
+        assert holder.port.calls[index + 1][0] == line
+        assert holder.port.calls[index + 1][1] >= count
+
+
+# Guards against calls without permission, on old registrations or without upstreams.
+@pytest.mark.parametrize('obstacle', ['permission', 'staleness', 'empty', 'scaling'])
+def test_nothing_is_ordered_without_its_grounds(obstacle: str) -> None:
+    holder = Holder(0 if obstacle == 'empty' else 14)
+    if obstacle == 'permission':
+        holder.duty.fence = None
+    elif obstacle == 'staleness':
+        holder.staleness_s = 10.0
+    elif obstacle == 'scaling':
+        holder.services = [SERVICE._replace(scaling=None)]
+    holder.run(20.0)
+    assert holder.port.calls == []
+
+
+# Guards against an order of a host that lost the duty while it sent others.
+def test_permission_is_checked_before_each_call() -> None:
+    holder = Holder()
+    order = holder.port.order_upstreams
+
+    def lose(*args: Any) -> DutyResult:
+        holder.duty.fence = None
+        return order(*args)
+
+    holder.port.order_upstreams = lose
+    holder.run(5.0)
+    assert len(holder.port.calls) == 1
+
+
+# Guards against a holder that goes on from its own old orders after another one acted.
+def test_orders_in_force_are_adopted_with_a_new_fence() -> None:
+    holder = Holder()
+    holder.run(30.0)
+    for line, count in (('a', 20), ('b', 3)):
+        holder.cloud.order(Line(line, False), count)
+    holder.duty.fence = None
+    holder.run(5.0)
+    calls = len(holder.port.calls)
+    holder.duty.fence = 9
+    holder.run(1.0)
+    in_force = holder.autoscaler.dump()['work']['in_force']
+    new = {line: count for line, count, _, _ in holder.port.calls[calls:]}
+    assert in_force['a ordinary'] == new.get(Line('a', False), 20)
+    assert all(fence == 9 for _, _, fence, _ in holder.port.calls[calls:])
+
+
+# Guards against demand that only a holder which may crash knows.
+@pytest.mark.parametrize(
+    ('holder', 'receivers'),
+    [
+        (None, {'10.0.0.2'}),
+        ('10.0.0.3', {'10.0.0.2', '10.0.0.3'}),
+        ('10.0.0.2', {'10.0.0.2'}),
+        ('10.0.0.1', {'10.0.0.2'}),
+    ],
+)
+def test_demand_goes_to_holder_and_first_candidate(
+    holder: str | None, receivers: set[str]
+) -> None:
+    host = Holder()
+    host.duty.address = holder
+    host.autoscaler.report()
+    host.autoscaler.report()  # not due again yet
+    assert {to for to, _, _ in host.link.messages} == receivers
+    assert {kind for _, kind, _ in host.link.messages} == {KIND}
+    assert len(host.link.messages) == len(receivers)
+    assert host.autoscaler.table.host_count() == (holder == '10.0.0.1')
+
+
+# Guards against demand counted twice, from overtaken datagrams, or of hosts that died.
+def test_latest_demand_of_each_live_host_counts() -> None:
+    clock = ManualClock()
+    table = DemandTable(clock)
+
+    def prefill() -> float:
+        return sum(one.prefill_tokens for one in table.demand('work').values())
+
+    table.receive('a', message(2, 100.0))
+    table.receive('a', message(2, 100.0))
+    table.receive('a', message(1, 900.0))
+    table.receive('b', message(1, 50.0))
+    assert prefill() == pytest.approx(150.0)
+    table.receive('a', message(1, 30.0, incarnation=2))
+    assert prefill() == pytest.approx(80.0)
+    clock.advance(HOST_TIMEOUT_S - 1)
+    table.receive('b', message(2, 50.0))
+    clock.advance(1.5)
+    assert prefill() == pytest.approx(50.0)
+    assert table.host_count() == 1
+
+
+INVALID = [
+    {},
+    [],
+    {**message(1, 1.0), 'services': []},
+    {**message(1, 1.0), 'services': {'work': [[0, 1.0]]}},
+    {**message(1, 1.0), 'services': {'work': [[0, 1.0, -5.0, 0.0, 0.0]]}},
+    {**message(1, 1.0), 'services': {'work': [[0, 1.0, float('inf'), 0.0, 0.0]]}},
+]
+
+
+# Guards against a damaged message that orders every upstream there is.
+@pytest.mark.parametrize('body', INVALID)
+def test_invalid_message_is_rejected(body: Any) -> None:
+    table = DemandTable(ManualClock())
+    with pytest.raises((TypeError, ValueError, LookupError, AttributeError)):
+        table.receive('a', body)
+    assert table.host_count() == 0
+
+
+# Guards against requests that are not counted, above all those that are refused: a
+# service without upstreams would have no demand.
+@pytest.mark.parametrize('refused', [False, True])
+def test_requests_are_counted_once(router: RunningRouter, refused: bool) -> None:
+    scaling = dict(zip(ScalingLimits._fields, SCALING, strict=True))
+    service = {'name': 'work', 'scaling': scaling}
+    router.store.put(CONFIGURATION_KEY, configuration(2, services=[service]))
+    router.wait(lambda: router.router.feed.table.version == 2)
+
+    def script(exchange: ScriptedExchange) -> None:
+        exchange.answer(500, b'failed')
+
+    if not refused:
+        router.add('one', script)
+        router.add('two', script)
+    router.router.autoscaler.counts.take()
+    began_at = router.clock.monotonic()
+    router.call('safe')  # fails at both upstreams
+    elapsed_s = router.clock.monotonic() - began_at
+    rates = router.router.autoscaler.counts.take()['work']
+    assert [rank for rank, *_ in rates] == [0]
+    requests, _, _, refusals = rates[0][1:]
+    assert round(requests * max(MIN_INTERVAL_S, elapsed_s)) == 1
+    assert refusals == (requests if refused else 0)
--- a/tests/test_router/test_forwarder.py
+++ b/tests/test_router/test_forwarder.py
@@ -199,6 +199,16 @@
     assert len(two.requests) == 3
 
 
+# Guards against requests on a reclaimed upstream that is ready until it leaves.
+def test_upstream_that_leaves_soon_gets_no_request(router: RunningRouter) -> None:
+    leaving, staying = router.add('one', answer), router.add('two', answer)
+    router.register('one', spot=True, leaves_in_s=0.3)
+    router.wait(lambda: any(one.spot for one in router.router.registry.all()))
+    assert {router.call('safe').status for _ in range(8)} == {200}
+    assert leaving.requests == []
+    assert len(staying.requests) == 8
+
+
 def test_unsigned_503_is_not_relayed(router: RunningRouter) -> None:
     router.add(
         'one',
--- a/tests/test_router/test_upstreams.py
+++ b/tests/test_router/test_upstreams.py
@@ -199,3 +199,34 @@
     for entry in entries:
         registry.put(Registration(entry, leaving=False))
     assert registry.is_succeeded(upstream()) is expected
+
+
+# Time left of a, b and c, excluded ids, and which leave too soon for a request that is
+# due in 1 s and ends in 5 s at the latest.
+TIMES_LEFT = [
+    ('no times', (None, None, None), set(), set()),
+    ('one leaves', (2.0, None, None), set(), {'a'}),
+    ('enough time', (6.0, None, None), set(), set()),
+    ('all leave', (2.0, 0.5, 3.0), set(), {'b'}),
+    ('the others are excluded', (2.0, None, None), {'b', 'c'}, set()),
+    ('no time at all', (0.5, None, None), {'b', 'c'}, {'a'}),
+]
+
+
+# Guards against requests that are cut off when a reclaimed upstream leaves.
+@pytest.mark.parametrize(
+    ('name', 'times', 'excluded', 'expected'),
+    TIMES_LEFT,
+    ids=[row[0] for row in TIMES_LEFT],
+)
+def test_upstreams_that_leave_before_a_request_ends_are_found(
+    name: str, times: tuple[float | None, ...], excluded: set[str], expected: set[str]
+) -> None:
+    registry = Registry()
+    for key, left_s in zip('abc', times, strict=True):
+        registry.put(Registration(upstream(key), False, left_s), now=100.0)
+        registry.put(Registration(upstream(key), False, left_s), now=103.0)
+    found = registry.leaving_too_soon(
+        registry.usable('work'), frozenset(excluded), expires_at=105.0, due_at=101.0
+    )
+    assert found == expected
