--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -16,7 +16,10 @@
 from rosemaryseam.common.fairness import run_repeatedly
 from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.common.wsgi import HttpServer, ServerTimeouts
+from rosemaryseam.router.autoscaler import DUTY as AUTOSCALING_DUTY
+from rosemaryseam.router.autoscaler import Autoscaler
 from rosemaryseam.router.callers import BodyMemoryBudget, CallerServer
+from rosemaryseam.router.demandcounts import KIND as DEMAND_KIND
 from rosemaryseam.router.dispatch import DispatchPlacer
 from rosemaryseam.router.dispatcher import Dispatcher
 from rosemaryseam.router.duties import Duties
@@ -185,6 +188,17 @@
             clock,
             self.metrics,
         )
+        self.autoscaler = Autoscaler(
+            cfg.ip,
+            cfg.capacity,
+            self.registry,
+            lambda: self.feed.table,
+            lambda: self.feed.staleness_s(),
+            clock,
+            self.metrics,
+            self._rng,
+        )
+        self._connect_autoscaler()
         self._forwarder = Forwarder(
             self.feed,
             self.registry,
@@ -198,6 +212,7 @@
             self.peers.host_count,
             cfg.max_key_staleness_s,
             self._rng,
+            self.autoscaler.counts,
             self.duties.counter,
         )
         self.callers = CallerServer(
@@ -248,6 +263,7 @@
                 self.metrics,
             ),
             *self.duties.start(),
+            *self.autoscaler.start(),
         ]
         self._start_listener('peer_port', self._start_peers)
         log_event('started', zone=cfg.zone, callers=str(cfg.callers))
@@ -322,6 +338,7 @@
             'software_last_registered_s': self.software.dump(),
             'stream_origins': self._origins.size(),
             'duties': self.duties.dump(),
+            'upstream_orders': self.autoscaler.dump(),
             'idle_upstream_connections': self._pool.size(),
             'counters': self.metrics.dump(),
         }
@@ -377,6 +394,15 @@
             if upstream.incarnation == incarnation:
                 self.feed.mark_left(upstream, 'left')
 
+    def _connect_autoscaler(self) -> None:
+        """Let this host order upstreams, if that is a duty in the settings."""
+        duties = self._cfg.duties
+        if duties is None or not self.duties.has(AUTOSCALING_DUTY):
+            return
+        holder, port = self.duties.add_holder(AUTOSCALING_DUTY)
+        self.autoscaler.connect(self.peers, holder, port, duties.calls_per_s)
+        self.peers.subscribe(DEMAND_KIND, self.autoscaler.table.receive)
+
     def _start_peers(self) -> None:
         self._background += self.peers.start()
 
