Limit the requests in flight at brittle upstreams

Cause: An upstream that states Server-Brittle crashes when it has to reject more requests within a second than it states, over all hosts. Change: policy/queueroom.py decides how many requests may be in flight at one upstream, router/brittleness.py keeps the statements and exchanges them between hosts. Requests beyond the batch slots are sent only while few others may still be rejected. The outcome 'rejected' tells a rejection for lack of capacity from others. standins/brittle.py is an upstream that crashes so.

--- a/packages/router/src/rosemaryseam/router/dispatch.py
+++ b/packages/router/src/rosemaryseam/router/dispatch.py
@@ -299,6 +299,7 @@
         if placement.request_limit is not None and dispatcher != self._host:
             report = LimitReport(*upstream.incarnation, placement.request_limit, 0.0)
             self._tracker.adopt_limit(report, dispatcher)
+        self._tracker.brittleness.adopt_placement(upstream, placement, dispatcher)
         return ticket
 
     def _find_usable(self, service: str, name: str) -> Upstream | None:
--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import gevent
@@ -11,6 +12,7 @@
 from rosemaryseam.common.errors import ResultCode
 from rosemaryseam.policy.retrybudget import FleetRetryBudget
 from rosemaryseam.router.admission import AdmittedRequest, AttemptHistory, RefusalError
+from rosemaryseam.router.brittleness import is_room_refusal
 from rosemaryseam.router.codec import BadRequestError
 from rosemaryseam.router.events import EventSplitter, EventTooLongError
 from rosemaryseam.router.faults import (
@@ -336,7 +338,7 @@
         try:
             return self._find_ticket(admitted, attempts, relay, attempts.excluded)
         except NoUpstreamError as exc:
-            if isinstance(exc, _AllQuietError):
+            if isinstance(exc, _AllQuietError) or is_room_refusal(exc):
                 attempts.retry_after_s = exc.retry_after_s
             if attempts.failure is not None:
                 log_event('retry_ruled_out', id=admitted.request.id, reason=str(exc))
@@ -787,7 +789,8 @@
     if isinstance(exc, NotSentError):
         return 'unreachable'
     if isinstance(exc, DeclinedError):
-        return 'declined'
+        is_rejected = exc.head.status == HTTPStatus.SERVICE_UNAVAILABLE
+        return 'rejected' if is_rejected and not exc.head.leaving else 'declined'
     if isinstance(exc, SilentError):
         return 'silent'
     return 'failed_again' if attempts.runs else 'failed'
--- a/packages/router/src/rosemaryseam/router/handover.py
+++ b/packages/router/src/rosemaryseam/router/handover.py
@@ -123,6 +123,18 @@
         if report is not None and self._is_remote(dispatcher):
             self._link.send_limit(dispatcher, report)
 
+    def report_brittle(self, ticket: DispatchTicket, limit: float | None) -> None:
+        """Record the brittleness that an answer states.
+
+        :param ticket: ticket of the request that was answered
+        :param limit: rejections per second, ``None`` if the answer states none
+        """
+        upstream = ticket.upstream
+        dispatcher = self._dispatchers.get(upstream.id, '')
+        self._tracker.brittleness.record_answer(
+            upstream, limit, ticket.placed_at, dispatcher
+        )
+
     def retain(self, upstreams: Iterable[str]) -> None:
         """Drop the dispatchers and engine slowdowns of all other upstreams.
 
@@ -181,6 +193,7 @@
         if self._is_remote(dispatcher):
             for report in self._tracker.limits.reports(reassigned):
                 self._link.send_limit(dispatcher, report)
+            self._tracker.brittleness.hand_over(reassigned, dispatcher)
 
     def _is_remote(self, dispatcher: str | None) -> bool:
         # The name is empty for a dispatcher that lost its state in a restart.
--- a/packages/router/src/rosemaryseam/router/headercodec.py
+++ b/packages/router/src/rosemaryseam/router/headercodec.py
@@ -48,9 +48,10 @@
     send ``api_key``, which isn't forwarded, and ``timeout_ms``, which the router
     replaces by the time left. The router also sets ``workspace``, ``upstream_id``,
     ``urgency`` and ``fetch_from``. Upstreams send ``signature``, ``not_run``, ``load``
-    (running, waiting, slots), ``leaving`` (1 if they stop soon) and ``request_limit``
-    (requests per second from all hosts). ``reserved`` are further headers that are
-    dropped when callers send them.
+    (running, waiting, slots), ``leaving`` (1 if they stop soon), ``request_limit``
+    (requests per second from all hosts) and ``brittle`` (rejections per second above
+    which they crash). ``reserved`` are further headers that are dropped when callers
+    send them.
     """
 
     request_id: str
@@ -71,6 +72,7 @@
     load: str
     leaving: str
     request_limit: str
+    brittle: str
     reserved: tuple[str, ...] = ()
 
 
@@ -93,6 +95,7 @@
     load='X-Upstream-Load',
     leaving='X-Upstream-Leaving',
     request_limit='X-Upstream-Request-Limit',
+    brittle='X-Upstream-Brittle',
 )
 
 
@@ -139,6 +142,7 @@
                 names.load,
                 names.leaving,
                 names.request_limit,
+                names.brittle,
                 *names.reserved,
             )
         }
@@ -209,9 +213,10 @@
             load=_decode_load(fields.get(_field_key(self._names.load))),
             leaving=fields.get(_field_key(self._names.leaving), b'').strip() == b'1',
             retry_after_s=_decode_retry_after(status, fields.get(b'retry-after')),
-            request_limit=_decode_request_limit(
+            request_limit=_decode_rate(
                 fields.get(_field_key(self._names.request_limit))
             ),
+            brittle=_decode_rate(fields.get(_field_key(self._names.brittle))),
             framing=_decode_framing(fields),
             media_type=fields.get(b'content-type', b'').split(b';')[0].strip().lower(),
         )
@@ -331,8 +336,8 @@
     return seconds if 0 < seconds < math.inf else None
 
 
-def _decode_request_limit(value: bytes | None) -> float | None:
-    """Return an upstream's limit in requests per second; nonsense is ignored."""
+def _decode_rate(value: bytes | None) -> float | None:
+    """Return a number per second that an upstream states; nonsense is ignored."""
     try:
         limit = float(value or b'')
     except ValueError:
--- a/packages/router/src/rosemaryseam/router/placement.py
+++ b/packages/router/src/rosemaryseam/router/placement.py
@@ -85,8 +85,8 @@
 
         :param outcome: ``done``, ``failed``, ``failed_again`` (after another
             upstream had failed the same request), ``crashed`` (broken off, and the
-            upstream refuses connections now), ``declined``, ``unreachable``,
-            ``silent`` or ``cancelled``
+            upstream refuses connections now), ``declined``, ``rejected`` (declined
+            for lack of capacity), ``unreachable``, ``silent`` or ``cancelled``
         """
 
 
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -128,6 +128,7 @@
             self._on_upstream_left,
         )
         self._placer.connect(self.peers)
+        self.tracker.brittleness.connect(cfg.ip, self.peers, self.metrics)
         self._origins.connect(self.peers, self._origin_log.send)
         self._origin_log.connect(self.peers)
         self.relayed_store = RelayedStore(
--- a/packages/router/src/rosemaryseam/router/requests.py
+++ b/packages/router/src/rosemaryseam/router/requests.py
@@ -104,7 +104,8 @@
     if the upstream states that it stops soon. ``retry_after_s`` is the time for which
     an upstream that turned the request away wants no further one, if it states it.
     ``request_limit`` is the number of requests per second that the upstream takes from
-    all hosts together, if it states one.
+    all hosts together, if it states one. ``brittle`` is the number of rejections per
+    second above which the upstream crashes, if it states one.
     ``framing`` is how the end of the body is marked. ``media_type`` is the type of the
     body in lower case without parameters, empty if it is not stated.
     """
@@ -122,5 +123,6 @@
     leaving: bool = False
     retry_after_s: float | None = None
     request_limit: float | None = None
+    brittle: float | None = None
     framing: Framing = Framing.LENGTH
     media_type: bytes = b''
--- a/packages/router/src/rosemaryseam/router/tickets.py
+++ b/packages/router/src/rosemaryseam/router/tickets.py
@@ -63,11 +63,13 @@
         self.inputs = {**placement.inputs, 'dispatcher': dispatcher}
 
     def on_answer_head(self, head: AnswerHead) -> None:
-        """Report the request limit that the answer states."""
+        """Report the request limit and the brittleness that the answer states."""
         if head.status == HTTPStatus.MISDIRECTED_REQUEST:
             return  # another upstream answered, at an address that was reused
         if head.signed or head.request_limit is not None:
             self._handover.report_limit(self, head.request_limit)
+        if head.signed or head.brittle is not None:
+            self._handover.report_brittle(self, head.brittle)
 
     def on_event(self) -> None:
         """Record the arrival of an event and the pause before it."""
--- a/packages/router/src/rosemaryseam/router/upstreamtracker.py
+++ b/packages/router/src/rosemaryseam/router/upstreamtracker.py
@@ -23,7 +23,9 @@
 )
 from rosemaryseam.policy.outliers import OutlierDetector
 from rosemaryseam.policy.prefixes import EngineCache, PartUses
+from rosemaryseam.policy.queueroom import UNUSED_S
 from rosemaryseam.policy.sizes import RouteSizes
+from rosemaryseam.router.brittleness import Brittleness
 from rosemaryseam.router.crashes import CrashLedger
 from rosemaryseam.router.placement import NoUpstreamError
 from rosemaryseam.router.queries import InFlightReport, Placement
@@ -90,6 +92,13 @@
         self._durations = AnswerDurations()
         self.crashes = CrashLedger(clock)
         self.limits = RequestLimits(clock)
+        self.brittleness = Brittleness(
+            clock,
+            rng,
+            lambda name: self._upstreams.get(name),
+            self._in_flight,
+            self._is_used,
+        )
 
     # Placement.
 
@@ -122,9 +131,14 @@
         opened = self.limits.open_upstreams(upstreams, limit_share)
         if not opened:
             raise self._limits_refusal(host, query, upstreams)
-        if query.parts:
-            return self._place_prompt(host, query, opened)
-        return self._place_without_prompt(host, query, opened)
+        roomy = self.brittleness.open_upstreams(opened, limit_share)
+        if not roomy:
+            raise self.brittleness.refusal(host, query, opened)
+        place = self._place_prompt if query.parts else self._place_without_prompt
+        placement = place(host, query, roomy)
+        return self.brittleness.describe_placement(
+            self._upstreams[placement.upstream], placement
+        )
 
     def pressure(self, names: Iterable[str]) -> float:
         """Return the mean share of time that engines spend on prefill.
@@ -338,6 +352,9 @@
             self._part_uses.touch(query.parts[:-1], now)
         self.crashes.record_placement(host, query, state.upstream)
         self.limits.charge(state.upstream)
+        self.brittleness.record_placement(
+            state.upstream, RequestKey(host, query.number)
+        )
 
     # Request lifecycle.
 
@@ -387,9 +404,9 @@
         self.crashes.record_first_event(host, number)
         state = self._find_state(host, number)
         if state is not None:
-            state.view.record_first_event(
-                RequestKey(host, number), self._clock.monotonic()
-            )
+            key = RequestKey(host, number)
+            state.view.record_first_event(key, self._clock.monotonic())
+            self.brittleness.record_first_event(state.upstream, key)
 
     def record_end(
         self, host: str, number: int, outcome: str, duration_s: float
@@ -403,7 +420,11 @@
         """
         self.crashes.record_end(host, number, outcome)
         state = self._find_state(host, number)
-        self._request_upstreams.get(host, {}).pop(number, None)
+        name = self._request_upstreams.get(host, {}).pop(number, None)
+        if name in self._upstreams:
+            self.brittleness.record_end(
+                self._upstreams[name], RequestKey(host, number), outcome
+            )
         if state is None:
             return
         now = self._clock.monotonic()
@@ -447,6 +468,7 @@
         """
         kept = {upstream.id: upstream for upstream in upstreams}
         self._upstreams = kept
+        self.brittleness.retain(kept.values())
         for name, state in list(self._states.items()):
             if name not in kept or kept[name] != state.upstream:
                 del self._states[name]
@@ -474,6 +496,7 @@
                 'speed': round(state.view.slowdown, 2),
                 'paused': self._outliers.is_ejected(name, now),
                 'request_limit': self.limits.get(state.upstream.incarnation),
+                'brittle': self.brittleness.dump(state.upstream),
             }
             for name, state in self._states.items()
         }
@@ -501,6 +524,18 @@
             self._outliers.record_unreachable(name, now)
         self._states.pop(name, None)
 
+    def _in_flight(self, upstream: Upstream) -> int:
+        state = self._states.get(upstream.id)
+        known = state is not None and state.upstream == upstream
+        return state.view.requests if known else 0
+
+    def _is_used(self, upstream: Upstream) -> bool:
+        """Return whether requests that this host placed on an upstream ended lately."""
+        state = self._states.get(upstream.id)
+        if state is None or state.upstream != upstream:
+            return False
+        return 0 <= state.view.last_event_age_s(self._clock.monotonic()) < UNUSED_S
+
     def _find_state(self, host: str, number: int) -> _UpstreamState | None:
         name = self._request_upstreams.get(host, {}).get(number)
         return None if name is None else self._states.get(name)
--- a/packages/standins/src/rosemaryseam/standins/scripted.py
+++ b/packages/standins/src/rosemaryseam/standins/scripted.py
@@ -126,6 +126,11 @@
         self._server.start()
         self.address = Address('127.0.0.1', self._server.server_port)
 
+    def restart(self) -> None:
+        """Listen again on the same port, after :meth:`stop`."""
+        self._server = StreamServer(tuple(self.address), self._serve)
+        self._server.start()
+
     def stop(self) -> None:
         """Close the listener and all connections."""
         self._server.stop(timeout=0)
--- a/tests/test_router/test_handover.py
+++ b/tests/test_router/test_handover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING, NamedTuple
 
 import pytest
@@ -9,6 +10,7 @@
 from rosemaryseam.common.addresses import Address
 from rosemaryseam.experiments.simulatedclock import SimulatedClock
 from rosemaryseam.policy.prefixes import PART_REUSE_WINDOW_S
+from rosemaryseam.router.brittleness import Brittleness
 from rosemaryseam.router.handover import Handover
 from rosemaryseam.router.hostlink import HostLink
 from rosemaryseam.router.requestlimits import RequestLimits
@@ -78,6 +80,14 @@
 
     def __init__(self, clock: SimulatedClock) -> None:
         self.limits = RequestLimits(clock)
+        self.upstream = FakeTicket(0, 'u1', '').upstream
+        self.brittleness = Brittleness(
+            clock,
+            random.Random(1),
+            lambda _: self.upstream,
+            lambda _: 0,
+            lambda _: False,
+        )
         self.placed: list[str] = []
         self.in_flight: list[int] = []
         self.ended_numbers: list[int] = []
