Learn the speed of upstreams, and read the load that they state

Cause: placements used the figures of one engine model, an engine faster than that was not known as such, and requests without a prompt were placed by their number alone. Stated loads with a fourth figure were ignored, and the others used nowhere. Change: stated loads of three or more figures are read and reported to dispatchers with the pace of streams (message kind load); prefill rate, step and its growth are learned for each engine, work times for other upstreams; what was learned is told to hosts and handed over. UpstreamTracker is split into states, prompts and requests without one. Tests: a stated load is now compared with its fourth figure (None), the slowdown may be below 1, and the patched name of should_admit moved with its module.

--- a/packages/experiments/src/rosemaryseam/experiments/hosts.py
+++ b/packages/experiments/src/rosemaryseam/experiments/hosts.py
@@ -70,6 +70,7 @@
             registry,
             rng.getrandbits(32),
         )
+        self.handlers['load'] = self.placer.handover.loads.handle
         self.apply_registry_changes()
 
     def place(self, unplaced: UnplacedRequest, upstreams: Sequence[Upstream]) -> Ticket:
--- a/packages/policy/src/rosemaryseam/policy/engineplacement.py
+++ b/packages/policy/src/rosemaryseam/policy/engineplacement.py
@@ -42,6 +42,7 @@
 CROSS_ZONE_LOSS_PER_BYTE = 0.000002  # traffic between zones is charged for
 MEMORY_SHARE = 0.8  # of an engine's memory that running requests may fill
 AFFINITY_ORDER_LOSS = 0.002  # per position; hosts then agree for a new session
+CROWDING_LOSS = 0.6  # beyond the number of requests at which throughput drops
 MEMORY_FULL_LOSS = 5.0  # an engine without free memory preempts a request
 
 
@@ -91,7 +92,8 @@
     ``late``: a late first event of the request itself; ``unfinished``: its answer does
     not end in time; ``cache``: tokens prefilled again or fetched; ``pauses``: longer
     pauses in streams; ``endings``: other answers that do not end in time;
-    ``capacity``: a lack of memory; ``other``: zones, failures and affinity.
+    ``capacity``: a lack of memory, or more requests than
+    the engine runs well; ``other``: zones, failures and affinity.
     """
 
     late: float
@@ -119,6 +121,7 @@
     fetch_from: str | None
     fetch_tokens: int
     first_event_s: float
+    is_probe: bool = False
 
 
 class CacheSource(NamedTuple):
@@ -339,7 +342,10 @@
 def _capacity_loss(request: PlacementRequest, view: EngineView) -> float:
     capacity = view.capacity
     memory = view.memory_tokens + request.prompt_tokens + request.output_tokens
-    return MEMORY_FULL_LOSS * risk(memory, capacity.cache_tokens * MEMORY_SHARE)
+    loss = MEMORY_FULL_LOSS * risk(memory, capacity.cache_tokens * MEMORY_SHARE)
+    if view.speed.knee < math.inf:
+        loss += CROWDING_LOSS * risk(view.requests + 1, view.speed.knee)
+    return loss
 
 
 def risk(value: float, limit: float, slope: float = RISK_SLOPE) -> float:
--- a/packages/policy/src/rosemaryseam/policy/engines.py
+++ b/packages/policy/src/rosemaryseam/policy/engines.py
@@ -6,9 +6,8 @@
 from collections import Counter
 from typing import NamedTuple
 
-SLOWDOWN_DECAY = 0.98  # share of the earlier observations kept at each new one
-SLOWDOWN_PRIOR_S = 0.5  # work at nominal speed that is assumed initially
-MAX_SLOWDOWN = 8.0  # upper bound on the estimate
+from rosemaryseam.policy.enginespeed import EnginePerformance, EngineSpeed
+
 INITIAL_SLOT_HOLD_S = 1.0  # estimate before any stream has ended
 SLOT_HOLD_WEIGHT = 0.05  # of one request in the mean time that a slot is held
 MIN_REMAINING_SHARE = 0.2  # of the expected length, which is often too short
@@ -16,21 +15,6 @@
 LOAD_AVERAGING_S = 1.0  # time constant of the share of time spent on prefill
 
 
-class EnginePerformance(NamedTuple):
-    """Nominal performance of a type of engine, from its data sheet.
-
-    ``prefill_tokens_per_s`` is the rate of prefill. A batch step takes ``step_s`` plus
-    ``step_per_slot_s`` for each request in flight, and prefills at most
-    ``chunk_tokens`` in addition. ``network_s`` is the network round-trip time.
-    """
-
-    prefill_tokens_per_s: float = 54_000.0
-    step_s: float = 0.0038
-    step_per_slot_s: float = 0.00009
-    chunk_tokens: int = 4096
-    network_s: float = 0.003
-
-
 class EngineCapacity(NamedTuple):
     """Capacity of an engine.
 
@@ -89,23 +73,26 @@
 
     :param capacity: capacity of the engine
     :param performance: nominal performance of the engine
+    :param speed: learned performance, which outlives this view
     """
 
     def __init__(
-        self, capacity: EngineCapacity, performance: EnginePerformance
+        self,
+        capacity: EngineCapacity,
+        performance: EnginePerformance,
+        speed: EngineSpeed | None = None,
     ) -> None:
         self.capacity = capacity
-        self._performance = performance
+        self.speed = speed or EngineSpeed(performance, capacity.batch_slots)
+        self._performance = self.speed.lasting
+        self._factor = 1.0  # by which all times are longer than usual at present
         self._pending: dict[RequestKey, InFlightRequest] = {}
         self._pause_limits: Counter[tuple[float, int]] = Counter()
         self._decoding: dict[RequestKey, InFlightRequest] = {}
         self._first_at: dict[RequestKey, float] = {}
         self._busy_since = 0.0  # start of the current prefill busy period
         self._prefilled_at = 0.0  # expected end of the known prefill work
-        self._measured_s = SLOWDOWN_PRIOR_S
-        self._nominal_s = SLOWDOWN_PRIOR_S
-        self._slowdown = 1.0
-        self._full_chunk_s = performance.chunk_tokens / performance.prefill_tokens_per_s
+        self._full_chunk_s = 0.0
         self._change_count = 0
         # Change count and step_s; change count, time and token_s.
         self._step_cache: tuple[int, float] = (-1, 0.0)
@@ -119,11 +106,38 @@
         self._slot_hold_s = INITIAL_SLOT_HOLD_S  # mean time that a stream holds a slot
         self._recent_prefill_s = 0.0  # decays with LOAD_AVERAGING_S
         self._recent_at = 0.0
+        self._apply_speed(1.0)
 
     @property
     def slowdown(self) -> float:
-        """Ratio of measured to nominal prefill time, at least 1."""
-        return self._slowdown
+        """Ratio of measured to nominal prefill time over some seconds."""
+        return self.speed.slowdown
+
+    @property
+    def present_factor(self) -> float:
+        """Factor by which all times are longer than usual, as of the last update."""
+        return self._factor
+
+    def update_speed(self, now: float) -> None:
+        """Apply what was learned of the engine's speed to the estimates.
+
+        :param now: seconds on the monotonic clock
+        """
+        factor = self.speed.present_factor(now)
+        if factor != self._factor or self.speed.lasting is not self._performance:
+            self._apply_speed(factor)
+
+    def record_pace(self, event_gap_s: float, events: int, now: float) -> None:
+        """Record the pace of streams.
+
+        :param event_gap_s: mean time between two events of a stream
+        :param events: number of events in the mean
+        :param now: seconds on the monotonic clock
+        """
+        step_s = event_gap_s / self.capacity.tokens_per_event
+        share = self.prefill_share(now)
+        self.speed.record_pace(step_s, self.requests, share, events, now)
+        self.update_speed(now)
 
     @property
     def requests(self) -> int:
@@ -183,9 +197,8 @@
 
         :param slowdown: value of :attr:`slowdown` at the other host
         """
-        if self._nominal_s == SLOWDOWN_PRIOR_S:
-            self._measured_s = SLOWDOWN_PRIOR_S * slowdown
-            self._set_slowdown()
+        self.speed.adopt_slowdown(slowdown)
+        self._apply_speed(self._factor)
 
     def record_first_event(self, key: RequestKey, now: float) -> None:
         """Record the first event of a request, which ends its prefill.
@@ -201,6 +214,7 @@
         self._first_at[key] = now
         self._last_sign_at = now
         self._update_slowdown(request, now)
+        self.update_speed(now)
         self._bound_backlog(now)
 
     def record_end(self, key: RequestKey, now: float) -> None:
@@ -235,17 +249,13 @@
         :param tokens: number of prompt tokens that are not cached
         """
         prefill_s = tokens / self._performance.prefill_tokens_per_s
-        return (prefill_s + self._performance.step_s) * self._slowdown
+        return (prefill_s + self._performance.step_s) * self._factor
 
     def step_s(self) -> float:
         """Return the duration of a batch step without prefill."""
         changes, step_s = self._step_cache
         if changes != self._change_count:
-            nominal_s = (
-                self._performance.step_s
-                + self._performance.step_per_slot_s * self.requests
-            )
-            step_s = nominal_s * self._slowdown
+            step_s = self.speed.step_s(self.requests) * self._factor
             self._step_cache = (self._change_count, step_s)
         return step_s
 
@@ -402,7 +412,7 @@
 
     def _chunk_s(self) -> float:
         """Return the duration of a full chunk of prefill."""
-        return self._full_chunk_s * self._slowdown
+        return self._full_chunk_s * self._factor
 
     def _added_s(self, tokens: int) -> float:
         return self.prefill_s(tokens) if tokens else 0.0
@@ -414,25 +424,27 @@
         )
         self._prefilled_at = min(self._prefilled_at, now + left)
 
+    def _apply_speed(self, factor: float) -> None:
+        self._change_count += 1
+        self._factor = factor
+        self._performance = performance = self.speed.lasting
+        self._full_chunk_s = performance.chunk_tokens / performance.prefill_tokens_per_s
+
     def _update_slowdown(self, request: InFlightRequest, now: float) -> None:
-        """Update the slowdown from prompts prefilled one after another, or alone."""
-        nominal = request.prefill_tokens / self._performance.prefill_tokens_per_s
+        """Update the speed from prompts prefilled one after another, or alone."""
+        tokens = request.prefill_tokens
+        chunks = tokens / self._performance.chunk_tokens
+        step_s = self.speed.step_s(min(self.streams, self.capacity.batch_slots))
         if request.key in self._sent_alone:
             self._sent_alone.discard(request.key)
-            event = self.capacity.tokens_per_event * self._performance.step_s
-            self._observe_prefill(now - request.placed_at, nominal + event)
+            # Its first event has further tokens, each of one step.
+            steps = math.ceil(chunks) + self.capacity.tokens_per_event - 1
+            measured_s = now - request.placed_at - steps * step_s
+            self.speed.record_prefill(max(0.0, measured_s), tokens, now)
         elif (
             request.key not in self._adopted
             and request.placed_at <= self._last_first_at
         ):
-            self._observe_prefill(now - self._last_first_at, nominal)
+            measured_s = now - self._last_first_at - chunks * step_s
+            self.speed.record_prefill(max(0.0, measured_s), tokens, now)
         self._last_first_at = now
-
-    def _observe_prefill(self, measured_s: float, nominal_s: float) -> None:
-        self._measured_s = self._measured_s * SLOWDOWN_DECAY + measured_s
-        self._nominal_s = self._nominal_s * SLOWDOWN_DECAY + nominal_s
-        self._set_slowdown()
-
-    def _set_slowdown(self) -> None:
-        self._change_count += 1
-        self._slowdown = min(MAX_SLOWDOWN, max(1.0, self._measured_s / self._nominal_s))
--- a/packages/router/src/rosemaryseam/router/handover.py
+++ b/packages/router/src/rosemaryseam/router/handover.py
@@ -9,6 +9,7 @@
 from rosemaryseam.policy.prefixes import PART_REUSE_WINDOW_S
 from rosemaryseam.router.datagrams import EndedRequest, Incarnation
 from rosemaryseam.router.queries import PlacedPrompt
+from rosemaryseam.router.statedload import LoadExchange
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -51,6 +52,7 @@
         self._active: dict[int, DispatchTicket] = {}
         self._prompts: deque[_SentPrompt] = deque(maxlen=MAX_RECENT_PROMPTS)
         self._slowdowns: dict[str, float] = {}
+        self.loads = LoadExchange(host, clock, tracker, self._dispatchers.get)
 
     def connect(self, link: HostLink) -> None:
         """Set the link over which other hosts are reached.
@@ -58,6 +60,7 @@
         :param link: link to the other hosts
         """
         self._link = link
+        self.loads.connect(link)
 
     def dispatchers(self) -> set[str]:
         """Return the other hosts that track upstreams for this one."""
@@ -181,6 +184,7 @@
         if self._is_remote(dispatcher):
             for report in self._tracker.limits.reports(reassigned):
                 self._link.send_limit(dispatcher, report)
+            self.loads.tell(dispatcher, reassigned)
 
     def _is_remote(self, dispatcher: str | None) -> bool:
         # The name is empty for a dispatcher that lost its state in a restart.
--- a/packages/router/src/rosemaryseam/router/headercodec.py
+++ b/packages/router/src/rosemaryseam/router/headercodec.py
@@ -14,12 +14,16 @@
     Prompt,
     PromptPart,
     RawHeaders,
+    StatedLoad,
 )
 
 if TYPE_CHECKING:
     from rosemaryseam.router.requests import UpstreamCall
 
 MAX_TIMEOUT_MS = 86_400_000
+MAX_LOAD_BYTES = 200  # of a stated load that are read
+MAX_STATED_COUNT = 1_000_000  # larger stated counts are nonsense
+MAX_WORK_PERCENT = 10_000.0  # larger stated work times are nonsense
 MISDIRECTED_REQUEST = 421  # the address belongs to another upstream now
 
 CONNECTION_HEADERS = frozenset(
@@ -48,8 +52,9 @@
     send ``api_key``, which isn't forwarded, and ``timeout_ms``, which the router
     replaces by the time left. The router also sets ``workspace``, ``upstream_id``,
     ``urgency`` and ``fetch_from``. Upstreams send ``signature``, ``not_run``, ``load``
-    (running, waiting, slots), ``leaving`` (1 if they stop soon) and ``request_limit``
-    (requests per second from all hosts). ``reserved`` are further headers that are
+    (running, waiting, slots, and optionally the work time in percent), ``leaving`` (1
+    if they stop soon) and ``request_limit`` (requests per second from all hosts).
+    ``reserved`` are further headers that are
     dropped when callers send them.
     """
 
@@ -306,12 +311,24 @@
     return None
 
 
-def _decode_load(value: bytes | None) -> tuple[int, int, int] | None:
-    parts = (value or b'').split(b',')
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+def _decode_load(value: bytes | None) -> StatedLoad | None:
+    """Return an upstream's stated load; further figures and nonsense are ignored."""
+    parts = [part.strip() for part in (value or b'')[:MAX_LOAD_BYTES].split(b',')]
+    if len(parts) < 3 or not all(part.isdigit() for part in parts[:3]):
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return running, waiting, slots
+    running, waiting, slots = (int(part) for part in parts[:3])
+    if max(running, waiting, slots) > MAX_STATED_COUNT:
+        return None
+    percent = _decode_work_percent(parts[3]) if len(parts) > 3 else None
+    return StatedLoad(running, waiting, slots, percent)
+
+
+def _decode_work_percent(value: bytes) -> float | None:
+    try:
+        percent = float(value)
+    except ValueError:
+        return None
+    return percent if 0 < percent <= MAX_WORK_PERCENT else None
 
 
 def _decode_framing(fields: dict[bytes, bytes]) -> Framing:
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -128,6 +128,7 @@
             self._on_upstream_left,
         )
         self._placer.connect(self.peers)
+        self.peers.subscribe('load', self._placer.handover.loads.handle)
         self._origins.connect(self.peers, self._origin_log.send)
         self._origin_log.connect(self.peers)
         self.relayed_store = RelayedStore(
@@ -330,6 +331,7 @@
         self._pool.retain(entry.incarnation for entry in usable)
         self.tracker.retain_upstreams(usable)
         self._placer.upstreams_changed()
+        self._placer.handover.loads.retain(entry.incarnation for entry in usable)
         self.software.registry_changed()
 
     def _stream_memory_s(self) -> float:
@@ -373,6 +375,7 @@
         gevent.sleep(SWEEP_INTERVAL_S)
         self.feed.expire()
         self._pool.close_expired()
+        self._placer.handover.loads.step()
 
     def _start_listener(self, key: str, start: Callable[[], None]) -> None:
         try:
--- a/packages/router/src/rosemaryseam/router/requests.py
+++ b/packages/router/src/rosemaryseam/router/requests.py
@@ -92,6 +92,20 @@
     fetch_from: Address | None
 
 
+class StatedLoad(NamedTuple):
+    """The load that an upstream states in its answers.
+
+    ``running`` and ``waiting`` count its requests, ``slots`` those that it runs at a
+    time. ``work_percent`` is how long work takes there now, 100 as usual, ``None`` if
+    it is not stated.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    work_percent: float | None = None
+
+
 class AnswerHead(NamedTuple):
     """The head of an upstream's answer.
 
@@ -99,10 +113,10 @@
     answer has the upstream's signature header. ``declined`` is true if the upstream
     states that it did not run the request. ``encoded`` is true if the body has a
     content encoding. ``keep_alive_timeout_s`` is the idle time after which the upstream
-    closes the connection, if it states one. ``load`` is the upstream's numbers of
-    running requests, waiting requests and slots, if it states them. ``leaving`` is true
-    if the upstream states that it stops soon. ``retry_after_s`` is the time for which
-    an upstream that turned the request away wants no further one, if it states it.
+    closes the connection, if it states one. ``load`` is the load that the upstream
+    states, if any. ``leaving`` is true if the upstream states that it stops soon.
+    ``retry_after_s`` is the time for which an upstream that turned the request away
+    wants no further one, if it states it.
     ``request_limit`` is the number of requests per second that the upstream takes from
     all hosts together, if it states one.
     ``framing`` is how the end of the body is marked. ``media_type`` is the type of the
@@ -118,7 +132,7 @@
     encoded: bool
     closes_connection: bool
     keep_alive_timeout_s: float | None
-    load: tuple[int, int, int] | None
+    load: StatedLoad | None
     leaving: bool = False
     retry_after_s: float | None = None
     request_limit: float | None = None
--- /dev/null
+++ b/packages/router/src/rosemaryseam/router/statedload.py
@@ -0,0 +1,240 @@
+"""Reports hosts' evidence of upstreams' load and speed to the dispatchers."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from rosemaryseam.policy.enginespeed import EnginePerformance
+from rosemaryseam.router.learnedcapacity import LearnedReport
+from rosemaryseam.router.requests import StatedLoad
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection, Iterable, Iterator
+
+    from rosemaryseam.common.clock import Clock
+    from rosemaryseam.router.hostlink import HostLink
+    from rosemaryseam.router.upstreams import Upstream
+    from rosemaryseam.router.upstreamtracker import UpstreamTracker
+
+MESSAGE_KIND = 'load'
+REPORT_INTERVAL_S = 0.25  # between two reports of one upstream by one host
+TELL_INTERVAL_S = 2.0  # between two messages of what was learned to one host
+MAX_EVIDENCE_AGE_S = 5.0  # older evidence was delayed and tells nothing
+MAX_ENTRIES = 50  # upstreams per message, which must fit in a datagram
+
+Incarnation = tuple[str, int]  # id and start of an upstream
+
+
+class LoadReport(NamedTuple):
+    """What a host saw of an upstream's incarnation since its last report.
+
+    ``age_s`` is the age of ``load``, which is ``None`` if the upstream stated none.
+    ``event_gap_s`` is the mean time between two events of a stream, ``events`` the
+    number of events in this mean.
+    """
+
+    upstream: str
+    born: int
+    age_s: float
+    load: StatedLoad | None
+    event_gap_s: float
+    events: int
+
+
+class _Evidence:
+    """Collects what this host saw of one upstream."""
+
+    def __init__(self) -> None:
+        self.load: StatedLoad | None = None
+        self.stated_at = 0.0
+        self.gaps_s = 0.0
+        self.events = 0
+        self.reported_at = -math.inf
+
+    def has_news(self) -> bool:
+        """Return whether there is something to report."""
+        return self.load is not None or self.events > 0
+
+
+class LoadExchange:
+    """Reports evidence to dispatchers, and tells hosts what dispatchers learned.
+
+    Hosts remember what they are told and tell it to dispatchers that take over.
+
+    :param host: address of this host
+    :param clock: clock of the process
+    :param tracker: upstream tracker of this host
+    :param find_dispatcher: returns the address of the dispatcher of an upstream
+    """
+
+    def __init__(
+        self,
+        host: str,
+        clock: Clock,
+        tracker: UpstreamTracker,
+        find_dispatcher: Callable[[str], str | None],
+    ) -> None:
+        self._host = host
+        self._clock = clock
+        self._tracker = tracker
+        self._find_dispatcher = find_dispatcher
+        self._link: HostLink | None = None
+        self._evidence: dict[Incarnation, _Evidence] = {}
+        self._told_at: dict[str, float] = {}
+
+    def connect(self, link: HostLink) -> None:
+        """Set the link over which other hosts are reached.
+
+        :param link: link to the other hosts
+        """
+        self._link = link
+
+    # Evidence of this host.
+
+    def record_load(self, upstream: Upstream, load: StatedLoad) -> None:
+        """Record the load that an answer states, and report it if it is time.
+
+        :param upstream: upstream that answered
+        :param load: stated load
+        """
+        evidence = self._get_evidence(upstream)
+        evidence.load, evidence.stated_at = load, self._clock.monotonic()
+        self._report_if_due(upstream.incarnation, evidence)
+
+    def record_event(self, upstream: Upstream, gap_s: float) -> None:
+        """Record the time between two events of a stream.
+
+        :param upstream: upstream of the stream
+        :param gap_s: time since the event before
+        """
+        evidence = self._get_evidence(upstream)
+        evidence.gaps_s += gap_s
+        evidence.events += 1
+        self._report_if_due(upstream.incarnation, evidence)
+
+    def step(self) -> None:
+        """Report the evidence that was held back."""
+        for incarnation, evidence in self._evidence.items():
+            if evidence.has_news():
+                self._report_if_due(incarnation, evidence)
+
+    def retain(self, upstreams: Iterable[Incarnation]) -> None:
+        """Drop the evidence of all other incarnations.
+
+        :param upstreams: incarnations still in use
+        """
+        kept = set(upstreams)
+        for incarnation in [key for key in self._evidence if key not in kept]:
+            del self._evidence[incarnation]
+
+    def _get_evidence(self, upstream: Upstream) -> _Evidence:
+        evidence = self._evidence.get(upstream.incarnation)
+        if evidence is None:
+            evidence = self._evidence[upstream.incarnation] = _Evidence()
+        return evidence
+
+    def _report_if_due(self, incarnation: Incarnation, evidence: _Evidence) -> None:
+        now = self._clock.monotonic()
+        if now - evidence.reported_at < REPORT_INTERVAL_S:
+            return
+        evidence.reported_at = now
+        report = LoadReport(
+            *incarnation,
+            now - evidence.stated_at if evidence.load is not None else 0.0,
+            evidence.load,
+            evidence.gaps_s / evidence.events if evidence.events else 0.0,
+            evidence.events,
+        )
+        evidence.load, evidence.gaps_s, evidence.events = None, 0.0, 0
+        dispatcher = self._find_dispatcher(report.upstream)
+        if not dispatcher or dispatcher == self._host or self._link is None:
+            self._tracker.apply_load(report)
+        else:
+            body = {'seen': [_encode_report(report)]}
+            self._link.send_message(dispatcher, MESSAGE_KIND, body)
+
+    # Learned figures.
+
+    def tell(self, host: str, names: Collection[str]) -> None:
+        """Tell another host what is known of some upstreams.
+
+        :param host: address of the other host
+        :param names: ids of the upstreams
+        """
+        if self._link is None:
+            return
+        reports = self._tracker.learned.reports(names)
+        for start in range(0, len(reports), MAX_ENTRIES):
+            chunk = reports[start : start + MAX_ENTRIES]
+            body = {'learned': [_encode_learned(report) for report in chunk]}
+            self._link.send_message(host, MESSAGE_KIND, body)
+
+    def handle(self, host: str, body: Any) -> None:
+        """Apply a message of another host.
+
+        :param host: address of the other host
+        :param body: content of the message
+        """
+        seen: list[Incarnation] = []
+        for report in _decode_entries(body.get('seen', ()), _decode_report):
+            seen.append((report.upstream, report.born))
+            self._tracker.apply_load(report)
+        for learned in _decode_entries(body.get('learned', ()), _decode_learned):
+            self._tracker.adopt_learned(learned)
+        now = self._clock.monotonic()
+        if seen and now - self._told_at.get(host, -math.inf) >= TELL_INTERVAL_S:
+            self._told_at[host] = now
+            self.tell(host, self._tracker.learned.names_beside(seen[0]))
+
+
+def _encode_report(report: LoadReport) -> list[Any]:
+    load = None if report.load is None else list(report.load)
+    return [
+        report.upstream,
+        report.born,
+        round(report.age_s, 3),
+        load,
+        round(report.event_gap_s, 6),
+        report.events,
+    ]
+
+
+def _decode_report(entry: Any) -> LoadReport:
+    name, born, age_s, load, gap_s, events = entry[:6]
+    stated = None if load is None else StatedLoad(*load[:4])
+    report = LoadReport(str(name), int(born), age_s, stated, gap_s, int(events))
+    if not (0.0 <= age_s < MAX_EVIDENCE_AGE_S and 0.0 <= gap_s < math.inf):
+        raise ValueError('the evidence of an upstream is out of range')
+    return report
+
+
+def _encode_learned(report: LearnedReport) -> list[Any]:
+    figures = report.figures
+    return [
+        report.upstream,
+        report.born,
+        round(report.age_s, 3),
+        None if figures is None else [*figures[:3]],
+        report.work_s,
+    ]
+
+
+def _decode_learned(entry: Any) -> LearnedReport:
+    name, born, age_s, figures, work_s = entry[:5]
+    values = [*(figures or ()), *(() if work_s is None else (work_s,))]
+    if not (age_s >= 0.0 and all(0.0 < value < math.inf for value in values)):
+        raise ValueError('the learned figures of an upstream are out of range')
+    performance = None if figures is None else EnginePerformance(*figures[:3])
+    return LearnedReport(str(name), int(born), age_s, performance, work_s)
+
+
+def _decode_entries(
+    entries: Iterable[Any], decode: Callable[[Any], Any]
+) -> Iterator[Any]:
+    """Yield the readable entries; one unreadable entry must not hide the others."""
+    for entry in entries:
+        try:
+            yield decode(entry)
+        except (ValueError, TypeError, LookupError):
+            continue
--- a/packages/router/src/rosemaryseam/router/tickets.py
+++ b/packages/router/src/rosemaryseam/router/tickets.py
@@ -63,9 +63,11 @@
         self.inputs = {**placement.inputs, 'dispatcher': dispatcher}
 
     def on_answer_head(self, head: AnswerHead) -> None:
-        """Report the request limit that the answer states."""
+        """Report the request limit and the load that the answer states."""
         if head.status == HTTPStatus.MISDIRECTED_REQUEST:
             return  # another upstream answered, at an address that was reused
+        if head.load is not None:
+            self._handover.loads.record_load(self.upstream, head.load)
         if head.signed or head.request_limit is not None:
             self._handover.report_limit(self, head.request_limit)
 
@@ -73,7 +75,9 @@
         """Record the arrival of an event and the pause before it."""
         now = self._clock.monotonic()
         if self._started:
-            self.longest_pause_s = max(self.longest_pause_s, now - self._last_event_at)
+            pause_s = now - self._last_event_at
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+            self._handover.loads.record_event(self.upstream, pause_s)
         else:
             self._started = True
             self.first_event_s = now - self.placed_at
--- a/tests/test_router/test_handover.py
+++ b/tests/test_router/test_handover.py
@@ -11,6 +11,7 @@
 from rosemaryseam.policy.prefixes import PART_REUSE_WINDOW_S
 from rosemaryseam.router.handover import Handover
 from rosemaryseam.router.hostlink import HostLink
+from rosemaryseam.router.learnedcapacity import LearnedCapacities
 from rosemaryseam.router.requestlimits import RequestLimits
 from rosemaryseam.router.upstreams import Upstream
 
@@ -78,6 +79,7 @@
 
     def __init__(self, clock: SimulatedClock) -> None:
         self.limits = RequestLimits(clock)
+        self.learned = LearnedCapacities(clock)
         self.placed: list[str] = []
         self.in_flight: list[int] = []
         self.ended_numbers: list[int] = []
