--- a/tests/test_router/test_handover.py
+++ b/tests/test_router/test_handover.py
@@ -13,6 +13,7 @@
 from rosemaryseam.router.brittleness import Brittleness
 from rosemaryseam.router.handover import Handover
 from rosemaryseam.router.hostlink import HostLink
+from rosemaryseam.router.learnedcapacity import LearnedCapacities
 from rosemaryseam.router.requestlimits import RequestLimits
 from rosemaryseam.router.upstreams import Upstream
 
@@ -88,6 +89,7 @@
             lambda _: 0,
             lambda _: False,
         )
+        self.learned = LearnedCapacities(clock)
         self.placed: list[str] = []
         self.in_flight: list[int] = []
         self.ended_numbers: list[int] = []
