Reach upstreams through other hosts while a host is cut off from them

Cause: a host that is partitioned from all upstreams refused its callers. Change: evidence of connects and bytes decides whether this host is at fault; then connections to upstreams run through another host's relay port, as byte streams. Outcomes that the path caused are not reported to dispatchers.

--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -433,6 +433,7 @@
                 **ticket.inputs,
             )
             _set_abort_check(conn, admitted.route, should_abort)
+            conn.path.expected_s = ticket.expected_first_s
             conn.send(
                 admitted.request.method,
                 admitted.request.target,
--- a/packages/router/src/rosemaryseam/router/handover.py
+++ b/packages/router/src/rosemaryseam/router/handover.py
@@ -11,7 +11,7 @@
 from rosemaryseam.router.queries import PlacedPrompt
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Callable, Iterable, Sequence
 
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.policy.prefixes import Part
@@ -20,6 +20,8 @@
     from rosemaryseam.router.upstreams import Upstream
     from rosemaryseam.router.upstreamtracker import UpstreamTracker
 
+    OutcomeReport = Callable[[Upstream, str, Callable[[str], None]], None]
+
 MAX_RECENT_PROMPTS = 1000  # sent by this host, kept for handover
 
 
@@ -47,6 +49,7 @@
         self._clock = clock
         self._tracker = tracker
         self._link: HostLink | None = None
+        self._report_outcome: OutcomeReport = _report_at_once
         self._dispatchers: dict[str, str] = {}
         self._active: dict[int, DispatchTicket] = {}
         self._prompts: deque[_SentPrompt] = deque(maxlen=MAX_RECENT_PROMPTS)
@@ -59,6 +62,13 @@
         """
         self._link = link
 
+    def filter_outcomes(self, report: OutcomeReport) -> None:
+        """Set a function that decides which outcome is reported, and when.
+
+        :param report: called with the upstream, the outcome and what reports it
+        """
+        self._report_outcome = report
+
     def dispatchers(self) -> set[str]:
         """Return the other hosts that track upstreams for this one."""
         return {host for host in self._dispatchers.values() if host != self._host}
@@ -100,6 +110,21 @@
         """
         self._active.pop(ticket.number, None)
 
+    def end(self, ticket: DispatchTicket, outcome: str, duration_s: float) -> None:
+        """Record the end of a request and report it to the dispatcher.
+
+        :param ticket: ticket of the request
+        :param outcome: outcome, as passed to :meth:`Ticket.end`
+        :param duration_s: time since the placement, in seconds
+        """
+
+        def report(reported: str) -> None:
+            self.record_end(ticket)
+            entry = EndedRequest(ticket.number, reported, duration_s)
+            self.report_ended(ticket.dispatcher, entry)
+
+        self._report_outcome(ticket.upstream, outcome, report)
+
     def report_left(self, upstream: Upstream) -> None:
         """Tell the dispatcher of an upstream that it has left.
 
@@ -237,3 +262,7 @@
             self._tracker.record_first_event(self._host, ticket.number)
         else:
             self._link.send_started(ticket.dispatcher, ticket.number)
+
+
+def _report_at_once(_: Upstream, outcome: str, report: Callable[[str], None]) -> None:
+    report(outcome)
--- a/packages/router/src/rosemaryseam/router/placement.py
+++ b/packages/router/src/rosemaryseam/router/placement.py
@@ -63,6 +63,7 @@
     first_event_s: float | None
     longest_pause_s: float
     inputs: dict[str, object]
+    expected_first_s = 0.0  # from the placement to the first event
 
     @abc.abstractmethod
     def on_answer_head(self, head: AnswerHead) -> None:
--- a/packages/router/src/rosemaryseam/router/pool.py
+++ b/packages/router/src/rosemaryseam/router/pool.py
@@ -5,18 +5,16 @@
 from typing import TYPE_CHECKING
 
 from rosemaryseam.router.faults import NotSentError
-from rosemaryseam.router.upstreamconnection import connect
+from rosemaryseam.router.upstreamconnection import UpstreamConnection
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from rosemaryseam.common.clock import Clock
-    from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.router.codec import HttpCodec
-    from rosemaryseam.router.upstreamconnection import UpstreamConnection
+    from rosemaryseam.router.paths import UpstreamPaths
     from rosemaryseam.router.upstreams import Upstream
 
-CONNECT_TIMEOUT_S = 0.3  # links of a region take ms; a lost packet costs a retry
 MAX_RECENT_IDLE_S = 2.0  # a connection idle for longer may have been dropped
 MAX_IDLE_S = 30.0  # limit for upstreams that state no keep-alive timeout
 
@@ -28,13 +26,13 @@
 
     :param codec: codec of request and answer heads
     :param clock: clock of the process
-    :param metrics: counters of the process
+    :param paths: opens connections on the path that works
     """
 
-    def __init__(self, codec: HttpCodec, clock: Clock, metrics: Metrics) -> None:
+    def __init__(self, codec: HttpCodec, clock: Clock, paths: UpstreamPaths) -> None:
         self._codec = codec
         self._clock = clock
-        self._metrics = metrics
+        self._paths = paths
         self._idle: dict[Incarnation, list[UpstreamConnection]] = {}
 
     def acquire(self, upstream: Upstream, *, recently_used: bool) -> UpstreamConnection:
@@ -47,21 +45,18 @@
         idle = self._take_idle(upstream, recently_used=recently_used)
         if idle is not None:
             return idle
-        self._metrics.count('upstream_connects')
-        return connect(upstream.address, self._codec, self._clock, CONNECT_TIMEOUT_S)
+        return self._open(upstream)
 
     def refuses_connections(self, upstream: Upstream) -> bool:
         """Return whether an upstream refuses connections, as after a crash.
 
-        A connection that could be made is kept for the next request.
+        A connection that could be made, even through another host, is kept for the
+        next request.
 
         :param upstream: upstream to connect to
         """
-        self._metrics.count('upstream_connects')
         try:
-            conn = connect(
-                upstream.address, self._codec, self._clock, CONNECT_TIMEOUT_S
-            )
+            conn = self._open(upstream)
         except NotSentError as exc:
             return isinstance(exc.__cause__, ConnectionRefusedError)
         self._idle.setdefault(upstream.incarnation, []).append(conn)
@@ -112,10 +107,16 @@
         """Return the number of idle connections."""
         return sum(len(conns) for conns in self._idle.values())
 
+    def _open(self, upstream: Upstream) -> UpstreamConnection:
+        sock, path = self._paths.open(upstream)
+        return UpstreamConnection(sock, self._codec, self._clock, path)
+
     def _take_idle(
         self, upstream: Upstream, *, recently_used: bool
     ) -> UpstreamConnection | None:
         conns = self._idle.get(upstream.incarnation, [])
+        if conns and recently_used and self._paths.must_verify():
+            return None
         while conns:
             if recently_used and conns[-1].idle_s() > MAX_RECENT_IDLE_S:
                 return None
@@ -128,4 +129,4 @@
     def _is_usable(self, conn: UpstreamConnection) -> bool:
         if conn.is_expired() or conn.idle_s() > MAX_IDLE_S:
             return False
-        return conn.is_reusable()
+        return self._paths.may_reuse(conn.path) and conn.is_reusable()
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -24,6 +24,7 @@
 from rosemaryseam.router.mirror import Mirror, build_mirror_app
 from rosemaryseam.router.originlog import OriginLog, is_origin_entry
 from rosemaryseam.router.origins import StreamOrigins
+from rosemaryseam.router.partition import open_paths
 from rosemaryseam.router.peers import PeerLink
 from rosemaryseam.router.pool import ConnectionPool
 from rosemaryseam.router.relayedstore import RelayedStore, StoreProber
@@ -85,7 +86,10 @@
         self._stopping = Event()
         self.metrics = Metrics()
         self.registry = Registry()
-        self._pool = ConnectionPool(http, clock, self.metrics)
+        self.paths, self.tunnels = open_paths(
+            cfg, self.registry, lambda: self.peers.known_hosts(), clock, self.metrics
+        )
+        self._pool = ConnectionPool(http, clock, self.paths)
         self.tracker = UpstreamTracker(clock, self._find_service, self._rng)
         self.dispatcher = Dispatcher(self.tracker, self.registry, self.metrics)
         self._placer = DispatchPlacer(
@@ -99,6 +103,7 @@
             self._rng.getrandbits(32),
             cfg.capacity,
         )
+        self._placer.handover.filter_outcomes(self.paths.reports.report)
         self._origins = StreamOrigins(
             cfg.ip,
             clock,
@@ -216,11 +221,13 @@
         self._start_listener('readiness', self._readiness_server.start)
         self._start_listener('metrics', self._status_server.start)
         self._start_listener('peer_port', self._mirror_server.start)
+        self._start_listener('relay_port', self.tunnels.start)
         self._start_listener('callers', self.callers.listen)
         self._background = [
             gevent.spawn(self._accept_callers),
             gevent.spawn(self.feed.run),
             gevent.spawn(run_repeatedly, 'sweep', self._sweep, self.metrics),
+            gevent.spawn(run_repeatedly, 'paths', self.paths.step, self.metrics),
             gevent.spawn(run_repeatedly, 'software', self.software.step, self.metrics),
             gevent.spawn(
                 run_repeatedly, 'origin_log', self._origin_log.step, self.metrics
@@ -246,17 +253,21 @@
         cutoff_at = began + self._cfg.grace_s - CUTOFF_MARGIN_S
         log_event('stopping', busy=self.callers.busy_connections)
         self.callers.begin_drain()
+        self.tunnels.begin_drain()
         self.peers.leave()
         self._forwarder.begin_drain(cutoff_at)
         gevent.sleep(min(READINESS_LAG_S, self._cfg.grace_s / 2))
         self.callers.close_idle()
-        while self.callers.busy_connections and self._clock.monotonic() < cutoff_at:
+        while self._clock.monotonic() < cutoff_at and (
+            self.callers.busy_connections or self.tunnels.is_busy()
+        ):
             gevent.sleep(DRAIN_POLL_S)
         self.callers.stop_accepting()
         self._serve_last_connections(cutoff_at)
         log_event('stopped', cut_off=self.callers.busy_connections)
         self.callers.cut_off()
         gevent.sleep(CUTOFF_S)
+        self.tunnels.kill()
         gevent.killall(self._background, block=False)
 
     def kill(self) -> None:
@@ -264,6 +275,7 @@
         gevent.killall(self._background, block=False)
         self.peers.close()
         self.callers.kill()
+        self.tunnels.kill()
         for server in (
             self._readiness_server,
             self._status_server,
@@ -303,6 +315,7 @@
             'software_last_registered_s': self.software.dump(),
             'stream_origins': self._origins.size(),
             'idle_upstream_connections': self._pool.size(),
+            'paths': self.paths.dump(),
             'counters': self.metrics.dump(),
         }
 
@@ -328,6 +341,7 @@
     def _on_upstream_changes(self, changes: Iterable[UpstreamChange]) -> None:
         usable = self.registry.all()
         self._pool.retain(entry.incarnation for entry in usable)
+        self.paths.retain()
         self.tracker.retain_upstreams(usable)
         self._placer.upstreams_changed()
         self.software.registry_changed()
@@ -373,6 +387,7 @@
         gevent.sleep(SWEEP_INTERVAL_S)
         self.feed.expire()
         self._pool.close_expired()
+        self.tunnels.sweep()
 
     def _start_listener(self, key: str, start: Callable[[], None]) -> None:
         try:
--- a/packages/router/src/rosemaryseam/router/tickets.py
+++ b/packages/router/src/rosemaryseam/router/tickets.py
@@ -5,7 +5,6 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from rosemaryseam.router.datagrams import EndedRequest
 from rosemaryseam.router.placement import Ticket
 from rosemaryseam.router.queries import InFlightReport
 
@@ -60,6 +59,7 @@
         self.fetch_from = fetch_from
         self.first_event_s = None
         self.longest_pause_s = 0.0
+        self.expected_first_s = placement.expected_first_s
         self.inputs = {**placement.inputs, 'dispatcher': dispatcher}
 
     def on_answer_head(self, head: AnswerHead) -> None:
@@ -95,9 +95,7 @@
         if not self._ended:
             self._ended = True
             duration_s = self._clock.monotonic() - self.placed_at
-            self._handover.record_end(self)
-            entry = EndedRequest(self.number, outcome, duration_s)
-            self._handover.report_ended(self.dispatcher, entry)
+            self._handover.end(self, outcome, duration_s)
 
     def to_in_flight_report(self) -> InFlightReport:
         """Return the report of this request for a new dispatcher."""
--- a/packages/router/src/rosemaryseam/router/upstreamconnection.py
+++ b/packages/router/src/rosemaryseam/router/upstreamconnection.py
@@ -38,6 +38,27 @@
 KEEP_ALIVE_MARGIN_S = 1.0  # not reused this close to the upstream's idle timeout
 
 
+class ConnectionPath:
+    """Is told what happens on a connection; this one ignores it.
+
+    ``expected_s`` is the time within which the next bytes usually arrive.
+    """
+
+    expected_s = 0.0
+
+    def on_sent(self) -> None:
+        """Handle that a request was sent."""
+
+    def on_bytes(self) -> None:
+        """Handle that bytes of the upstream arrived."""
+
+    def on_failed(self) -> None:
+        """Handle that the connection broke or that the upstream fell silent."""
+
+    def on_released(self) -> None:
+        """Handle that no answer is waited for any more."""
+
+
 class UpstreamConnection:
     """Sends requests and reads answers on one connection.
 
@@ -46,10 +67,18 @@
     :param sock: connected socket
     :param codec: decodes the heads of answers
     :param clock: clock of the process
+    :param path: path that the connection takes
     """
 
-    def __init__(self, sock: Any, codec: HttpCodec, clock: Clock) -> None:
+    def __init__(
+        self,
+        sock: Any,
+        codec: HttpCodec,
+        clock: Clock,
+        path: ConnectionPath | None = None,
+    ) -> None:
         self._sock = sock
+        self.path = path or ConnectionPath()
         self._receiver = FairReceiver(sock)
         self._should_abort: Callable[[], bool] = _never
         self._aborts_while_receiving = False
@@ -113,6 +142,7 @@
             self._sent_events.append(h11.Data(data=body))
         self._sent_events.append(h11.EndOfMessage())
         data = b''.join([self._http.send(event) for event in self._sent_events])
+        self.path.on_sent()
         if len(body) <= MAX_INLINE_BODY_BYTES:
             self._write(data)
         else:
@@ -193,12 +223,14 @@
         self._writer = None
         self._should_abort = _never
         self._aborts_while_receiving = False
+        self.path.on_released()
         return True
 
     def close(self) -> None:
         """Close the connection."""
         if self._writer is not None:
             self._writer.kill(block=False)
+        self.path.on_released()
         self._sock.close()
 
     def _skip_answer(self) -> None:
@@ -229,6 +261,7 @@
 
     def _receive(self) -> bytes:
         if self._must_check() and self._should_abort():
+            self.path.on_failed()
             raise SilentError('the upstream fell silent')
         while True:
             data = None
@@ -236,14 +269,18 @@
                 with gevent.Timeout(ABORT_CHECK_INTERVAL_S, False):
                     data = self._receiver.recv(READ_BYTES)
             except OSError as exc:
+                self.path.on_failed()
                 raise BrokenError(f'the connection failed: {exc}') from exc
             if data is not None:
                 self._returned_at = self._clock.monotonic()
+                if data:
+                    self.path.on_bytes()
                 return data
             # Bytes that arrived while this process had no turn are read first.
             if self._is_patient() or self.has_unread_bytes():
                 continue
             if self._should_abort():
+                self.path.on_failed()
                 raise SilentError('the upstream fell silent')
 
     def _must_check(self) -> bool:
@@ -270,6 +307,7 @@
         try:
             self._sock.sendall(data)
         except OSError as exc:
+            self.path.on_failed()
             raise BrokenError(f'the connection failed: {exc}') from exc
 
     def _write_ignoring_errors(self, data: bytes) -> None:
@@ -282,14 +320,15 @@
     return False
 
 
-def connect(
-    address: Address, codec: HttpCodec, clock: Clock, timeout_s: float
-) -> UpstreamConnection:
-    """Open a connection to an upstream.
+def connect_socket(address: Address, timeout_s: float) -> Any:
+    """Return a socket that is connected to an upstream.
+
+    The socket sets neither keep-alive nor ``TCP_USER_TIMEOUT``. Requests have deadlines
+    and silent upstreams are noticed by the bytes of all of them, both within seconds,
+    which is sooner than probes could tell. A user timeout would also end connections to
+    sound upstreams that pause or whose answers wait for a slow caller.
 
     :param address: address of the upstream
-    :param codec: decodes the heads of answers
-    :param clock: clock of the process
     :param timeout_s: timeout for connecting, in seconds
     :raises NotSentError: if no connection was established
     """
@@ -299,4 +338,4 @@
         raise NotSentError(f'cannot connect to {address}: {exc}') from exc
     sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
     sock.settimeout(None)
-    return UpstreamConnection(sock, codec, clock)
+    return sock
--- a/tests/test_router/routers.py
+++ b/tests/test_router/routers.py
@@ -194,6 +194,7 @@
             store.put(CONFIGURATION_KEY, configuration())
         self.store = store
         self._port = free_port()
+        self._relay_port = free_port()
         self.hosts = [self.make_host(number) for number in range(1, count + 1)]
         for host in self.hosts:
             host.start()
@@ -211,6 +212,7 @@
             readiness=Address(ip, free_port()),
             metrics=Address(ip, free_port()),
             peer_port=self._port,
+            relay_port=self._relay_port,
             cores=2.0 if number in self._large_hosts else 0.5,
         )
 
