--- a/packages/policy/src/rosemaryseam/policy/queueroom.py
+++ b/packages/policy/src/rosemaryseam/policy/queueroom.py
@@ -131,8 +131,9 @@
     ) -> bool:
         """Return whether one of several hosts that dispatch may send a request now.
 
-        A share of less than one request is used at random times, as the other hosts
-        may begin to dispatch at the same time.
+        All of their requests may be rejected at once, as the dispatcher may go on to
+        use the whole room. So they have few in flight together. A share of less than
+        one request is used at random times, as all hosts may begin at the same time.
 
         :param in_flight: requests in flight there that this host knows of
         :param share: share of the room that this host may use
@@ -141,7 +142,7 @@
         """
         if self._is_closed(now) or self._spent(now) >= max(1.0, self._budget):
             return False
-        allowance = share * min(self.room(now), self._slots)
+        allowance = share * min(self.room(now), self._slots, max(1.0, self._budget))
         if allowance >= 1.0:
             return in_flight + 1 <= allowance
         if self._shared_at is None:
