Wait for the counts of all hosts before a window is final

Cause: the first windows of a new holder lacked about 8 % of the requests, as hosts send no counts before their time is confirmed, and hosts that were not heard yet were not waited for. Change: messages say whether the time is confirmed, hosts send at once after that; a new holder waits for all known hosts; acknowledgements carry the latest recorded window, so that hosts drop what is final; hosts send at different times of a second.

--- a/packages/policy/src/rosemaryseam/policy/usagewindows.py
+++ b/packages/policy/src/rosemaryseam/policy/usagewindows.py
@@ -131,6 +131,7 @@
         self._time = time
         self._window_s = window_s
         self._windows: dict[int, Counter[str]] = {}
+        self.done = -1  # latest window whose counts are recorded; they are final
         self._undated: deque[tuple[float, str]] = deque(maxlen=MAX_UNDATED)
 
     def add(self, workspace: str, began_at: float) -> None:
@@ -151,7 +152,8 @@
             at, workspace = self._undated.popleft()
             window = window_at(self._time.at(at), self._window_s)
             self._windows.setdefault(window, Counter())[workspace] += 1
-        oldest = window_at(self._time.now(), self._window_s) - KEPT_WINDOWS
+        present = window_at(self._time.now(), self._window_s)
+        oldest = max(self.done + 1, present - KEPT_WINDOWS)
         for window in [entry for entry in self._windows if entry < oldest]:
             del self._windows[window]
         return self._windows
@@ -200,7 +202,7 @@
 
 
 class Heard(NamedTuple):
-    """A host's latest message: when it arrived, and the true time when it was sent."""
+    """A host's latest message, and the true time up to which it has the counts."""
 
     at: float
     sent: float
@@ -229,7 +231,7 @@
     if now >= window_end + LATEST_CLOSE_AFTER_S and held_s >= SILENT_HOST_S:
         return True
     return all(
-        monotonic - entry.at > SILENT_HOST_S
+        monotonic - max(entry.at, acquired_at) > SILENT_HOST_S
         or (entry.sent >= window_end + HEARD_AFTER_END_S and entry.at > acquired_at)
         for entry in heard
     )
--- a/packages/router/src/rosemaryseam/router/dutyholder.py
+++ b/packages/router/src/rosemaryseam/router/dutyholder.py
@@ -127,6 +127,10 @@
         """Return the monotonic time at which this host became the holder."""
         return self._acquired_at
 
+    def claim_revision(self) -> int | None:
+        """Return the revision of the claim of the host that holds the duty."""
+        return self._item.revision if self._item is not None else None
+
     def claim_condition(self) -> Expected | None:
         """Return the condition of a write that this host still holds the duty."""
         return Expected(self._key.name, self._tenure.revision) if self._tenure else None
--- a/packages/router/src/rosemaryseam/router/usagecounts.py
+++ b/packages/router/src/rosemaryseam/router/usagecounts.py
@@ -8,7 +8,7 @@
 import gevent
 
 from rosemaryseam.common.decisionlog import log_event
-from rosemaryseam.policy.usagewindows import OwnCounts, TrueTime, window_at
+from rosemaryseam.policy.usagewindows import OwnCounts, TrueTime
 
 if TYPE_CHECKING:
     from rosemaryseam.common.clock import Clock
@@ -19,7 +19,8 @@
 USAGE_KIND = 'usage'
 USAGE_ACK_KIND = 'usage_ack'
 SEND_INTERVAL_S = 1.0
-POLL_S = 0.1  # between two checks for a new holder or the end of a window
+NEW_HOLDER_SPREAD_S = 0.5  # within which all hosts send their counts to it
+POLL_S = 0.1  # between two checks for a new holder
 EXTRA_CANDIDATES = 2  # hosts besides the holder that get the counts
 FIRST_EVENT_DELAY_S = 0.01  # time for the tokens of a first event and the network
 MAX_BROKEN_OFF_AGE_S = 1.0  # older sendings may be of windows that were reported
@@ -96,16 +97,16 @@
         self._host = host
         self._holder = holder
         self._link = link
-        self._window_s = window_s
         self._clock = clock
         self.time = TrueTime(clock)
         self.own = OwnCounts(self.time, window_s)
         self._work_s: dict[str, float] = {}  # typical time of work by service
         # Number of requests that a host has acknowledged, by host and window.
         self._acknowledged: dict[str, dict[int, int]] = {}
-        self._previous_holder: str | None = None
-        self._next_send_at = clock.monotonic()
-        self._window = 0  # at the latest sending
+        self._claim_revision: int | None = None  # of the latest holder
+        # Different for each host, as all of them learn of a new holder together.
+        self._phase = incarnation % 1000 / 1000
+        self._next_send_at = clock.monotonic() + self._phase * SEND_INTERVAL_S
 
     def began(self, admitted: AdmittedRequest, attempts: AttemptHistory) -> None:
         """Count a stream at its first event."""
@@ -150,18 +151,18 @@
         self.send_if_due()
 
     def send_if_due(self) -> None:
-        """Send the counts each second, to a new holder, and when a window has ended."""
+        """Send the counts each second, and soon again to a new holder."""
         now = self._clock.monotonic()
         holder = self._holder.holder()
-        window = window_at(self.time.now(), self._window_s)
-        if holder is not None and holder != self._previous_holder:
-            self._previous_holder = holder
+        revision = self._holder.claim_revision()
+        if holder is not None and revision != self._claim_revision:
+            self._claim_revision = revision
             self._acknowledged.pop(holder, None)
-        elif now < self._next_send_at and window == self._window:
-            return
-        self._window = window
-        self._next_send_at = now + SEND_INTERVAL_S
-        self.send()
+            soon = now + self._phase * NEW_HOLDER_SPREAD_S
+            self._next_send_at = min(self._next_send_at, soon)
+        if now >= self._next_send_at:
+            self._next_send_at = now + SEND_INTERVAL_S
+            self.send()
 
     def send(self) -> None:
         """Send what is not acknowledged; to the holder also without any counts."""
@@ -175,6 +176,7 @@
                     'i': self._incarnation,
                     'b': self._clock.monotonic(),
                     't': self.time.now(),
+                    'c': self.time.confirmed,
                     'w': counts,
                 }
                 self._link.send_message(target, USAGE_KIND, body)
@@ -204,7 +206,11 @@
         for window in known.keys() - kept.keys():
             del known[window]
         if body['t'] is not None and host == self._holder.holder():
+            self.own.done = max(self.own.done, int(body['d']))
+            confirmed = self.time.confirmed
             corrected = self.time.correct_by_answer(float(body['b']), float(body['t']))
+            if self.time.confirmed and not confirmed:
+                self._next_send_at = self._clock.monotonic()  # first counts
             if corrected is not None:
                 log_event('usage_time_corrected', seconds=corrected, holder=host)
 
--- a/packages/router/src/rosemaryseam/router/usagereporter.py
+++ b/packages/router/src/rosemaryseam/router/usagereporter.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import TYPE_CHECKING, Any
 
 import gevent
@@ -12,6 +13,7 @@
 from rosemaryseam.common.rangestore import ConflictError, Expected, Write
 from rosemaryseam.policy.usagewindows import (
     KEPT_WINDOWS,
+    MIN_VOTES,
     ClockVotes,
     Heard,
     MergedCounts,
@@ -38,7 +40,8 @@
 MIN_RETRY_S = 0.2  # after a refused report, doubled up to the longest
 MAX_RETRY_S = 1.0
 MAX_UNREPORTED = 120  # windows in the record; ten minutes without the API
-TIME_VOTE_S = 1.0  # as a holder, until this host's time counts without enough votes
+TIME_VOTE_S = 1.0  # as a holder of few hosts, until this host's time counts
+MISSING_VOTES_S = 4.0  # the same if enough hosts for a vote are known
 MAX_WINDOWS_AHEAD = 2  # beyond the present one; the sender's time is wrong then
 
 
@@ -115,7 +118,9 @@
         """
         sent, incarnation = float(body['t']), int(body['i'])
         now = self._time.now()
-        self._heard[host] = Heard(self._clock.monotonic(), sent)
+        # A host sends no counts before its time is confirmed.
+        complete_at = sent if body['c'] else -math.inf
+        self._heard[host] = Heard(self._clock.monotonic(), complete_at)
         self._votes.add(host, sent - now)
         present = window_at(now, self._window_s)
         received = []
@@ -130,6 +135,7 @@
             'i': incarnation,
             'b': body['b'],
             't': self._time.now() if known else None,
+            'd': self._counts.own.done,
             'w': received,
         }
         self._link.send_message(host, USAGE_ACK_KIND, answer)
@@ -169,16 +175,17 @@
     def _merge_own(self) -> None:
         for window, counts in self._counts.own.windows().items():
             self._merged.merge(window, self._sender, counts)
-        oldest = window_at(self._time.now(), self._window_s) - KEPT_WINDOWS
         if self._time.confirmed:
-            self._merged.forget_before(oldest)
+            oldest = window_at(self._time.now(), self._window_s) - KEPT_WINDOWS
+            self._merged.forget_before(max(oldest, self._counts.own.done + 1))
 
     def _agree_on_time(self, now: float) -> None:
         """Correct the time of this host by the majority of all hosts."""
         hosts = self._link.known_hosts()
         difference_s = self._votes.median(hosts)
         if difference_s is None:
-            if now - self._holder.acquired_at() < TIME_VOTE_S:
+            wait_s = MISSING_VOTES_S if len(hosts) + 1 >= MIN_VOTES else TIME_VOTE_S
+            if now - self._holder.acquired_at() < wait_s:
                 return
             difference_s = 0.0
         if self._time.correct(difference_s):
@@ -232,6 +239,7 @@
             self._holder.doubt()
             return
         self._record, self._revision = record, position.revision
+        self._counts.own.done = record.last
         self._accepted &= set(unreported)
         self._metrics.count('usage_windows_recorded', window - first)
         log_event(
@@ -243,10 +251,11 @@
         )
 
     def _is_final(self, window: int, time_s: float, now: float) -> bool:
-        hosts = self._link.known_hosts()
-        heard = [entry for host, entry in self._heard.items() if host in hosts]
+        acquired_at = self._holder.acquired_at()
+        unheard = Heard(acquired_at, -math.inf)
+        heard = [self._heard.get(host, unheard) for host in self._link.known_hosts()]
         end = (window + 1) * self._window_s
-        return may_close(end, time_s, now, self._holder.acquired_at(), heard)
+        return may_close(end, time_s, now, acquired_at, heard)
 
     def _unreported(self) -> dict[int, dict[str, int]]:
         recorded = self._record.unreported if self._record else {}
--- a/tests/test_router/test_usage_fleet.py
+++ b/tests/test_router/test_usage_fleet.py
@@ -85,6 +85,7 @@
     fleet.hosts[0].wait(lambda: last in fleet.ledger.usage, 8.0)
     reported = Counter()
     for window in sent:
+        assert window in fleet.ledger.usage, (window, fleet.ledger.order)
         reported[window] = fleet.ledger.usage[window].get('north', 0)
     assert sent.total() > 50
     assert reported.total() == pytest.approx(sent.total(), rel=0.05)
