--- a/packages/policy/src/rosemaryseam/policy/usagewindows.py
+++ b/packages/policy/src/rosemaryseam/policy/usagewindows.py
@@ -19,9 +19,12 @@
 OFFSET_SAMPLES = 5  # latest messages of a host; the least delayed one counts
 MIN_VOTES = 3  # hosts that a median needs to outvote a wrong clock
 CLOSE_AFTER_S = 1.5  # after a window's end, once all hosts have sent counts since
-LATEST_CLOSE_AFTER_S = 4.0  # also without some of them, to report within 10 s
+LATEST_CLOSE_AFTER_S = 5.0  # also without some of them, to report within 10 s
 HEARD_AFTER_END_S = 0.5  # counts sent by then may miss requests of the window
-SILENT_HOST_S = 3.0  # a host that was not heard for longer is not waited for
+SILENT_HOST_S = 4.0  # a host that was not heard for longer is not waited for
+# Two seconds after all hosts know of a new holder. Reports of the window before a
+# holder's crash are due 5 s after the next host has followed it.
+NEW_HOLDER_WAIT_S = 2.5
 
 Sender = tuple[str, int]  # address and incarnation of a host
 Counts = dict[str, int]  # requests by workspace
@@ -228,13 +231,18 @@
     held_s = monotonic - acquired_at
     if now < window_end + CLOSE_AFTER_S or held_s < CLOSE_AFTER_S:
         return False
-    if now >= window_end + LATEST_CLOSE_AFTER_S and held_s >= SILENT_HOST_S:
+    if now >= window_end + LATEST_CLOSE_AFTER_S and held_s >= NEW_HOLDER_WAIT_S:
         return True
-    return all(
-        monotonic - max(entry.at, acquired_at) > SILENT_HOST_S
-        or (entry.sent >= window_end + HEARD_AFTER_END_S and entry.at > acquired_at)
-        for entry in heard
-    )
+    for entry in heard:
+        if entry.at <= acquired_at:
+            if held_s < NEW_HOLDER_WAIT_S:
+                return False
+        elif (
+            entry.sent < window_end + HEARD_AFTER_END_S
+            and monotonic - entry.at <= SILENT_HOST_S
+        ):
+            return False
+    return True
 
 
 class UsageRecord(NamedTuple):
