Test the counting of requests and late holders

Cause: no test showed that retries count once, that a holder paused before its record is too late, or that the record wakes no watch. Change: tests only.

--- a/tests/test_router/dutyfleet.py
+++ b/tests/test_router/dutyfleet.py
@@ -167,10 +167,15 @@
 class DutyFleet:
     """Hosts that share a store, an API and a clock."""
 
-    def __init__(self, count: int, host_type: type[DutyHost] | None = None) -> None:
+    def __init__(
+        self,
+        count: int,
+        host_type: type[DutyHost] | None = None,
+        calls_per_s: int = 1000,
+    ) -> None:
         self.clock = ManualClock()
         self.store = MemoryRangeStore(self.clock)
-        self.ledger = DutyLedger(self.clock, 1000, LEASE_S)
+        self.ledger = DutyLedger(self.clock, calls_per_s, LEASE_S)
         self.names = [f'10.0.0.{number}' for number in range(1, count + 1)]
         hosts = [(host_type or DutyHost)(self, name) for name in self.names]
         ranked = hosts[0].holder.candidates()
--- a/tests/test_router/test_usage_fleet.py
+++ b/tests/test_router/test_usage_fleet.py
@@ -9,15 +9,16 @@
 import gevent
 import pytest
 from dutyfleet import LedgerPort
-from routers import RunningFleet
+from routers import RunningFleet, RunningRouter
 
 from rosemaryseam.common.addresses import Address
 from rosemaryseam.common.clock import SystemClock
 from rosemaryseam.router.settings import DutySettings
+from rosemaryseam.router.usagereporter import USAGE_KEY
 from rosemaryseam.standins.dutyapi import DutyLedger
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from rosemaryseam.standins.scripted import ScriptedExchange
 
@@ -56,6 +57,65 @@
     running.stop()
 
 
+def stream(exchange: ScriptedExchange) -> None:
+    exchange.start_stream()
+    exchange.event(1)
+    exchange.end_stream()
+
+
+def fail_twice() -> Callable[[ScriptedExchange], None]:
+    exchanges = []
+
+    def script(exchange: ScriptedExchange) -> None:
+        exchanges.append(exchange)
+        exchange.reset() if len(exchanges) < 3 else answer(exchange)
+
+    return script
+
+
+COUNTED = [
+    ('safe', lambda: answer, 1),
+    ('stream', lambda: stream, 1),
+    ('unsafe', lambda: lambda exchange: exchange.reset(), 1),
+    ('safe', fail_twice, 1),
+    ('unsafe', lambda: lambda exchange: exchange.decline(), 0),
+    ('public', lambda: answer, 0),
+]
+
+
+@pytest.mark.parametrize(('route', 'build', 'expected'), COUNTED)
+def test_requests_that_upstreams_began_are_counted_once(
+    route: str, build: Callable[[], Callable], expected: int
+) -> None:
+    """Retries must not be charged again, and declined requests not at all."""
+    ledger = DutyLedger(SystemClock(), 10, DUTIES.lease_s)
+    port = LedgerPort(ledger, 'host-1', SystemClock())
+    router = RunningRouter(duties=DUTIES, duty_port=port)
+    router.start()
+    try:
+        script = build()
+        router.add('one', script)
+        router.add('two', script)
+        router.call(route)
+        counts = router.router.duties.counter
+        counts.time.confirmed = True
+        counted = [sum(entry.values()) for entry in counts.own.windows().values()]
+        assert sum(counted) == expected
+    finally:
+        router.stop()
+
+
+def test_a_record_of_usage_ends_no_watch(fleet: UsageFleet) -> None:
+    """It is written for each window, and no host waits for it."""
+    mirror = fleet.hosts[0].router.mirror
+    gevent.sleep(0.2)
+    start = mirror.position
+    fleet.store.put(USAGE_KEY, b'{}')
+    began = time.monotonic()
+    assert [item.key for item in mirror.wait(start, 0.3).items] == [USAGE_KEY]
+    assert time.monotonic() - began > 0.25
+
+
 def answer(exchange: ScriptedExchange) -> None:
     exchange.answer(200, b'done')
 
--- a/tests/test_router/test_usage_reports.py
+++ b/tests/test_router/test_usage_reports.py
@@ -25,6 +25,7 @@
     from datetime import datetime
 
 WINDOW_S = 5.0
+INTERVAL_S = 0.2  # between two calls of the API
 
 
 class WrongClock(Clock):
@@ -100,7 +101,7 @@
             self.store,
             self.link,
             WINDOW_S,
-            0.2,
+            INTERVAL_S,
             clock,
             Metrics(),
         )
@@ -122,7 +123,7 @@
 
     def __init__(self) -> None:
         self.served: Counter[int] = Counter()
-        super().__init__(4, UsageHost)
+        super().__init__(4, UsageHost, round(1 / INTERVAL_S))
 
     def check(self, rel: float = 0.05, lost: int = 0) -> None:
         """Check that all due windows were reported, within a share and a number."""
@@ -165,6 +166,43 @@
     fleet.check(rel=0.0, lost=12)
 
 
+def test_a_restarted_candidate_gets_the_counts_again(fleet: UsageFleet) -> None:
+    """Hosts would think that its process of before still has them."""
+    while fleet.clock.now().second % 5 != 4:
+        fleet.run(0.1)
+    fleet.hosts[1].paused = True
+    fleet.hosts[1].start()
+    fleet.hosts[1].paused = False
+    fleet.hosts[0].paused = True
+    fleet.run(25.0)
+    assert fleet.holders() == [1]
+    # Only these two processes had the counts of the first two hosts, not more than 90
+    # in a window; those of the other two hosts must be complete.
+    fleet.check(rel=0.0, lost=90)
+
+
+def test_a_holder_paused_before_its_record_is_too_late(fleet: UsageFleet) -> None:
+    """Its counts are other ones than those that its successor recorded."""
+    first = fleet.hosts[0]
+    write = first.store.write
+    recorded = []
+
+    def pause(*arguments: Any) -> Any:
+        if not recorded and arguments[0] and arguments[0][0].key == USAGE_KEY:
+            recorded.append(1)
+            first.paused = True
+            while fleet.hosts[1].holder.permission() is None:
+                fleet.run(0.1)
+            first.paused = False
+        return write(*arguments)
+
+    first.store.__dict__['write'] = pause
+    fleet.run(40.0)
+    assert recorded
+    assert fleet.holders() == [1]
+    fleet.check(rel=0.0, lost=45)
+
+
 def test_counts_that_are_lost_are_sent_again(fleet: UsageFleet) -> None:
     """Datagrams may be lost; those of two seconds in a row are late, not missing."""
     for number, host in enumerate(fleet.hosts):
