--- a/packages/policy/src/rosemaryseam/policy/upstreamorders.py
+++ b/packages/policy/src/rosemaryseam/policy/upstreamorders.py
@@ -284,7 +284,6 @@
         if (
             state.ordered <= wanted
             or state.unconfirmed
-            or state.serving < state.ordered
             or now - state.increased_at < INCREASE_HOLD_S
             or now - state.reduced_at < interval_s
         ):
--- a/tests/test_policy/test_upstreamorders.py
+++ b/tests/test_policy/test_upstreamorders.py
@@ -232,8 +232,10 @@
         operation.run(float(until), events)
         in_force = operation.orders.in_force()
         registered = operation.cloud.registered()
+        targets = operation.orders.targets
         for zone in ZONES:
             lines = (Line(zone, False), Line(zone, True))
+            assert sum(targets.count(line) for line in lines) <= maximum
             assert sum(in_force[line] for line in lines) <= maximum
             if zone != 'a':
                 assert sum(registered[line] for line in lines) >= minimum
