--- a/packages/policy/src/rosemaryseam/policy/upstreamorders.py
+++ b/packages/policy/src/rosemaryseam/policy/upstreamorders.py
@@ -16,6 +16,7 @@
 UNAVAILABLE_S = 3.0  # without a spot order in a zone that had none
 MISSING_S = 10.0  # without counting on upstreams that did not start
 BOOT_PATIENCE = 2.5  # times the usual time to start, then an upstream is missing
+EXCESS_S = 10.0  # after a reduction; upstreams stop to take requests at once
 MIN_HISTORY_S = 12.0  # of demand before a reduction; a wave takes 11 s
 INCREASE_HOLD_S = 10.0  # without a reduction of a kind that was increased in its zone
 REDUCTION_INTERVAL_S = 3.0  # between two reductions in a zone, which must take effect
@@ -59,11 +60,12 @@
         self.reduced_at = -math.inf
         self.blocked_until = -math.inf
         self.short_since: float | None = None
+        self.excess_since: float | None = None
 
     def observe(self, registered: int, patience_s: float, now: float) -> str | None:
         """Record the number of registered upstreams.
 
-        Return what changed without an order: ``lost`` or ``missing``.
+        Return what changed without an order: ``lost``, ``missing`` or ``excess``.
         """
         lost = registered < self.serving and registered < self.ordered
         self.serving = registered
@@ -72,7 +74,8 @@
             self.ordered = registered
         if registered >= self.ordered:
             self.short_since = None
-            return None
+            return self._check_excess(registered, now)
+        self.excess_since = None
         if lost:
             # Waiting for them would delay their replacement.
             self.ordered = registered
@@ -89,6 +92,18 @@
             return 'missing'
         return None
 
+    def _check_excess(self, registered: int, now: float) -> str | None:
+        """Have a reduction sent again that shows no effect."""
+        if registered == self.ordered:
+            self.excess_since = None
+        elif self.excess_since is None:
+            self.excess_since = now
+        elif now - self.excess_since > EXCESS_S:
+            self.excess_since = None
+            self.unconfirmed = True
+            return 'excess'
+        return None
+
 
 class _Hold:
     """Follows a wanted number up at once, and down only when it lasts.
--- a/packages/router/src/rosemaryseam/router/autoscaler.py
+++ b/packages/router/src/rosemaryseam/router/autoscaler.py
@@ -31,6 +31,7 @@
     from rosemaryseam.router.hostlink import HostLink
     from rosemaryseam.router.peers import PeerLink
     from rosemaryseam.router.routes import Service
+    from rosemaryseam.router.settings import DutySettings
     from rosemaryseam.router.upstreams import Registry
 
 DUTY = 'autoscale'
@@ -113,16 +114,18 @@
         self._metrics.gauge('upstreams_ordered', self._count_ordered)
 
     def start(
-        self, duties: Duties, peers: PeerLink, calls_per_s: float
+        self, duties: Duties, peers: PeerLink, cfg: DutySettings | None
     ) -> list[gevent.Greenlet]:
-        """Start to report and to decide.
+        """Start to report and to decide, if upstreams are ordered.
 
-        :param duties: duties of this host, the one to order upstreams among them
+        :param duties: duties of this host
         :param peers: link to the other hosts
-        :param calls_per_s: calls that the API accepts per second from all hosts
+        :param cfg: settings of the duties
         """
+        if cfg is None or not duties.has(DUTY):
+            return []
         peers.subscribe(KIND, self.table.receive)
-        self.connect(peers, *duties.add_holder(DUTY), calls_per_s)
+        self.connect(peers, *duties.add_holder(DUTY), cfg.calls_per_s)
         return [gevent.spawn(run_repeatedly, DUTY, self.step, self._metrics)]
 
     def step(self) -> None:
--- a/tests/test_policy/test_orderrules.py
+++ b/tests/test_policy/test_orderrules.py
@@ -72,8 +72,8 @@
     assert not is_served(serving, targets, steady(needed + 40.0))
 
 
-# Guards against reductions in one step, in quick succession, or right after an increase:
-# an upstream that is needed again takes seconds to start, and all of them are billed.
+# Guards against reductions in one step, in quick succession, or right after an
+# increase: an upstream that is needed again takes seconds to start.
 def test_reductions_are_made_in_steps() -> None:
     orders = UpstreamOrders(LIMITS)
     registered = {A: 16, B: 16}
@@ -105,3 +105,21 @@
     assert [(order.line, order.count, order.reason) for order in planned] == [
         (A, 3, 'minimum')
     ]
+
+
+# Guards against upstreams that are billed for ever because a reduction had no effect,
+# for instance if another holder's call arrived after it.
+def test_reduction_without_effect_is_sent_again() -> None:
+    orders = UpstreamOrders(LIMITS)
+    registered = {A: 16, B: 16}
+    orders.plan(steady(32.0), registered, 0.0)
+    orders.record_accepted(Order(A, 12, 16, 'test'), 0.0)
+    sent = []
+    for step in range(1, 60):
+        for order in orders.plan(steady(10.0), registered, step * 0.5):
+            if order.line == A:
+                sent.append((step * 0.5, order.count, order.reason))
+                orders.record_accepted(order, step * 0.5)
+    assert 'unconfirmed' in {reason for _, _, reason in sent}
+    assert all(count <= 12 for _, count, _ in sent)
+    assert len(sent) <= 6
