--- a/packages/router/src/rosemaryseam/router/autoscaler.py
+++ b/packages/router/src/rosemaryseam/router/autoscaler.py
@@ -18,7 +18,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Sequence
 
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.common.metrics import Metrics
@@ -32,7 +32,7 @@
     from rosemaryseam.router.peers import PeerLink
     from rosemaryseam.router.routes import Service
     from rosemaryseam.router.settings import DutySettings
-    from rosemaryseam.router.upstreams import Registry
+    from rosemaryseam.router.upstreams import Registry, Upstream
 
 DUTY = 'autoscale'
 STEP_S = 0.5  # between two decisions
@@ -44,14 +44,17 @@
 MAX_STALENESS_S = 3.0  # of the registrations, from which nothing is decided
 
 
-def default_rates(service: Service) -> EngineRates:
+def default_rates(service: Service, upstreams: Sequence[Upstream]) -> EngineRates:
     """Return the rates of a service's upstreams before any measurement.
 
     :param service: service to look up
+    :param upstreams: registered upstreams of the service
     """
-    if service.engine is None:
-        return EngineRates(is_engine=False, batch_slots=1)
-    return EngineRates(batch_slots=service.engine.batch_slots)
+    if service.engine is not None:
+        return EngineRates(batch_slots=service.engine.batch_slots)
+    slots = sorted(upstream.slots for upstream in upstreams)
+    median = slots[len(slots) // 2] if slots else 1
+    return EngineRates(batch_slots=max(1, median), is_engine=False)
 
 
 class Autoscaler:
@@ -63,7 +66,7 @@
     :param clock: clock of the process
     :param metrics: counters of the process
     :param rng: source of the number that identifies this process
-    :param find_rates: returns the rates of a service's upstreams
+    :param find_rates: returns the rates of a service's registered upstreams
     """
 
     def __init__(
@@ -74,7 +77,9 @@
         clock: Clock,
         metrics: Metrics,
         rng: random.Random,
-        find_rates: Callable[[Service], EngineRates] = default_rates,
+        find_rates: Callable[
+            [Service, Sequence[Upstream]], EngineRates
+        ] = default_rates,
     ) -> None:
         self._host = host
         self._registry = registry
@@ -200,7 +205,8 @@
         for service in services:
             trend = self._trends.setdefault(service.name, DemandTrend())
             demand = self.table.demand(service.name)
-            trend.add(demand, self._find_rates(service), now)
+            upstreams = self._registry.usable(service.name)
+            trend.add(demand, self._find_rates(service, upstreams), now)
 
     def _forecast(self, service: Service) -> DemandForecast | None:
         trend = self._trends.get(service.name)
