Reduce nothing while most hosts are silent

Cause: a holder that is partitioned from the other hosts sees only its own demand, and a new holder without any registered upstream ordered none. Change: no reductions unless half of the registered hosts report; upstreams are ordered once those that start would have registered. Result: the tests of the loop pass.

--- a/packages/router/src/rosemaryseam/router/autoscaler.py
+++ b/packages/router/src/rosemaryseam/router/autoscaler.py
@@ -41,6 +41,7 @@
 # rest is for the other duty.
 CALL_SHARE = 0.45
 REFUSED_PAUSE_S = 1.0  # before an order that was refused for now is sent again
+REPORTING_SHARE = 0.5  # of the registered hosts, without which nothing is reduced
 MAX_STALENESS_S = 3.0  # of the registrations, from which nothing is decided
 
 
@@ -98,6 +99,7 @@
         self._trends: dict[str, DemandTrend] = {}
         self._orders: dict[str, UpstreamOrders] = {}
         self._fence: int | None = None
+        self._adopted_at = 0.0
         self._paused_until = 0.0
         self._reported_at = -REPORT_S
         self._billed_at: float | None = None
@@ -175,6 +177,7 @@
             return
         if permission.fence != self._fence:
             self._fence = permission.fence
+            self._adopted_at = now
             self._orders.clear()
             log_event('upstream_orders_adopted', fence=permission.fence)
         for service in services:
@@ -209,9 +212,19 @@
             trend.add(demand, self._find_rates(service, upstreams), now)
 
     def _forecast(self, service: Service) -> DemandForecast | None:
+        """Return the expected demand, without a history if many hosts are silent.
+
+        A holder that is partitioned from the other hosts must not take their demand for
+        gone. Crashed hosts are registered for minutes, so not all have to report.
+        """
         trend = self._trends.get(service.name)
         assert service.scaling is not None
-        return None if trend is None else trend.forecast(service.scaling.boot_s)
+        assert self._link is not None
+        forecast = None if trend is None else trend.forecast(service.scaling.boot_s)
+        hosts = 1 + len(self._link.known_hosts())
+        if forecast is not None and self.table.host_count() < hosts * REPORTING_SHARE:
+            return forecast._replace(history_s=0.0)
+        return forecast
 
     def _receivers(self) -> set[str]:
         assert self._holder is not None
@@ -234,8 +247,9 @@
         registered = self._registered(service)
         orders = self._orders.get(service.name)
         if orders is None:
-            if not registered:
-                return  # the registrations may not have been read yet
+            adopted_s = self._clock.monotonic() - self._adopted_at
+            if not registered and adopted_s < service.scaling.boot_s:
+                return  # what an earlier holder ordered may be starting
             orders = UpstreamOrders(_limits(service))
             self._orders[service.name] = orders
         orders.limits = _limits(service)
