--- a/packages/policy/src/rosemaryseam/policy/upstreamorders.py
+++ b/packages/policy/src/rosemaryseam/policy/upstreamorders.py
@@ -16,6 +16,7 @@
 UNAVAILABLE_S = 3.0  # without a spot order in a zone that had none
 MISSING_S = 10.0  # without counting on upstreams that did not start
 BOOT_PATIENCE = 2.5  # times the usual time to start, then an upstream is missing
+EXCESS_S = 10.0  # after a reduction; upstreams stop to take requests at once
 MIN_HISTORY_S = 12.0  # of demand before a reduction; a wave takes 11 s
 INCREASE_HOLD_S = 10.0  # without a reduction of a kind that was increased in its zone
 REDUCTION_INTERVAL_S = 3.0  # between two reductions in a zone, which must take effect
@@ -23,7 +24,6 @@
 REDUCTION_SHARE = 0.25  # of a zone's upstreams of one kind in one reduction
 HOLD_S = 10.0  # for which a lower wanted number must last
 FLOOR_RISE = 0.15  # of ordinary upstreams; smaller increases follow every wave
-RESERVE_RISE = 0.05  # of the reserve, which moves a little with the mean demand
 HOLD_SHARE = 0.9  # of the number wanted so far; less is a lower number
 
 
@@ -59,11 +59,12 @@
         self.reduced_at = -math.inf
         self.blocked_until = -math.inf
         self.short_since: float | None = None
+        self.excess_since: float | None = None
 
     def observe(self, registered: int, patience_s: float, now: float) -> str | None:
         """Record the number of registered upstreams.
 
-        Return what changed without an order: ``lost`` or ``missing``.
+        Return what changed without an order: ``lost``, ``missing`` or ``excess``.
         """
         lost = registered < self.serving and registered < self.ordered
         self.serving = registered
@@ -72,7 +73,8 @@
             self.ordered = registered
         if registered >= self.ordered:
             self.short_since = None
-            return None
+            return self._check_excess(registered, now)
+        self.excess_since = None
         if lost:
             # Waiting for them would delay their replacement.
             self.ordered = registered
@@ -89,6 +91,18 @@
             return 'missing'
         return None
 
+    def _check_excess(self, registered: int, now: float) -> str | None:
+        """Have a reduction sent again that shows no effect."""
+        if registered == self.ordered:
+            self.excess_since = None
+        elif self.excess_since is None:
+            self.excess_since = now
+        elif now - self.excess_since > EXCESS_S:
+            self.excess_since = None
+            self.unconfirmed = True
+            return 'excess'
+        return None
+
 
 class _Hold:
     """Follows a wanted number up at once, and down only when it lasts.
@@ -134,7 +148,7 @@
         self.targets: Targets | None = None
         self.events: list[tuple[Line, str]] = []  # losses seen in the last plan
         self._lines: dict[Line, _LineState] = {}
-        self._reserve = _Hold(RESERVE_RISE)
+        self._reserve = _Hold()
         self._needed = _Hold()
         self._ordinary_floor = _Hold(FLOOR_RISE)
 
@@ -284,7 +298,6 @@
         if (
             state.ordered <= wanted
             or state.unconfirmed
-            or state.serving < state.ordered
             or now - state.increased_at < INCREASE_HOLD_S
             or now - state.reduced_at < interval_s
         ):
--- a/packages/router/src/rosemaryseam/router/autoscaler.py
+++ b/packages/router/src/rosemaryseam/router/autoscaler.py
@@ -11,7 +11,6 @@
 from rosemaryseam.common.fairness import run_repeatedly
 from rosemaryseam.policy.demandtrend import DemandTrend, EngineRates
 from rosemaryseam.policy.rates import TokenBucket
-from rosemaryseam.policy.rendezvous import rank_by_capacity
 from rosemaryseam.policy.upstreamorders import Line, UpstreamOrders
 from rosemaryseam.policy.upstreamtargets import OrderLimits
 from rosemaryseam.router.demandcounts import KIND, DemandCounts, DemandTable
@@ -19,67 +18,73 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Sequence
 
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.policy.demandtrend import DemandForecast
     from rosemaryseam.policy.upstreamorders import Order
+    from rosemaryseam.router.duties import Duties
     from rosemaryseam.router.dutyholder import DutyHolder
     from rosemaryseam.router.dutyport import DutyPort
+    from rosemaryseam.router.feed import StateFeed
     from rosemaryseam.router.hostlink import HostLink
-    from rosemaryseam.router.routes import RoutingTable, Service
-    from rosemaryseam.router.upstreams import Registry
+    from rosemaryseam.router.peers import PeerLink
+    from rosemaryseam.router.routes import Service
+    from rosemaryseam.router.settings import DutySettings
+    from rosemaryseam.router.upstreams import Registry, Upstream
 
 DUTY = 'autoscale'
 STEP_S = 0.5  # between two decisions
 REPORT_S = 1.0  # between two reports of demand to the holder
-CALL_SHARE = 0.7  # of the calls per second; the rest is for other duties and retries
+# Of the calls per second. Twice as many may fall into one second after a pause; the
+# rest is for the other duty.
+CALL_SHARE = 0.45
 REFUSED_PAUSE_S = 1.0  # before an order that was refused for now is sent again
+REPORTING_SHARE = 0.5  # of the registered hosts, without which nothing is reduced
 MAX_STALENESS_S = 3.0  # of the registrations, from which nothing is decided
 
 
-def default_rates(service: Service) -> EngineRates:
+def default_rates(service: Service, upstreams: Sequence[Upstream]) -> EngineRates:
     """Return the rates of a service's upstreams before any measurement.
 
     :param service: service to look up
+    :param upstreams: registered upstreams of the service
     """
-    if service.engine is None:
-        return EngineRates(is_engine=False, batch_slots=1)
-    return EngineRates(batch_slots=service.engine.batch_slots)
+    if service.engine is not None:
+        return EngineRates(batch_slots=service.engine.batch_slots)
+    slots = sorted(upstream.slots for upstream in upstreams)
+    median = slots[len(slots) // 2] if slots else 1
+    return EngineRates(batch_slots=max(1, median), is_engine=False)
 
 
 class Autoscaler:
     """Reports this host's demand and, as holder, orders upstreams.
 
     :param host: address of this host
-    :param capacity: relative capacity of this host
     :param registry: registered upstreams
-    :param find_table: returns the routing table, ``None`` if there is none yet
-    :param staleness_s: returns the age of the registrations in seconds
+    :param feed: provides the routing table and the age of the registrations
     :param clock: clock of the process
     :param metrics: counters of the process
     :param rng: source of the number that identifies this process
-    :param find_rates: returns the rates of a service's upstreams
+    :param find_rates: returns the rates of a service's registered upstreams
     """
 
     def __init__(
         self,
         host: str,
-        capacity: float,
         registry: Registry,
-        find_table: Callable[[], RoutingTable | None],
-        staleness_s: Callable[[], float],
+        feed: StateFeed,
         clock: Clock,
         metrics: Metrics,
         rng: random.Random,
-        find_rates: Callable[[Service], EngineRates] = default_rates,
+        find_rates: Callable[
+            [Service, Sequence[Upstream]], EngineRates
+        ] = default_rates,
     ) -> None:
         self._host = host
-        self._capacity = capacity
         self._registry = registry
-        self._find_table = find_table
-        self._staleness_s = staleness_s
+        self._feed = feed
         self._clock = clock
         self._metrics = metrics
         self._find_rates = find_rates
@@ -94,6 +99,7 @@
         self._trends: dict[str, DemandTrend] = {}
         self._orders: dict[str, UpstreamOrders] = {}
         self._fence: int | None = None
+        self._adopted_at = 0.0
         self._paused_until = 0.0
         self._reported_at = -REPORT_S
         self._billed_at: float | None = None
@@ -114,10 +120,19 @@
         self._metrics.gauge('upstreams_wanted', self._count_wanted)
         self._metrics.gauge('upstreams_ordered', self._count_ordered)
 
-    def start(self) -> list[gevent.Greenlet]:
-        """Start to report demand and to order, if the host may hold the duty."""
-        if self._holder is None:
+    def start(
+        self, duties: Duties, peers: PeerLink, cfg: DutySettings | None
+    ) -> list[gevent.Greenlet]:
+        """Start to report and to decide, if upstreams are ordered.
+
+        :param duties: duties of this host
+        :param peers: link to the other hosts
+        :param cfg: settings of the duties
+        """
+        if cfg is None or not duties.has(DUTY):
             return []
+        peers.subscribe(KIND, self.table.receive)
+        self.connect(peers, *duties.add_holder(DUTY), cfg.calls_per_s)
         return [gevent.spawn(run_repeatedly, DUTY, self.step, self._metrics)]
 
     def step(self) -> None:
@@ -155,13 +170,14 @@
         if self.table.host_count():
             self._record_demand(services, now)
         permission = self._holder.permission() if self._holder is not None else None
-        if permission is None or self._staleness_s() > MAX_STALENESS_S:
+        if permission is None or self._feed.staleness_s() > MAX_STALENESS_S:
             # What was ordered may have changed before this host decides again.
             self._orders.clear()
             self._billed_at = None
             return
         if permission.fence != self._fence:
             self._fence = permission.fence
+            self._adopted_at = now
             self._orders.clear()
             log_event('upstream_orders_adopted', fence=permission.fence)
         for service in services:
@@ -192,22 +208,31 @@
         for service in services:
             trend = self._trends.setdefault(service.name, DemandTrend())
             demand = self.table.demand(service.name)
-            trend.add(demand, self._find_rates(service), now)
+            upstreams = self._registry.usable(service.name)
+            trend.add(demand, self._find_rates(service, upstreams), now)
 
     def _forecast(self, service: Service) -> DemandForecast | None:
+        """Return the expected demand, without a history if many hosts are silent.
+
+        A holder that is partitioned from the other hosts must not take their demand for
+        gone. Crashed hosts are registered for minutes, so not all have to report.
+        """
         trend = self._trends.get(service.name)
         assert service.scaling is not None
-        return None if trend is None else trend.forecast(service.scaling.boot_s)
+        assert self._link is not None
+        forecast = None if trend is None else trend.forecast(service.scaling.boot_s)
+        hosts = 1 + len(self._link.known_hosts())
+        if forecast is not None and self.table.host_count() < hosts * REPORTING_SHARE:
+            return forecast._replace(history_s=0.0)
+        return forecast
 
     def _receivers(self) -> set[str]:
-        assert self._link is not None
-        hosts = {**self._link.known_hosts(), self._host: self._capacity}
-        holder = self._holder.holder() if self._holder is not None else None
-        first = rank_by_capacity(DUTY, hosts)[0]
+        assert self._holder is not None
+        first, holder = self._holder.candidates()[0], self._holder.holder()
         return {first} if holder is None else {first, holder}
 
     def _scaled_services(self) -> list[Service]:
-        table = self._find_table()
+        table = self._feed.table
         services = () if table is None else table.services.values()
         scaled = [service for service in services if service.scaling is not None]
         for known in (self._trends, self._orders):
@@ -222,8 +247,9 @@
         registered = self._registered(service)
         orders = self._orders.get(service.name)
         if orders is None:
-            if not registered:
-                return  # the registrations may not have been read yet
+            adopted_s = self._clock.monotonic() - self._adopted_at
+            if not registered and adopted_s < service.scaling.boot_s:
+                return  # what an earlier holder ordered may be starting
             orders = UpstreamOrders(_limits(service))
             self._orders[service.name] = orders
         orders.limits = _limits(service)
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -16,10 +16,8 @@
 from rosemaryseam.common.fairness import run_repeatedly
 from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.common.wsgi import HttpServer, ServerTimeouts
-from rosemaryseam.router.autoscaler import DUTY as AUTOSCALING_DUTY
 from rosemaryseam.router.autoscaler import Autoscaler
 from rosemaryseam.router.callers import BodyMemoryBudget, CallerServer
-from rosemaryseam.router.demandcounts import KIND as DEMAND_KIND
 from rosemaryseam.router.dispatch import DispatchPlacer
 from rosemaryseam.router.dispatcher import Dispatcher
 from rosemaryseam.router.duties import Duties
@@ -196,16 +194,8 @@
             self.metrics,
         )
         self.autoscaler = Autoscaler(
-            cfg.ip,
-            cfg.capacity,
-            self.registry,
-            lambda: self.feed.table,
-            lambda: self.feed.staleness_s(),
-            clock,
-            self.metrics,
-            self._rng,
+            cfg.ip, self.registry, self.feed, clock, self.metrics, self._rng
         )
-        self._connect_autoscaler()
         self._forwarder = Forwarder(
             self.feed,
             self.registry,
@@ -271,8 +261,8 @@
                 lambda: self.store_prober.step(self.mirror),
                 self.metrics,
             ),
+            *self.autoscaler.start(self.duties, self.peers, cfg.duties),
             *self.duties.start(),
-            *self.autoscaler.start(),
         ]
         self._start_listener('peer_port', self._start_peers)
         log_event('started', zone=cfg.zone, callers=str(cfg.callers))
@@ -411,15 +401,6 @@
             if upstream.incarnation == incarnation:
                 self.feed.mark_left(upstream, 'left')
 
-    def _connect_autoscaler(self) -> None:
-        """Let this host order upstreams, if that is a duty in the settings."""
-        duties = self._cfg.duties
-        if duties is None or not self.duties.has(AUTOSCALING_DUTY):
-            return
-        holder, port = self.duties.add_holder(AUTOSCALING_DUTY)
-        self.autoscaler.connect(self.peers, holder, port, duties.calls_per_s)
-        self.peers.subscribe(DEMAND_KIND, self.autoscaler.table.receive)
-
     def _start_peers(self) -> None:
         self._background += self.peers.start()
 
