Test statements of brittle upstreams, their handover, and the closing after rejections

Cause: nothing failed when the closing of an upstream after half of its rejections was taken out, and the handover was tested only through hosts. The link of test_handover.py records messages of this kind and still fails on others.

--- a/tests/test_policy/test_queueroom.py
+++ b/tests/test_policy/test_queueroom.py
@@ -193,3 +193,13 @@
         room.record_end(RequestKey('h', number), 'done', 1, number / 100)
     assert room.completions_per_s(10.0) == pytest.approx(100.0, rel=0.05)
     assert room.completions_per_s(30.0) < 1.0
+
+
+# Guards against requests to an upstream that has rejected half of what it stands.
+def test_nothing_is_sent_for_a_second_after_half_of_the_rejections() -> None:
+    room = QueueRoom(8, 4.0, 0.0, used=True)
+    for number in range(2):
+        assert room.is_open(0, 1.0)
+        room.record_end(RequestKey('h', number), 'rejected', 12 - number, 1.0)
+    assert not room.is_open(0, 2.0)
+    assert room.is_open(0, 2.3)
--- a/tests/test_router/test_handover.py
+++ b/tests/test_router/test_handover.py
@@ -8,6 +8,7 @@
 import pytest
 
 from rosemaryseam.common.addresses import Address
+from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.experiments.simulatedclock import SimulatedClock
 from rosemaryseam.policy.prefixes import PART_REUSE_WINDOW_S
 from rosemaryseam.router.brittleness import Brittleness
@@ -37,6 +38,7 @@
         self.in_flight: list[tuple[str, int]] = []
         self.ended: list[tuple[str, int]] = []
         self.limits: list[tuple[str, str]] = []
+        self.messages: list[tuple[str, str, object]] = []
 
     def known_hosts(self) -> dict[str, float]:
         return {'b': 1.0, 'c': 1.0}
@@ -72,7 +74,11 @@
         self.placed.append((host, placed.upstream))
 
     def send_message(self, host: str, kind: str, body: object) -> None:
-        raise AssertionError('unexpected message')
+        assert kind == 'brittle', 'unexpected message'
+        self.messages.append((host, kind, body))
+
+    def subscribe(self, kind: str, handle: object) -> None:
+        assert kind == 'brittle'
 
 
 class RecordingTracker:
@@ -144,6 +150,15 @@
     assert setup.link.limits == [('c', 'u1')]
 
 
+# Guards against a new dispatcher that takes a brittle upstream for a sturdy one.
+def test_a_new_dispatcher_is_told_of_brittle_upstreams(setup: HandoverSetup) -> None:
+    setup.handover.assign(['u1', 'u2'], 'a')
+    setup.tracker.brittleness.connect('a', setup.link, Metrics())
+    setup.tracker.brittleness.record_answer(setup.tracker.upstream, 4.0, 0.0, 'a')
+    setup.handover.assign(['u1', 'u2'], 'c')
+    assert setup.link.messages == [('c', 'brittle', [['u1', 1, 4.0, 0.0, None]])]
+
+
 def place(
     setup: HandoverSetup, number: int, upstream: str, dispatcher: str
 ) -> FakeTicket:
