Test learned speeds, and probe upstreams that got nothing for a while

Cause: learned speeds had no tests, a full queue was tried with each request, and what was learned of an upstream without traffic was never checked. Change: a small request tries an upstream that got nothing for some seconds; the limit of a queue that declined requests grows by whole requests; scenarios uneven and crowded and a model of app runners in the experiments; counters of load reports. policy/engines.py is split (enginerequests.py).

--- a/packages/experiments/src/rosemaryseam/experiments/engine.py
+++ b/packages/experiments/src/rosemaryseam/experiments/engine.py
@@ -16,7 +16,11 @@
 
 
 class EngineParameters(NamedTuple):
-    """Capacities and step times of an engine; ``slowdown`` multiplies step times."""
+    """Capacities and step times of an engine.
+
+    ``slowdown`` multiplies step times. Beyond ``crowded_share`` of its slots, steps are
+    longer by ``crowding`` times the share of slots beyond it.
+    """
 
     slots: int = 64
     memory_tokens: int = 310_000
@@ -30,6 +34,8 @@
     fetch_setup_s: float = 0.008
     fetch_s_per_token: float = 0.82e-6
     slowdown: float = 1.0
+    crowded_share: float = 1.0
+    crowding: float = 0.0
 
 
 class Job:
@@ -100,6 +106,7 @@
         self._reserved_tokens = 0
         self._stepping = False
         self.up = True
+        self.noise_factor = 1.0  # on step times, while neighbours slow the engine down
 
     def count_cached_parts(self, parts: tuple[tuple[int, int], ...]) -> int:
         """Return how many leading parts of a prompt are cached.
@@ -181,7 +188,10 @@
             + parameters.context_s_per_token * context
             + prefilled / parameters.prefill_tokens_per_s
             + attention_pairs * parameters.attention_s_per_pair
-        ) * parameters.slowdown
+        ) * (parameters.slowdown * self.noise_factor)
+        crowd = len(streams) - parameters.slots * parameters.crowded_share
+        if crowd > 0:
+            duration *= 1.0 + parameters.crowding * crowd / parameters.slots
         self._clock.call_later(duration, lambda: self._end_step(streams, finished))
 
     def _end_step(self, streams: list[Job], finished: list[Job]) -> None:
--- a/packages/experiments/src/rosemaryseam/experiments/fleet.py
+++ b/packages/experiments/src/rosemaryseam/experiments/fleet.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from rosemaryseam.experiments.load import Arrival, RequestKind, Scenario
+    from rosemaryseam.experiments.load import Arrival, Noise, RequestKind, Scenario
     from rosemaryseam.router.placement import Placer
 
     PlacerFactory = Callable[
@@ -90,6 +90,8 @@
         )
         for crash in scenario.crashes:
             self._schedule_crash(crash.engine_count, crash.start_s, crash.duration_s)
+        if scenario.noise is not None:
+            self._schedule_noise(scenario.noise, scenario.duration_s, seed)
 
     def run(self, arrivals: list[Arrival], until: float) -> None:
         """Run the scenario.
@@ -139,6 +141,8 @@
                 memory_tokens=scenario.memory_tokens,
                 tokens_per_event=scenario.tokens_per_event,
                 slowdown=slowdown,
+                crowded_share=scenario.crowded_share,
+                crowding=scenario.crowding,
             )
             engines[f'engine-{number}'] = SimulatedEngine(
                 self.clock, parameters, prefilled_at
@@ -164,6 +168,22 @@
         self.clock.call_at(start_s, crash)
         self.clock.call_at(start_s + duration_s, restart)
 
+    def _schedule_noise(self, noise: Noise, until_s: float, seed: int) -> None:
+        rng = random.Random(f'noise-{seed}')
+        quiet_s = noise.duration_s * (1.0 - noise.share) / noise.share
+        for engine in self.engines.values():
+            at_s = rng.expovariate(1.0 / quiet_s)
+            while at_s < until_s:
+                end_s = at_s + noise.duration_s
+                for when, factor in ((at_s, noise.factor), (end_s, 1.0)):
+                    self.clock.call_at(
+                        when,
+                        lambda engine=engine, factor=factor: setattr(
+                            engine, 'noise_factor', factor
+                        ),
+                    )
+                at_s = end_s + rng.expovariate(1.0 / quiet_s)
+
     def _register(self) -> None:
         entries = {
             upstream.id: Registration(upstream, leaving=False)
--- a/packages/experiments/src/rosemaryseam/experiments/load.py
+++ b/packages/experiments/src/rosemaryseam/experiments/load.py
@@ -59,6 +59,17 @@
     duration_s: float
 
 
+class Noise(NamedTuple):
+    """Periods in which neighbours slow an engine down, at random times.
+
+    ``share`` is the share of the time, ``factor`` multiplies step times.
+    """
+
+    share: float
+    duration_s: float
+    factor: float
+
+
 class Scenario(NamedTuple):
     """The engines, hosts, load and faults of a simulation."""
 
@@ -74,6 +85,9 @@
     kinds: tuple[RequestKind, ...]
     bursts: tuple[Burst, ...]
     crashes: tuple[Crash, ...] = ()
+    noise: Noise | None = None
+    crowded_share: float = 1.0
+    crowding: float = 0.0
 
 
 class Arrival(NamedTuple):
--- a/packages/experiments/src/rosemaryseam/experiments/run.py
+++ b/packages/experiments/src/rosemaryseam/experiments/run.py
@@ -29,7 +29,7 @@
 _POLICY = flags.DEFINE_enum(
     'policy',
     'dispatched',
-    ['dispatched', 'restarting', 'separate', 'least_loaded'],
+    ['dispatched', 'restarting', 'separate', 'fixed', 'least_loaded'],
     'Policy that places requests.',
 )
 _SEEDS = flags.DEFINE_integer('seeds', 1, 'Number of seeds to run.', lower_bound=1)
@@ -73,6 +73,19 @@
     return [_make_host(clock, registry, service, rng) for _ in range(host_count)]
 
 
+def make_fixed(
+    clock: SimulatedClock,
+    registry: Registry,
+    service: Service,
+    rng: random.Random,
+    host_count: int,
+) -> list[Placer]:
+    """Return one placer that uses the default figures of engines."""
+    host = _make_host(clock, registry, service, rng)
+    host.tracker.learned.learns = False
+    return [host]
+
+
 def make_least_loaded(
     clock: SimulatedClock,
     registry: Registry,
@@ -94,6 +107,7 @@
     'dispatched': make_dispatched,
     'restarting': make_restarting,
     'separate': make_separate,
+    'fixed': make_fixed,
     'least_loaded': make_least_loaded,
 }
 
--- a/packages/experiments/src/rosemaryseam/experiments/scenarios.py
+++ b/packages/experiments/src/rosemaryseam/experiments/scenarios.py
@@ -6,6 +6,7 @@
     Burst,
     Crash,
     LogNormal,
+    Noise,
     RequestKind,
     Scenario,
 )
@@ -118,4 +119,18 @@
     bursts=(Burst('digest', 0.5, 9.0, 1.6), Burst('copy', 10.0, 3.0, 1.8)),
 )  # fmt: skip
 
-SCENARIOS = {scenario.name: scenario for scenario in (LEASING, MEDIATION, GROWN)}
+# Engines of different speeds, which neighbours slow down at times.
+UNEVEN = LEASING._replace(
+    name='uneven',
+    engine_slowdowns=(0.6, 1.0, 1.6),
+    noise=Noise(0.15, 0.6, 2.5),
+    crashes=(),
+)
+# Engines whose steps become longer beyond half of their slots.
+CROWDED = LEASING._replace(
+    name='crowded', crowded_share=0.25, crowding=8.0, slots=64, crashes=()
+)
+
+SCENARIOS = {
+    scenario.name: scenario for scenario in (LEASING, MEDIATION, GROWN, UNEVEN, CROWDED)
+}
--- a/packages/policy/src/rosemaryseam/policy/engineplacement.py
+++ b/packages/policy/src/rosemaryseam/policy/engineplacement.py
@@ -43,6 +43,10 @@
 MEMORY_SHARE = 0.8  # of an engine's memory that running requests may fill
 AFFINITY_ORDER_LOSS = 0.002  # per position; hosts then agree for a new session
 CROWDING_LOSS = 0.6  # beyond the number of requests at which throughput drops
+PROBE_AFTER_S = 5.0  # without a request while others get them, an engine is tried
+PROBE_AFTER_REQUESTS = 20  # that others got meanwhile
+PROBE_TIME_SHARE = 0.4  # of the time until the target that a trial may take
+PROBE_TIME_FACTOR = 2.5  # on the estimates; the engine may have become slower
 MEMORY_FULL_LOSS = 5.0  # an engine without free memory preempts a request
 
 
@@ -164,6 +168,26 @@
     return choice.loss + choice.headroom_loss <= limit
 
 
+def may_probe(
+    request: PlacementRequest, choice: EngineChoice, idle_s: float, skipped: int
+) -> bool:
+    """Return whether a request should try an engine that got nothing for a while.
+
+    :param request: request to place
+    :param choice: placement on that engine
+    :param idle_s: time since the engine got a request
+    :param skipped: number of requests that other engines got since
+    """
+    return (
+        idle_s > PROBE_AFTER_S
+        and skipped >= PROBE_AFTER_REQUESTS
+        and request.relative_work <= 1.0
+        and choice.first_event_s * PROBE_TIME_FACTOR
+        < request.due_in_s * PROBE_TIME_SHARE
+        and should_admit(request, choice)
+    )
+
+
 def choose_engine(
     request: PlacementRequest,
     candidates: Iterable[EngineCandidate],
--- a/packages/policy/src/rosemaryseam/policy/engines.py
+++ b/packages/policy/src/rosemaryseam/policy/engines.py
@@ -4,8 +4,13 @@
 
 import math
 from collections import Counter
-from typing import NamedTuple
 
+from rosemaryseam.policy.enginerequests import (
+    CompletionAtRisk,
+    EngineCapacity,
+    InFlightRequest,
+    RequestKey,
+)
 from rosemaryseam.policy.enginespeed import EnginePerformance, EngineSpeed
 
 INITIAL_SLOT_HOLD_S = 1.0  # estimate before any stream has ended
@@ -15,57 +20,6 @@
 LOAD_AVERAGING_S = 1.0  # time constant of the share of time spent on prefill
 
 
-class EngineCapacity(NamedTuple):
-    """Capacity of an engine.
-
-    ``batch_slots`` is its maximum number of concurrent requests, ``cache_tokens`` the
-    size of its memory and ``tokens_per_event`` the number of tokens in an event.
-    """
-
-    batch_slots: int
-    cache_tokens: int
-    tokens_per_event: int
-
-
-class RequestKey(NamedTuple):
-    """Identifies a request in flight within the whole fleet."""
-
-    host: str
-    number: int
-
-
-class InFlightRequest(NamedTuple):
-    """Describes a request that a host has sent to an engine.
-
-    ``prefill_tokens`` counts the prompt tokens not expected in the engine's cache,
-    ``memory_tokens`` the memory that it will occupy beside shared parts. ``pause_s`` is
-    the longest pause between events that meets its target, ``expires_at`` the time at
-    which the timeout of its caller ends. Times are in seconds on the monotonic clock.
-    """
-
-    key: RequestKey
-    rank: int
-    prefill_tokens: int
-    memory_tokens: int
-    output_tokens: int
-    pause_s: float | None
-    placed_at: float
-    expected_first_s: float
-    expires_at: float
-
-
-class CompletionAtRisk(NamedTuple):
-    """Describes a request that may not complete in time.
-
-    ``tokens`` is the number of tokens still to generate, ``expires_in_s`` the time
-    until the timeout of its caller ends.
-    """
-
-    rank: int
-    tokens: float
-    expires_in_s: float
-
-
 class EngineView:
     """Tracks the requests in flight on one engine and estimates its delays.
 
@@ -113,11 +67,6 @@
         """Ratio of measured to nominal prefill time over some seconds."""
         return self.speed.slowdown
 
-    @property
-    def present_factor(self) -> float:
-        """Factor by which all times are longer than usual, as of the last update."""
-        return self._factor
-
     def update_speed(self, now: float) -> None:
         """Apply what was learned of the engine's speed to the estimates.
 
--- a/packages/policy/src/rosemaryseam/policy/enginespeed.py
+++ b/packages/policy/src/rosemaryseam/policy/enginespeed.py
@@ -59,6 +59,8 @@
     follows those of about 0.5 s and what the engine states; it returns to 1 without
     news. One measurement changes neither by much.
 
+    If ``learns`` is false, measurements are ignored.
+
     :param defaults: figures that are used before any upstream of the service is known
     :param batch_slots: maximum number of concurrent requests
     """
@@ -76,6 +78,7 @@
         self._measured_at = self._adopted_at = -math.inf
         self._beyond_step_s = 0.0  # step measured beyond the knee, at its first bin
         self.stated = StatedWork()
+        self.learns = True
 
     def set_prior(self, prior: EnginePerformance, now: float) -> None:
         """Set the figures that count where none was measured lately.
@@ -134,7 +137,7 @@
         :param tokens: number of prefilled tokens
         :param now: seconds on the monotonic clock
         """
-        if tokens <= 0:
+        if tokens <= 0 or not self.learns:
             return
         usual_s = tokens / self._lasting.prefill_tokens_per_s
         bounded_s = min(measured_s, MAX_SAMPLE_FACTOR * usual_s + self._prior.step_s)
@@ -161,7 +164,12 @@
         :param events: number of events in the mean
         :param now: seconds on the monotonic clock
         """
-        if prefill_share > MAX_PREFILL_SHARE or events <= 0 or not step_s > 0.0:
+        if (
+            not self.learns
+            or prefill_share > MAX_PREFILL_SHARE
+            or events <= 0
+            or not step_s > 0.0
+        ):
             return
         usual_s = self.step_s(requests)
         alone_s = step_s * (1.0 - prefill_share)
--- a/packages/policy/src/rosemaryseam/policy/workspeed.py
+++ b/packages/policy/src/rosemaryseam/policy/workspeed.py
@@ -142,7 +142,11 @@
 
         :param now: seconds on the monotonic clock
         """
-        return self._limit + LIMIT_GROWTH_PER_S * max(0.0, now - self._limit_at)
+        if math.isinf(self._limit):
+            return self._limit
+        # Whole requests, so that a full queue is tried again only after a while.
+        grown = LIMIT_GROWTH_PER_S * max(0.0, now - self._limit_at)
+        return self._limit + math.floor(grown)
 
     def completion_rate(self, now: float) -> float:
         """Return the number of answers per second.
--- a/packages/router/src/rosemaryseam/router/dispatch.py
+++ b/packages/router/src/rosemaryseam/router/dispatch.py
@@ -85,6 +85,7 @@
         self._registry = registry
         self._link: HostLink | None = None
         self.handover = Handover(host, clock, tracker)
+        self.handover.loads.metrics = metrics
         self._last_number = first_number
         self._capacity = capacity
         self._pending_replies: dict[int, AsyncResult] = {}
--- a/packages/router/src/rosemaryseam/router/learnedcapacity.py
+++ b/packages/router/src/rosemaryseam/router/learnedcapacity.py
@@ -103,6 +103,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        self.learns = True  # experiments compare with figures that stay as they are
         self._entries: dict[Incarnation, UpstreamCapacity] = {}
         self._priors_at: dict[str, float] = {}
 
@@ -115,6 +116,7 @@
         entry = self._entries.get(upstream.incarnation)
         if entry is None:
             entry = UpstreamCapacity(upstream, batch_slots)
+            entry.engine.learns = self.learns
             self._entries[upstream.incarnation] = entry
             self._priors_at.pop(upstream.service, None)
         return entry
--- a/packages/router/src/rosemaryseam/router/promptplacer.py
+++ b/packages/router/src/rosemaryseam/router/promptplacer.py
@@ -6,10 +6,12 @@
 
 from rosemaryseam.common.decisionlog import log_event
 from rosemaryseam.policy.engineplacement import (
+    PROBE_AFTER_REQUESTS,
     EngineCandidate,
     EngineChoice,
     PlacementRequest,
     choose_engine,
+    may_probe,
     rank_by_affinity,
     should_admit,
 )
@@ -42,6 +44,7 @@
         self._rng = rng
         self.part_uses = PartUses()
         self._route_sizes = RouteSizes()
+        self._placed_count = 0
 
     def place(
         self, host: str, query: Query, upstreams: Sequence[Upstream]
@@ -73,12 +76,37 @@
         candidates = list(self._candidates(query, upstreams, now))
         choice = choose_engine(request, candidates, self.part_uses, now)
         assert choice is not None
+        choice = self._find_probe(request, candidates, now) or choice
         placed = should_admit(request, choice)
         self._route_sizes.record_outcome(query.route, size, placed=placed)
         if not placed:
             raise self._refusal(host, query, request, choice, candidates, now)
+        self._placed_count += 1
+        self._states.known()[choice.name].used = (self._placed_count, now)
         return choice, self._inputs(choice, now)
 
+    def _find_probe(
+        self,
+        request: PlacementRequest,
+        candidates: Sequence[EngineCandidate],
+        now: float,
+    ) -> EngineChoice | None:
+        """Return the placement on an engine that got nothing for some seconds.
+
+        What was learned of it may be out of date.
+        """
+        for entry in candidates:
+            if entry.view.requests or entry.penalty:
+                continue
+            count, at = self._states.known()[entry.name].used
+            skipped = self._placed_count - count
+            if skipped < PROBE_AFTER_REQUESTS:
+                continue
+            choice = choose_engine(request, [entry], self.part_uses, now)
+            if may_probe(request, choice, now - at, skipped):
+                return choice._replace(is_probe=True)
+        return None
+
     def _inputs(self, choice: EngineChoice, now: float) -> dict[str, object]:
         view = self._states.known()[choice.name].view
         figures = view.speed.lasting
@@ -93,7 +121,7 @@
             'losses': _loss_breakdown(choice),
             'engine_requests': view.requests,
             'engine_speed': round(view.slowdown, 2),
-            'present_factor': round(view.present_factor, 2),
+            'present_factor': round(view.speed.present_factor(now), 2),
             'step_us': round(figures.step_s * 1e6),
             'probe': choice.is_probe,
         }
--- a/packages/router/src/rosemaryseam/router/statedload.py
+++ b/packages/router/src/rosemaryseam/router/statedload.py
@@ -5,6 +5,7 @@
 import math
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.policy.enginespeed import EnginePerformance
 from rosemaryseam.router.learnedcapacity import LearnedReport
 from rosemaryseam.router.requests import StatedLoad
@@ -82,6 +83,7 @@
         self._link: HostLink | None = None
         self._evidence: dict[Incarnation, _Evidence] = {}
         self._told_at: dict[str, float] = {}
+        self.metrics = Metrics()  # set to those of the process by the placer
 
     def connect(self, link: HostLink) -> None:
         """Set the link over which other hosts are reached.
@@ -151,6 +153,7 @@
         if not dispatcher or dispatcher == self._host or self._link is None:
             self._tracker.apply_load(report)
         else:
+            self.metrics.count('load_reports_sent')
             body = {'seen': [_encode_report(report)]}
             self._link.send_message(dispatcher, MESSAGE_KIND, body)
 
@@ -178,9 +181,11 @@
         """
         seen: list[Incarnation] = []
         for report in _decode_entries(body.get('seen', ()), _decode_report):
+            self.metrics.count('load_reports_received')
             seen.append((report.upstream, report.born))
             self._tracker.apply_load(report)
         for learned in _decode_entries(body.get('learned', ()), _decode_learned):
+            self.metrics.count('learned_speeds_received')
             self._tracker.adopt_learned(learned)
         now = self._clock.monotonic()
         if seen and now - self._told_at.get(host, -math.inf) >= TELL_INTERVAL_S:
--- a/packages/router/src/rosemaryseam/router/upstreamstates.py
+++ b/packages/router/src/rosemaryseam/router/upstreamstates.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from rosemaryseam.policy.engines import (
@@ -38,6 +39,8 @@
         self.learned = learned
         self.view = EngineView(capacity, EnginePerformance(), learned.engine)
         self.cache = EngineCache(capacity.cache_tokens)
+        # Number and time of the latest request with a prompt, of those placed here.
+        self.used = (0, -math.inf)
 
 
 class UpstreamStates:
