Give up hanging paths sooner and keep upstreams that the path failed

Cause: requests on direct connections that hang waited for their deadline, and a broken tunnel excluded a sound upstream. Change: a cut path makes a ticket overdue; failures while a host is cut off do not exclude the upstream, up to three times.

--- a/packages/router/src/rosemaryseam/router/admission.py
+++ b/packages/router/src/rosemaryseam/router/admission.py
@@ -40,6 +40,7 @@
         self.reserved_at: float | None = None  # a retry that was not sent yet
         self.runs = 0  # attempts that may have run
         self.excluded: frozenset[str] = frozenset()
+        self.path_failures = 0  # while this host was cut off from the upstream
         self.failure: SendError | None = None
         # The last 5xx answer, which is relayed if no further attempt is made.
         self.error_answer: tuple[AnswerHead, bytes] | None = None
--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -56,6 +56,7 @@
 DRAIN_RETRY_AFTER_S = 0.05  # another host accepts the request at once
 MAX_RETURN_SPREAD = 1.25  # longest over shortest time at which refused callers return
 MIN_ATTEMPT_S = 0.02  # no retry with less time left
+MAX_PATH_FAILURES = 3  # for which the upstreams of a request are not excluded
 FIRST_UNSUCCESSFUL_STATUS = 300
 FIRST_SERVER_ERROR_STATUS = 500
 
@@ -433,6 +434,7 @@
                 **ticket.inputs,
             )
             _set_abort_check(conn, admitted.route, should_abort)
+            ticket.path = conn.path
             conn.path.expected_s = ticket.expected_first_s
             conn.send(
                 admitted.request.method,
@@ -618,7 +620,9 @@
         exc: SendError,
     ) -> None:
         attempts.failure = exc
-        attempts.excluded |= {ticket.upstream.id}
+        attempts.path_failures += self._pool.is_cut_off(ticket.upstream)
+        if not 1 <= attempts.path_failures <= MAX_PATH_FAILURES:
+            attempts.excluded |= {ticket.upstream.id}
         if isinstance(exc, BrokenError):
             attempts.runs += 1
         if isinstance(exc, DeclinedError) and exc.head.status == 421:
--- a/packages/router/src/rosemaryseam/router/paths.py
+++ b/packages/router/src/rosemaryseam/router/paths.py
@@ -12,7 +12,8 @@
 from rosemaryseam.router.faults import NotSentError
 from rosemaryseam.router.outcomereports import OutcomeReports
 from rosemaryseam.router.tunnelclient import TunnelError
-from rosemaryseam.router.upstreamconnection import ConnectionPath, connect_socket
+from rosemaryseam.router.upstreamconnection import connect_socket
+from rosemaryseam.router.upstreampath import UpstreamPath
 
 if TYPE_CHECKING:
     import random
@@ -23,6 +24,7 @@
     from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.policy.reachability import Incarnation
     from rosemaryseam.router.tunnelclient import TunnelClient
+    from rosemaryseam.router.upstreamconnection import ConnectionPath
     from rosemaryseam.router.upstreams import Registry, Upstream
 
 CONNECT_TIMEOUT_S = 0.3  # links of a region take ms; a lost packet costs a retry
@@ -30,6 +32,7 @@
 STEP_S = 0.1  # between two looks at silent connections and due probes
 TEST_TIMEOUT_S = 0.6  # for another request's test, whose result is shared
 RECENT_CONTACT_S = 0.5  # with any upstream, for a host that relays
+LATE_S = 0.5  # beyond the expected time, on a path that is known to be cut
 SUSPICIOUS_WAIT_S = 0.3  # without an expected byte, before the path is verified
 PROBE_JITTER = 0.2  # share by which the intervals between probes vary
 
@@ -41,40 +44,6 @@
     path: UpstreamPath
 
 
-class UpstreamPath(ConnectionPath):
-    """The path of one connection, which reports what happens on it.
-
-    :param paths: paths of this host
-    :param upstream: upstream at the end of the path
-    :param relay: address of the host that relays, ``None`` on a direct path
-    """
-
-    def __init__(
-        self, paths: UpstreamPaths, upstream: Incarnation, relay: str | None
-    ) -> None:
-        self._paths = paths
-        self.upstream = upstream
-        self.relay = relay
-        self.waiting_since = 0.0
-        self.expected_s = 0.0
-
-    def on_sent(self) -> None:
-        """Record that a request was sent, whose answer is waited for."""
-        self._paths.record_sent(self)
-
-    def on_bytes(self) -> None:
-        """Record that bytes of the upstream arrived."""
-        self._paths.record_bytes(self)
-
-    def on_failed(self) -> None:
-        """Record that the connection broke or that the upstream fell silent."""
-        self._paths.record_broken(self)
-
-    def on_released(self) -> None:
-        """Record that no answer is waited for any more."""
-        self._paths.record_released(self)
-
-
 class UpstreamPaths:
     """Opens connections to upstreams, through other hosts while this one is cut off.
 
@@ -167,10 +136,36 @@
             return True
         if path.relay is None:
             return not self._reachability.uses_tunnel(path.upstream)
-        return self._reachability.uses_tunnel(path.upstream) and self._tunnels.may_use(
-            path.relay
+        return (
+            self._reachability.uses_tunnel(path.upstream)
+            and self._tunnels.may_use(path.relay)
+            and not any(
+                other.relay == path.relay and self._is_late(other, LATE_S)
+                for other in self._waiting
+            )
         )
 
+    def is_relayed(self, upstream: Upstream) -> bool:
+        """Return whether an upstream is reached through other hosts, and by them.
+
+        :param upstream: upstream to connect to
+        """
+        name = upstream.incarnation
+        return self._reachability.uses_tunnel(
+            name
+        ) and not self._reachability.is_confirmed_down(name, self._clock.monotonic())
+
+    def is_lost(self, path: UpstreamPath) -> bool:
+        """Return whether a request that waits should be sent on another path.
+
+        :param path: path of the connection
+        """
+        if self._tunnels is None or not self._is_late(path, LATE_S):
+            return False
+        if path.relay is None:
+            return self._reachability.uses_tunnel(path.upstream)
+        return not self._tunnels.may_use(path.relay)
+
     def must_verify(self) -> bool:
         """Return whether a new connection must show first that the path works.
 
@@ -182,10 +177,7 @@
         now = self._clock.monotonic()
         return self._reachability.has_recent_failure(now) or (
             not self._reachability.has_contact_since(now - SUSPICIOUS_WAIT_S)
-            and any(
-                now - path.waiting_since > SUSPICIOUS_WAIT_S + path.expected_s
-                for path in self._waiting
-            )
+            and any(self._is_late(path, SUSPICIOUS_WAIT_S) for path in self._waiting)
         )
 
     def is_suspect(self) -> bool:
@@ -210,6 +202,11 @@
         contact_after = self._clock.monotonic() - RECENT_CONTACT_S
         return not self._reachability.has_contact_since(contact_after)
 
+    def _is_late(self, path: UpstreamPath, seconds: float) -> bool:
+        """Return whether bytes are awaited for longer than expected."""
+        waited_s = self._clock.monotonic() - path.waiting_since
+        return path in self._waiting and waited_s > seconds + path.expected_s
+
     def _open_tunnel(self, upstream: Upstream) -> OpenPath:
         try:
             sock, relay = self._tunnels.open(upstream)
--- a/packages/router/src/rosemaryseam/router/placement.py
+++ b/packages/router/src/rosemaryseam/router/placement.py
@@ -11,6 +11,7 @@
     from rosemaryseam.common.addresses import Address
     from rosemaryseam.router.requests import AnswerHead, CallerRequest
     from rosemaryseam.router.routes import Route, Service
+    from rosemaryseam.router.upstreamconnection import ConnectionPath
     from rosemaryseam.router.upstreams import Upstream
 
 
@@ -64,6 +65,7 @@
     longest_pause_s: float
     inputs: dict[str, object]
     expected_first_s = 0.0  # from the placement to the first event
+    path: ConnectionPath | None = None  # of the connection that carries the request
 
     @abc.abstractmethod
     def on_answer_head(self, head: AnswerHead) -> None:
--- a/packages/router/src/rosemaryseam/router/pool.py
+++ b/packages/router/src/rosemaryseam/router/pool.py
@@ -62,6 +62,13 @@
         self._idle.setdefault(upstream.incarnation, []).append(conn)
         return False
 
+    def is_cut_off(self, upstream: Upstream) -> bool:
+        """Return whether this host reaches an upstream only through other hosts.
+
+        :param upstream: upstream that other hosts may reach
+        """
+        return self._paths.is_relayed(upstream)
+
     def release(self, upstream: Upstream, conn: UpstreamConnection) -> None:
         """Keep a connection whose answer was read completely, or close it.
 
--- a/packages/router/src/rosemaryseam/router/tickets.py
+++ b/packages/router/src/rosemaryseam/router/tickets.py
@@ -82,6 +82,8 @@
 
     def is_overdue(self) -> bool:
         """Return whether the upstream has been silent for too long."""
+        if self.path is not None and self.path.is_lost():
+            return True
         waited = self._clock.monotonic() - self._last_event_at
         if not self._query.parts:
             limit = self._placement.answer_timeout_s
--- a/packages/router/src/rosemaryseam/router/upstreamconnection.py
+++ b/packages/router/src/rosemaryseam/router/upstreamconnection.py
@@ -55,6 +55,10 @@
     def on_failed(self) -> None:
         """Handle that the connection broke or that the upstream fell silent."""
 
+    def is_lost(self) -> bool:
+        """Return whether no answer is expected although the upstream may be sound."""
+        return False
+
     def on_released(self) -> None:
         """Handle that no answer is waited for any more."""
 
