--- a/tests/test_router/cutpaths.py
+++ b/tests/test_router/cutpaths.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 import gevent
+from gevent import socket
 
 from rosemaryseam.router.faults import NotSentError
 
@@ -37,6 +38,7 @@
     def __init__(self, router: RunningRouter, ports: set[int] | None = None) -> None:
         self.cut = Cut.NONE
         self.connects = 0
+        self.silent = socket.socketpair()
         self.ports = ports
         paths = router.router.paths
         self._connect, paths.connect_socket = paths.connect_socket, self._connect_cut
@@ -63,6 +65,11 @@
     def __getattr__(self, name: str) -> Any:
         return getattr(self._sock, name)
 
+    def fileno(self) -> int:
+        """Return the descriptor, of a socket without bytes while the path hangs."""
+        hangs = self._concerned and self._switch.cut is Cut.HANG
+        return self._switch.silent[0].fileno() if hangs else self._sock.fileno()
+
     def recv(self, size: int, flags: int = 0) -> bytes:
         data = None
         while data is None:
