Notice hanging connections by requests with little time, too

Cause: requests with 150 ms ended on hanging idle connections before their silence showed. Change: a request that is given up without bytes is weak evidence, which makes the host try connects and verify the path before at-most-once requests.

--- a/packages/policy/src/rosemaryseam/policy/reachability.py
+++ b/packages/policy/src/rosemaryseam/policy/reachability.py
@@ -68,7 +68,7 @@
             self._last_success = None
 
     def record_broken(self, upstream: Incarnation, now: float) -> None:
-        """Record a direct connection that broke, or whose upstream fell silent.
+        """Record a direct connection that broke or was given up without an answer.
 
         It counts only beside a failed connect, as upstreams reset connections too.
 
@@ -153,12 +153,13 @@
         return len(failed | broken) >= min(MIN_FAILED_UPSTREAMS, known)
 
     def has_recent_failure(self, now: float) -> bool:
-        """Return whether a connect failed and nothing was received since.
+        """Return whether a connection failed and nothing was received since.
 
         :param now: current time
         """
-        failed = self.failed(now)
-        return any(at >= self._contact_at for at in failed.values())
+        failed = [*self.failed(now).values(), *self._broken.values()]
+        oldest = max(self._contact_at, now - FAILURE_WINDOW_S)
+        return any(at >= oldest for at in failed)
 
     def may_test(self, now: float) -> bool:
         """Return whether enough time passed since a test found upstreams at fault.
@@ -218,6 +219,8 @@
             for wait in waits
             if now - wait.since >= SILENCE_S + wait.expected_s
         }
+        oldest = max(self._contact_at, now - FAILURE_WINDOW_S)
+        silent |= {name for name, at in self._broken.items() if at > oldest}
         return silent if len(silent) >= MIN_FAILED_UPSTREAMS else set()
 
     # The end of a partition.
--- a/packages/router/src/rosemaryseam/router/paths.py
+++ b/packages/router/src/rosemaryseam/router/paths.py
@@ -28,7 +28,7 @@
     from rosemaryseam.router.upstreams import Registry, Upstream
 
 CONNECT_TIMEOUT_S = 0.3  # links of a region take ms; a lost packet costs a retry
-SLOW_CONNECT_S = 0.1  # a connect that was given up after this time counts as failed
+GIVEN_UP_S = 0.1  # what was given up after this time without bytes has failed
 STEP_S = 0.1  # between two looks at silent connections and due probes
 TEST_TIMEOUT_S = 0.6  # for another request's test, whose result is shared
 RECENT_CONTACT_S = 0.5  # with any upstream, for a host that relays
@@ -121,7 +121,7 @@
         except BaseException:
             # The caller left or its deadline passed; the next request should know.
             now = self._clock.monotonic()
-            if now - began >= SLOW_CONNECT_S:
+            if now - began >= GIVEN_UP_S:
                 self._reachability.record_failure(name, now)
             raise
         self._reachability.record_connected(name, self._clock.monotonic())
@@ -299,6 +299,9 @@
 
         :param path: path of the connection
         """
+        if path.relay is None and self._is_late(path, GIVEN_UP_S):
+            # Requests with little time left end before their silence shows.
+            self._reachability.record_broken(path.upstream, self._clock.monotonic())
         self._waiting.discard(path)
 
     # Repeated work.
@@ -313,7 +316,7 @@
             self._probe()
         elif self.is_suspect():
             self._test_in_background()
-        elif self._waiting:
+        else:
             self._check_silence()
 
     def retain(self) -> None:
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -315,7 +315,7 @@
             'software_last_registered_s': self.software.dump(),
             'stream_origins': self._origins.size(),
             'idle_upstream_connections': self._pool.size(),
-            'paths': self.paths.dump(),
+            'paths': self.paths.dump() | {'relaying': self.tunnels.active},
             'counters': self.metrics.dump(),
         }
 
--- a/tests/test_policy/test_reachability.py
+++ b/tests/test_policy/test_reachability.py
@@ -54,6 +54,8 @@
         ([('failure', A, 1.0)], True),
         ([('failure', A, 1.0), ('bytes', B, 1.1)], False),
         ([('bytes', B, 0.9), ('failure', A, 1.0)], True),
+        ([('broken', A, 1.0)], True),
+        ([('broken', A, 1.0), ('bytes', B, 1.1)], False),
     ],
 )
 def test_failure_is_recent_until_something_is_received(
--- a/tests/test_router/test_partition.py
+++ b/tests/test_router/test_partition.py
@@ -297,6 +297,25 @@
     gevent.killall(sent)
 
 
+# Guards against requests with little time that are all lost on idle connections that
+# hang, because none of them lives long enough to be noticed as silent.
+def test_silence_is_noticed_by_requests_with_little_time(
+    start_fleet: Callable[..., RunningFleet],
+) -> None:
+    fleet = start_fleet()
+    host = fleet.hosts[0]
+    switch = PathSwitch(host)
+    sent = [gevent.spawn(host.call, 'unsafe') for _ in range(40)]
+    assert {one.get().status for one in sent} == {200}
+    switch.cut = Cut.HANG
+    statuses = []
+    for _ in range(12):
+        sent = [gevent.spawn(host.call, 'unsafe', patience_ms=150) for _ in range(2)]
+        statuses += [one.get().status for one in sent]
+    assert is_partitioned(host)
+    assert statuses[-4:] == [200] * 4
+
+
 # Guards against silent upstreams (all busy with long prompts) taken for a partition.
 def test_silence_of_upstreams_that_accept_connections_is_no_partition(
     start_fleet: Callable[..., RunningFleet],
@@ -348,10 +367,11 @@
     result: str,
 ) -> None:
     fleet = start_fleet()
-    if cut is not Cut.NONE:
-        cut_off(fleet.hosts[1], cut)
+    switch = None if cut is Cut.NONE else cut_off(fleet.hosts[1], cut)
     upstream = fleet.hosts[1].router.registry.all()[0]
     request = TunnelRequest(upstream.id, upstream.born, *upstream.address)
     opened = count(fleet.hosts[1], 'tunnels_opened')
+    connects = switch.connects if switch else 0
     assert ask(fleet, source, request._replace(**changes)) == result
+    assert switch is None or switch.connects == connects
     assert count(fleet.hosts[1], 'tunnels_opened') == opened
