--- a/tests/test_router/test_partition.py
+++ b/tests/test_router/test_partition.py
@@ -220,17 +220,29 @@
 def test_stopping_host_lets_its_tunnels_finish_and_opens_no_new_one(
     start_fleet: Callable[..., RunningFleet],
 ) -> None:
-    fleet = start_fleet(2, script=count_up)
+    events = 26  # for longer than a stopping host waits for its own callers
+
+    def stream(exchange: ScriptedExchange) -> None:
+        exchange.start_stream()
+        for number in range(1, events + 1):
+            exchange.event(number)
+            gevent.sleep(0.1)
+        exchange.end_stream()
+
+    fleet = start_fleet(2, script=stream)
     host, relay = fleet.hosts
     PathSwitch(host).cut = Cut.REFUSE
-    sent = gevent.spawn(host.call, 'once')
+    sent = gevent.spawn(host.call, 'single', patience_ms=8000)
     host.wait(lambda: relay.router.tunnels.active == 1)
     stopping = gevent.spawn(relay.router.wait)
     relay.router.request_stop()
     gevent.sleep(0.1)
+    upstream = relay.router.registry.all()[0]
+    request = TunnelRequest(upstream.id, upstream.born, *upstream.address)
+    assert ask(fleet, host.cfg.ip, request) == 'stopping'
     assert host.call('unsafe').status == 503
-    response = sent.get(timeout=3.0)
-    assert (response.events(), response.complete) == ([1, 2, 3, 4, 5, 6], True)
+    response = sent.get(timeout=4.0)
+    assert (len(response.events()), response.complete) == (events, True)
     stopping.get(timeout=5.0)
     assert relay.router.tunnels.active == 0
 
