Bound what the kernel holds for a tunnel, and test turns and idle connections

Change: fixed kernel buffers for tunnels; tests of idle connections while cut off and of peers that keep up.

--- a/packages/router/src/rosemaryseam/router/tunnels.py
+++ b/packages/router/src/rosemaryseam/router/tunnels.py
@@ -26,6 +26,7 @@
     from rosemaryseam.router.upstreams import Registry, Upstream
 
 PIPE_BYTES = 32_768  # held for each direction of a tunnel while its receiver is slow
+KERNEL_BYTES = 65_536  # buffers that the kernel sizes itself grow to several MB
 OPENING_TIMEOUT_S = 0.3  # for the message that opens a tunnel
 RELAY_CONNECT_TIMEOUT_S = 0.15  # so that the asking host can try another one
 CLOSE_TIMEOUT_S = 5.0  # for an upstream to end its side after the host did
@@ -57,6 +58,8 @@
         self._awaits_answer = True
         for sock in (host_sock, upstream_sock):
             sock.setsockopt(std_socket.SOL_SOCKET, std_socket.SO_LINGER, _LINGER_0_S)
+            sock.setsockopt(std_socket.SOL_SOCKET, std_socket.SO_SNDBUF, KERNEL_BYTES)
+            sock.setsockopt(std_socket.SOL_SOCKET, std_socket.SO_RCVBUF, KERNEL_BYTES)
 
     def run(self) -> None:
         """Copy until both directions have ended or one has failed."""
--- a/tests/test_router/test_partition.py
+++ b/tests/test_router/test_partition.py
@@ -288,6 +288,26 @@
     assert arrivals(fleet) == 10
 
 
+# Guards against requests that wait on idle connections which hang, although it is
+# known that the host is cut off.
+def test_idle_connections_are_not_used_while_cut_off(
+    start_fleet: Callable[..., RunningFleet],
+) -> None:
+    fleet = start_fleet()
+    host = fleet.hosts[0]
+    switch = PathSwitch(host)
+    sent = [gevent.spawn(host.call, 'safe') for _ in range(12)]
+    assert {one.get().status for one in sent} == {200}
+    switch.cut = Cut.HANG
+    for upstream in host.router.registry.all():
+        with pytest.raises(OSError, match='cut'):
+            connect_or_fail(host, upstream)
+    host.wait(lambda: is_partitioned(host))
+    assert [host.call('safe').status for _ in range(4)] == [200] * 4
+    assert count(host, 'upstream_failures', kind='SilentError') == 0
+    assert arrivals(fleet) == 16
+
+
 def connect_or_fail(host: RunningRouter, upstream: Any) -> None:
     try:
         host.router.paths.connect_directly(upstream, 0.05)
--- a/tests/test_router/test_tunnels.py
+++ b/tests/test_router/test_tunnels.py
@@ -23,7 +23,7 @@
     from collections.abc import Iterator
 
 UPSTREAM = Upstream('one', 1, 'work', Address('127.0.0.1', 9), 'a', 8)
-MAX_HELD_BYTES = 12_000_000  # by the kernel for four sockets, and by the tunnel
+MAX_HELD_BYTES = 1_500_000  # by the kernel for four sockets, and by the tunnel
 
 
 class Ends:
@@ -110,6 +110,8 @@
 
 def test_slow_reader_holds_the_upstream_back(ends: Ends) -> None:
     """Guards against memory that grows with the answers of slow callers."""
+    ends.upstream.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65_536)
+    ends.host.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
     sent = 0
 
     def send() -> None:
@@ -128,24 +130,36 @@
     sender.kill()
 
 
-def test_endless_bytes_leave_turns_to_others(ends: Ends) -> None:
-    """Guards against a tunnel that stops all other work of a host."""
+class ReadySocket:
+    """A socket that always has bytes to read and room to write."""
 
-    def send() -> None:
+    def __init__(self, reads: int) -> None:
+        self._reads = reads
+
+    def recv(self, size: int) -> bytes:
+        self._reads -= 1
+        return b'x' * size if self._reads >= 0 else b''
+
+    def setsockopt(self, *_: Any) -> None: ...
+    def sendall(self, _: bytes) -> None: ...
+    def shutdown(self, _: int) -> None: ...
+    def close(self) -> None: ...
+
+
+def test_endless_bytes_leave_turns_to_others() -> None:
+    """Guards against a tunnel whose peers keep up and that stops all other work."""
+    turns = 0
+
+    def take_turns() -> None:
+        nonlocal turns
         while True:
-            ends.upstream.sendall(b'x' * 65_536)
+            gevent.sleep(0)
+            turns += 1
 
-    def receive() -> None:
-        while ends.host.recv(65_536):
-            pass
-
-    busy = [gevent.spawn(send), gevent.spawn(receive)]
-    clock = SystemClock()
-    began = clock.monotonic()
-    for _ in range(20):
-        gevent.sleep(0.01)
-    assert clock.monotonic() - began < 1.0
-    gevent.killall(busy)
+    other = gevent.spawn(take_turns)
+    Tunnel(ReadySocket(0), ReadySocket(1000), SystemClock()).run()
+    other.kill()
+    assert turns > 100
 
 
 class Relays:
