Count the loop that watches the paths among the background work

Cause: a host has one background loop more. Change: the test expects it and checks that an unexpected error does not end it.

--- a/tests/test_router/test_endless_answers.py
+++ b/tests/test_router/test_endless_answers.py
@@ -343,8 +343,9 @@
     ('the versions in the store', 'software', '_registered'),
     ('the exchange of origins', '_origins', '_take_unwritten'),
     ('the origins in the store', '_origin_log', '_write'),
+    ('the paths to upstreams', 'paths', '_check_silence'),
 ]
-BACKGROUND_LOOPS = 10
+BACKGROUND_LOOPS = 11
 
 
 @pytest.mark.parametrize(
