Ask a host again that was doubted when no other can relay

Cause: an upstream that broke off through a tunnel made its relay unusable for 2 s, and with two hosts callers were refused. Change: failures only rank hosts behind others; refusals of the hosts themselves still exclude them for a while.

--- a/packages/router/src/rosemaryseam/router/paths.py
+++ b/packages/router/src/rosemaryseam/router/paths.py
@@ -292,7 +292,7 @@
         if path.relay is None:
             self._reachability.record_broken(path.upstream, self._clock.monotonic())
         elif self._tunnels is not None:
-            self._tunnels.avoid(path.relay)
+            self._tunnels.doubt(path.relay)
 
     def record_released(self, path: UpstreamPath) -> None:
         """Record that no answer is waited for on a path any more.
--- a/packages/router/src/rosemaryseam/router/tunnelclient.py
+++ b/packages/router/src/rosemaryseam/router/tunnelclient.py
@@ -32,7 +32,7 @@
     tunnelwire.BUSY: 0.3,
     tunnelwire.STOPPING: 5.0,
 }
-FAILED_HOST_S = 2.0  # for which a host is not asked after it failed
+FAILED_HOST_S = 2.0  # for which other hosts are preferred to one that failed
 OWN_ZONE_S = 2.0  # for which the own zone comes last after one of its hosts refused
 UNKNOWN_FREE_PER_CORE = 64.0  # assumed for hosts that did not state free tunnels
 
@@ -84,6 +84,7 @@
         self._metrics = metrics
         self._rng = rng
         self._avoided_until: dict[str, float] = {}
+        self._doubted_until: dict[str, float] = {}
         self._zones: dict[str, str] = {}
         self._free: dict[str, int] = {}
         self._own_zone_last_until = 0.0
@@ -119,13 +120,14 @@
             raise exc from ConnectionRefusedError()
         raise exc
 
-    def avoid(self, host: str, seconds: float = FAILED_HOST_S) -> None:
-        """Do not ask a host for a while.
+    def doubt(self, host: str) -> None:
+        """Prefer other hosts for a while, as a tunnel broke or was not opened.
+
+        The upstream may have been at fault; without other hosts, it is asked again.
 
         :param host: address of the host
-        :param seconds: duration
         """
-        self._avoided_until[host] = self._clock.monotonic() + seconds
+        self._doubted_until[host] = self._clock.monotonic() + FAILED_HOST_S
 
     def has_hosts(self) -> bool:
         """Return whether other hosts are known."""
@@ -138,7 +140,10 @@
         """
         if host not in self._known_hosts():
             return False  # it stops, or has stopped
-        return self._avoided_until.get(host, 0.0) <= self._clock.monotonic()
+        until = max(
+            self._avoided_until.get(host, 0.0), self._doubted_until.get(host, 0.0)
+        )
+        return until <= self._clock.monotonic()
 
     def _choose(self, tried: set[str]) -> str | None:
         """Return the better one of two random hosts, or ``None`` if there are none."""
@@ -152,6 +157,8 @@
             and capacity >= least
             and self._avoided_until.get(host, 0.0) <= now
         ]
+        sound = [host for host in eligible if self._doubted_until.get(host, 0.0) <= now]
+        eligible = sound or eligible
         if now < self._own_zone_last_until:
             others = [host for host in eligible if self._zones.get(host) != self._zone]
             eligible = others or eligible
@@ -179,7 +186,7 @@
                 )
                 reply = tunnelwire.read_reply(sock)
         except OSError as exc:
-            self.avoid(host)
+            self.doubt(host)
             log_event('tunnel_failed', peer=host, reason=str(exc))
             return 'failed', None
         finally:
@@ -190,7 +197,8 @@
         if reply.result == tunnelwire.OPEN:
             return reply.result, sock
         if reply.result in AVOIDED_S:
-            self.avoid(host, AVOIDED_S[reply.result])
+            until = self._clock.monotonic() + AVOIDED_S[reply.result]
+            self._avoided_until[host] = until
         if reply.result == tunnelwire.PARTITIONED and reply.zone == self._zone:
             self._own_zone_last_until = self._clock.monotonic() + OWN_ZONE_S
         return reply.result, None
--- a/tests/test_router/test_partition.py
+++ b/tests/test_router/test_partition.py
@@ -216,6 +216,25 @@
         assert arrivals(fleet) == 1
 
 
+# Guards against callers who are refused because the only host that can relay is blamed
+# for an upstream that broke off.
+def test_upstream_that_breaks_off_does_not_cost_the_only_relay(
+    start_fleet: Callable[..., RunningFleet],
+) -> None:
+    def answer(exchange: ScriptedExchange) -> None:
+        if exchange.request.target.startswith('/unsafe'):
+            exchange.reset()
+        else:
+            exchange.answer(200)
+
+    fleet = start_fleet(2, script=answer)
+    host = fleet.hosts[0]
+    cut_off(host, Cut.REFUSE)
+    for _ in range(4):
+        assert host.call('unsafe').status == 502
+        assert host.call('safe').status == 200
+
+
 # Guards against a stopping host that cuts the answers it relays.
 def test_stopping_host_lets_its_tunnels_finish_and_opens_no_new_one(
     start_fleet: Callable[..., RunningFleet],
