--- a/packages/policy/src/rosemaryseam/policy/demandtrend.py
+++ b/packages/policy/src/rosemaryseam/policy/demandtrend.py
@@ -87,15 +87,21 @@
     ) -> None:
         """Record the demand of the last second.
 
+        Nothing is recorded before the first request: the hosts of a new fleet start
+        before their callers, and the upstreams must not be reduced meanwhile.
+
         :param ranks: demand by urgency rank, 0 first
         :param rates: performance of the service's upstreams
         :param now: seconds on the monotonic clock
         """
+        total = engines_needed(ranks.values(), rates)
+        if not self._samples and not total:
+            return
         urgent = ranks[min(ranks)] if ranks else RankDemand(0.0, 0.0, 0.0)
         self._samples.append(
             _Sample(
                 now,
-                engines_needed(ranks.values(), rates),
+                total,
                 engines_needed((urgent,), rates),
                 sum(rank.refused for rank in ranks.values()),
             )
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -344,7 +344,7 @@
             'duties': self.duties.dump(),
             'upstream_orders': self.autoscaler.dump(),
             'idle_upstream_connections': self._pool.size(),
-            'paths': self.paths.dump(),
+            'paths': self.paths.dump() | {'relaying': self.tunnels.active},
             'counters': self.metrics.dump(),
         }
 
--- a/tests/test_policy/test_demandtrend.py
+++ b/tests/test_policy/test_demandtrend.py
@@ -86,3 +86,16 @@
     found = forecast([50.0] + [10.0] * int(2 * WINDOW_S + 1))
     assert found.peak == pytest.approx(20.0)
     assert found.history_s == WINDOW_S
+
+
+def test_no_demand_is_known_before_the_first_request() -> None:
+    """Guards against reducing the upstreams of a fleet whose callers come later.
+
+    A fleet that started 16 s before its callers reduced them at the end of that time.
+    """
+    trend = DemandTrend()
+    for second in range(16):
+        trend.add({}, EngineRates(), float(second))
+    assert trend.forecast(4.0) is None
+    trend.add({0: RankDemand(10.0, 5000.0, 1000.0)}, EngineRates(), 16.0)
+    assert trend.forecast(4.0).history_s == 0.0
--- a/tests/test_router/test_partition.py
+++ b/tests/test_router/test_partition.py
@@ -216,21 +216,52 @@
         assert arrivals(fleet) == 1
 
 
+# Guards against callers who are refused because the only host that can relay is blamed
+# for an upstream that broke off.
+def test_upstream_that_breaks_off_does_not_cost_the_only_relay(
+    start_fleet: Callable[..., RunningFleet],
+) -> None:
+    def answer(exchange: ScriptedExchange) -> None:
+        if exchange.request.target.startswith('/unsafe'):
+            exchange.reset()
+        else:
+            exchange.answer(200)
+
+    fleet = start_fleet(2, script=answer)
+    host = fleet.hosts[0]
+    cut_off(host, Cut.REFUSE)
+    for _ in range(4):
+        assert host.call('unsafe').status == 502
+        assert host.call('safe').status == 200
+
+
 # Guards against a stopping host that cuts the answers it relays.
 def test_stopping_host_lets_its_tunnels_finish_and_opens_no_new_one(
     start_fleet: Callable[..., RunningFleet],
 ) -> None:
-    fleet = start_fleet(2, script=count_up)
+    events = 26  # for longer than a stopping host waits for its own callers
+
+    def stream(exchange: ScriptedExchange) -> None:
+        exchange.start_stream()
+        for number in range(1, events + 1):
+            exchange.event(number)
+            gevent.sleep(0.1)
+        exchange.end_stream()
+
+    fleet = start_fleet(2, script=stream)
     host, relay = fleet.hosts
     PathSwitch(host).cut = Cut.REFUSE
-    sent = gevent.spawn(host.call, 'once')
+    sent = gevent.spawn(host.call, 'single', patience_ms=8000)
     host.wait(lambda: relay.router.tunnels.active == 1)
     stopping = gevent.spawn(relay.router.wait)
     relay.router.request_stop()
     gevent.sleep(0.1)
+    upstream = relay.router.registry.all()[0]
+    request = TunnelRequest(upstream.id, upstream.born, *upstream.address)
+    assert ask(fleet, host.cfg.ip, request) == 'stopping'
     assert host.call('unsafe').status == 503
-    response = sent.get(timeout=3.0)
-    assert (response.events(), response.complete) == ([1, 2, 3, 4, 5, 6], True)
+    response = sent.get(timeout=4.0)
+    assert (len(response.events()), response.complete) == (events, True)
     stopping.get(timeout=5.0)
     assert relay.router.tunnels.active == 0
 
@@ -276,6 +307,26 @@
     assert arrivals(fleet) == 10
 
 
+# Guards against requests that wait on idle connections which hang, although it is
+# known that the host is cut off.
+def test_idle_connections_are_not_used_while_cut_off(
+    start_fleet: Callable[..., RunningFleet],
+) -> None:
+    fleet = start_fleet()
+    host = fleet.hosts[0]
+    switch = PathSwitch(host)
+    sent = [gevent.spawn(host.call, 'safe') for _ in range(12)]
+    assert {one.get().status for one in sent} == {200}
+    switch.cut = Cut.HANG
+    for upstream in host.router.registry.all():
+        with pytest.raises(OSError, match='cut'):
+            connect_or_fail(host, upstream)
+    host.wait(lambda: is_partitioned(host))
+    assert [host.call('safe').status for _ in range(4)] == [200] * 4
+    assert count(host, 'upstream_failures', kind='SilentError') == 0
+    assert arrivals(fleet) == 16
+
+
 def connect_or_fail(host: RunningRouter, upstream: Any) -> None:
     try:
         host.router.paths.connect_directly(upstream, 0.05)
@@ -297,6 +348,25 @@
     gevent.killall(sent)
 
 
+# Guards against requests with little time that are all lost on idle connections that
+# hang, because none of them lives long enough to be noticed as silent.
+def test_silence_is_noticed_by_requests_with_little_time(
+    start_fleet: Callable[..., RunningFleet],
+) -> None:
+    fleet = start_fleet()
+    host = fleet.hosts[0]
+    switch = PathSwitch(host)
+    sent = [gevent.spawn(host.call, 'unsafe') for _ in range(40)]
+    assert {one.get().status for one in sent} == {200}
+    switch.cut = Cut.HANG
+    statuses = []
+    for _ in range(12):
+        sent = [gevent.spawn(host.call, 'unsafe', patience_ms=150) for _ in range(2)]
+        statuses += [one.get().status for one in sent]
+    assert is_partitioned(host)
+    assert statuses[-4:] == [200] * 4
+
+
 # Guards against silent upstreams (all busy with long prompts) taken for a partition.
 def test_silence_of_upstreams_that_accept_connections_is_no_partition(
     start_fleet: Callable[..., RunningFleet],
@@ -348,10 +418,11 @@
     result: str,
 ) -> None:
     fleet = start_fleet()
-    if cut is not Cut.NONE:
-        cut_off(fleet.hosts[1], cut)
+    switch = None if cut is Cut.NONE else cut_off(fleet.hosts[1], cut)
     upstream = fleet.hosts[1].router.registry.all()[0]
     request = TunnelRequest(upstream.id, upstream.born, *upstream.address)
     opened = count(fleet.hosts[1], 'tunnels_opened')
+    connects = switch.connects if switch else 0
     assert ask(fleet, source, request._replace(**changes)) == result
+    assert switch is None or switch.connects == connects
     assert count(fleet.hosts[1], 'tunnels_opened') == opened
