--- a/tests/test_router/test_autoscaler.py
+++ b/tests/test_router/test_autoscaler.py
@@ -1,12 +1,12 @@
-"""Tests of the demand that hosts report and of the orders that the holder sends."""
+"""Tests of the orders that the holder of the duty sends."""
 
 from __future__ import annotations
 
 import random
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import pytest
-from routers import RunningRouter, configuration
+from demandmessages import message
 from upstreamcloud import Cloud
 
 from rosemaryseam.common.addresses import Address
@@ -19,13 +19,7 @@
     REFUSED_PAUSE_S,
     Autoscaler,
 )
-from rosemaryseam.router.demandcounts import (
-    HOST_TIMEOUT_S,
-    KIND,
-    MIN_INTERVAL_S,
-    DemandTable,
-)
-from rosemaryseam.router.documentcodec import CONFIGURATION_KEY
+from rosemaryseam.router.demandcounts import KIND
 from rosemaryseam.router.dutyport import DutyPort, DutyResult
 from rosemaryseam.router.routes import (
     CallerLimits,
@@ -36,9 +30,6 @@
 )
 from rosemaryseam.router.upstreams import Registration, Registry, Upstream
 
-if TYPE_CHECKING:
-    from rosemaryseam.standins.scripted import ScriptedExchange
-
 ENGINE = 54_000 * 0.65  # prompt tokens per second that fill an engine
 SCALING = ScalingLimits(1, 28, 4.0, 0.15, {'a': 1.0, 'b': 0.8, 'c': 1.0, 'd': 0.9})
 SERVICE = Service('work', '/health', 0, EngineProfile(64, 300_000, 5, True), SCALING)
@@ -183,13 +174,6 @@
             self.autoscaler.decide()
 
 
-def message(number: int, prefill: float, incarnation: int = 1) -> dict[str, Any]:
-    """Return a message of a host's demand."""
-    ranks = [[0, 10.0, prefill * 0.3, 0.0, 0.0], [1, 20.0, prefill * 0.7, 0.0, 0.0]]
-    services = {'work': ranks}
-    return {'incarnation': incarnation, 'number': number, 'services': services}
-
-
 # Guards against a loop that replaces no ordinary upstreams, or sends unchanged orders.
 def test_holder_replaces_ordinary_upstreams() -> None:
     holder = Holder()
@@ -363,70 +347,3 @@
     assert {kind for _, kind, _ in host.link.messages} == {KIND}
     assert len(host.link.messages) == len(receivers)
     assert host.autoscaler.table.host_count() == (holder == '10.0.0.1')
-
-
-# Guards against demand counted twice, from overtaken datagrams, or of hosts that died.
-def test_latest_demand_of_each_live_host_counts() -> None:
-    clock = ManualClock()
-    table = DemandTable(clock)
-
-    def prefill() -> float:
-        return sum(one.prefill_tokens for one in table.demand('work').values())
-
-    table.receive('a', message(2, 100.0))
-    table.receive('a', message(2, 100.0))
-    table.receive('a', message(1, 900.0))
-    table.receive('b', message(1, 50.0))
-    assert prefill() == pytest.approx(150.0)
-    table.receive('a', message(1, 30.0, incarnation=2))
-    assert prefill() == pytest.approx(80.0)
-    clock.advance(HOST_TIMEOUT_S - 1)
-    table.receive('b', message(2, 50.0))
-    clock.advance(1.5)
-    assert prefill() == pytest.approx(50.0)
-    assert table.host_count() == 1
-
-
-INVALID = [
-    {},
-    [],
-    {**message(1, 1.0), 'services': []},
-    {**message(1, 1.0), 'services': {'work': [[0, 1.0]]}},
-    {**message(1, 1.0), 'services': {'work': [[0, 1.0, -5.0, 0.0, 0.0]]}},
-    {**message(1, 1.0), 'services': {'work': [[0, 1.0, float('inf'), 0.0, 0.0]]}},
-]
-
-
-# Guards against a damaged message that orders every upstream there is.
-@pytest.mark.parametrize('body', INVALID)
-def test_invalid_message_is_rejected(body: Any) -> None:
-    table = DemandTable(ManualClock())
-    with pytest.raises((TypeError, ValueError, LookupError, AttributeError)):
-        table.receive('a', body)
-    assert table.host_count() == 0
-
-
-# Guards against requests that are not counted, above all those that are refused: a
-# service without upstreams would have no demand.
-@pytest.mark.parametrize('refused', [False, True])
-def test_requests_are_counted_once(router: RunningRouter, refused: bool) -> None:
-    scaling = dict(zip(ScalingLimits._fields, SCALING, strict=True))
-    service = {'name': 'work', 'scaling': scaling}
-    router.store.put(CONFIGURATION_KEY, configuration(2, services=[service]))
-    router.wait(lambda: router.router.feed.table.version == 2)
-
-    def script(exchange: ScriptedExchange) -> None:
-        exchange.answer(500, b'failed')
-
-    if not refused:
-        router.add('one', script)
-        router.add('two', script)
-    router.router.autoscaler.counts.take()
-    began_at = router.clock.monotonic()
-    router.call('safe')  # fails at both upstreams
-    elapsed_s = router.clock.monotonic() - began_at
-    rates = router.router.autoscaler.counts.take()['work']
-    assert [rank for rank, *_ in rates] == [0]
-    requests, _, _, refusals = rates[0][1:]
-    assert round(requests * max(MIN_INTERVAL_S, elapsed_s)) == 1
-    assert refusals == (requests if refused else 0)
