Let refused requests that return as told go before new ones

Change: the limit on the expected loss rises by twice its value with each refusal of a request that returned as it was told; of two refusals of one try the longer wait is sent, since each dispatcher knows its own.

--- a/packages/router/src/rosemaryseam/router/dispatch.py
+++ b/packages/router/src/rosemaryseam/router/dispatch.py
@@ -109,14 +109,14 @@
             raise NoUpstreamError('no upstream is registered', NO_UPSTREAM_RETRY_S)
         query = self._build_query(unplaced)
         plan = self._dispatcher.plan(unplaced.service.name)
-        refusal: NoUpstreamError | None = None
+        refusals: list[NoUpstreamError] = []
         for slot in self._preferred_slots(plan, query)[:MAX_SLOTS_TRIED]:
             try:
                 return self._place_in_slot(plan, slot, query)
             except NoUpstreamError as exc:
-                refusal = exc
-        assert refusal is not None
-        raise refusal
+                refusals.append(exc)
+        # A dispatcher gives precedence to requests that return after its own delay.
+        raise max(refusals, key=lambda exc: exc.retry_after_s)
 
     def _preferred_slots(self, plan: SlotPlan, query: Query) -> list[int]:
         """Return the slots in order of preference.
--- a/packages/router/src/rosemaryseam/router/promptplacer.py
+++ b/packages/router/src/rosemaryseam/router/promptplacer.py
@@ -16,6 +16,7 @@
     should_admit,
 )
 from rosemaryseam.policy.prefixes import PartUses
+from rosemaryseam.policy.returningrequests import ReturningRequests
 from rosemaryseam.policy.sizes import RouteSizes
 from rosemaryseam.router.placement import NoUpstreamError
 
@@ -29,6 +30,9 @@
 
 MIN_RETRY_DELAY_S = 0.4  # about as long as the backlog of an engine lasts
 OUTPUT_TOKEN_WORK = 10  # work of a generated token, in prompt tokens
+# Of the loss limit, that a refusal adds for a caller who returns as told. Requests of
+# its route that are new are refused in its place.
+RETURN_ALLOWANCE = 2.0
 MIN_LOGGED_LOSS = 0.01  # smaller components of a loss are not logged
 
 
@@ -44,6 +48,7 @@
         self._rng = rng
         self.part_uses = PartUses()
         self._route_sizes = RouteSizes()
+        self._returning = ReturningRequests()
         self._placed_count = 0
 
     def place(
@@ -60,11 +65,13 @@
         self._states.learned.update_priors(query.service)
         work = float(query.prompt_tokens + OUTPUT_TOKEN_WORK * query.max_output_tokens)
         size = self._route_sizes.observe(query.route, query.prompt_tokens, work)
+        refusals = self._returning.refusals(query.fingerprint, now)
+        allowance = self._route_sizes.allowance(query.route, size)
         request = PlacementRequest(
             rank=query.rank,
             relative_work=size.relative_work,
             headroom_tokens=size.headroom_tokens,
-            allowance=self._route_sizes.allowance(query.route, size),
+            allowance=allowance * (1.0 + RETURN_ALLOWANCE * refusals),
             parts=query.parts,
             prompt_tokens=query.prompt_tokens,
             output_tokens=query.output_tokens,
@@ -81,6 +88,7 @@
         self._route_sizes.record_outcome(query.route, size, placed=placed)
         if not placed:
             raise self._refusal(host, query, request, choice, candidates, now)
+        self._returning.forget(query.fingerprint)
         self._placed_count += 1
         self._states.known()[choice.name].used = (self._placed_count, now)
         return choice, self._inputs(choice, now)
@@ -177,6 +185,7 @@
             median_backlog_ms=int(median * 1000),
         )
         wait = max(MIN_RETRY_DELAY_S, median) * self._rng.uniform(0.75, 1.5)
+        self._returning.record_refusal(query.fingerprint, wait, now)
         return NoUpstreamError('all engines are busy', wait)
 
 
