--- a/packages/policy/src/rosemaryseam/policy/engines.py
+++ b/packages/policy/src/rosemaryseam/policy/engines.py
@@ -12,6 +12,7 @@
     RequestKey,
 )
 from rosemaryseam.policy.enginespeed import EnginePerformance, EngineSpeed
+from rosemaryseam.policy.prefillchunks import PrefillChunks
 
 INITIAL_SLOT_HOLD_S = 1.0  # estimate before any stream has ended
 SLOT_HOLD_WEIGHT = 0.05  # of one request in the mean time that a slot is held
@@ -28,6 +29,7 @@
     :param capacity: capacity of the engine
     :param performance: nominal performance of the engine
     :param speed: learned performance, which outlives this view
+    :param chunks: learned size of the prefill chunks of the service's engines
     """
 
     def __init__(
@@ -35,9 +37,11 @@
         capacity: EngineCapacity,
         performance: EnginePerformance,
         speed: EngineSpeed | None = None,
+        chunks: PrefillChunks | None = None,
     ) -> None:
         self.capacity = capacity
         self.speed = speed or EngineSpeed(performance, capacity.batch_slots)
+        self._chunks = chunks or PrefillChunks(performance.chunk_tokens)
         self._performance = self.speed.lasting
         self._factor = 1.0  # by which all times are longer than usual at present
         self._pending: dict[RequestKey, InFlightRequest] = {}
@@ -88,6 +92,25 @@
         self.speed.record_pace(step_s, self.requests, share, events, now)
         self.update_speed(now)
 
+    def record_pause(self, longest_gap_s: float, now: float) -> None:
+        """Record the longest pause between events of streams in a short time.
+
+        :param longest_gap_s: the pause
+        :param now: seconds on the monotonic clock
+        """
+        if not self.speed.learns:
+            return
+        tokens = self._chunks.tokens
+        self._chunks.record_pause(
+            longest_gap_s / self._factor,
+            self.capacity.tokens_per_event,
+            self.speed.step_s(self.requests),
+            self._performance.prefill_tokens_per_s,
+            self.prefill_share(now),
+        )
+        if self._chunks.tokens != tokens:
+            self._apply_speed(self._factor)
+
     @property
     def requests(self) -> int:
         """Number of requests in flight."""
@@ -377,7 +400,7 @@
         self._change_count += 1
         self._factor = factor
         self._performance = performance = self.speed.lasting
-        self._full_chunk_s = performance.chunk_tokens / performance.prefill_tokens_per_s
+        self._full_chunk_s = self._chunks.tokens / performance.prefill_tokens_per_s
 
     def _update_slowdown(self, request: InFlightRequest, now: float) -> None:
         """Update the speed from prompts prefilled one after another, or alone."""
--- a/packages/router/src/rosemaryseam/router/learnedcapacity.py
+++ b/packages/router/src/rosemaryseam/router/learnedcapacity.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from rosemaryseam.policy.enginespeed import EnginePerformance, EngineSpeed
+from rosemaryseam.policy.prefillchunks import PrefillChunks
 from rosemaryseam.policy.workspeed import DEFAULT_WORK_S, WorkSpeed
 
 if TYPE_CHECKING:
@@ -43,10 +44,14 @@
 
     :param upstream: the incarnation
     :param batch_slots: number of requests that it runs at a time
+    :param chunks: prefill chunks of the service's engines
     """
 
-    def __init__(self, upstream: Upstream, batch_slots: int) -> None:
+    def __init__(
+        self, upstream: Upstream, batch_slots: int, chunks: PrefillChunks
+    ) -> None:
         self.upstream = upstream
+        self.chunks = chunks
         self.engine = EngineSpeed(EnginePerformance(), batch_slots)
         self.work = WorkSpeed()
         self.load: StatedLoad | None = None
@@ -106,6 +111,7 @@
         self.learns = True  # experiments compare with figures that stay as they are
         self._entries: dict[Incarnation, UpstreamCapacity] = {}
         self._priors_at: dict[str, float] = {}
+        self._chunks: dict[str, PrefillChunks] = {}
 
     def get(self, upstream: Upstream, batch_slots: int) -> UpstreamCapacity:
         """Return what was learned of an upstream.
@@ -115,7 +121,11 @@
         """
         entry = self._entries.get(upstream.incarnation)
         if entry is None:
-            entry = UpstreamCapacity(upstream, batch_slots)
+            chunks = self._chunks.get(upstream.service)
+            if chunks is None:
+                chunks = PrefillChunks(EnginePerformance().chunk_tokens)
+                self._chunks[upstream.service] = chunks
+            entry = UpstreamCapacity(upstream, batch_slots, chunks)
             entry.engine.learns = self.learns
             self._entries[upstream.incarnation] = entry
             self._priors_at.pop(upstream.service, None)
@@ -218,6 +228,7 @@
             'prefill_tokens_per_s': round(figures.prefill_tokens_per_s),
             'step_us': round(figures.step_s * 1e6),
             'step_per_slot_us': round(figures.step_per_slot_s * 1e6),
+            'chunk_tokens': entry.chunks.tokens,
             'present_factor': round(entry.engine.present_factor(now), 2),
             'knee': None if math.isinf(knee) else round(knee),
             'work_ms': round(entry.work.work_s(now) * 1000, 1),
--- a/packages/router/src/rosemaryseam/router/statedload.py
+++ b/packages/router/src/rosemaryseam/router/statedload.py
@@ -32,7 +32,7 @@
 
     ``age_s`` is the age of ``load``, which is ``None`` if the upstream stated none.
     ``event_gap_s`` is the mean time between two events of a stream, ``events`` the
-    number of events in this mean.
+    number of events in this mean, ``longest_gap_s`` the longest time between two.
     """
 
     upstream: str
@@ -41,6 +41,7 @@
     load: StatedLoad | None
     event_gap_s: float
     events: int
+    longest_gap_s: float = 0.0
 
 
 class _Evidence:
@@ -51,6 +52,7 @@
         self.stated_at = 0.0
         self.gaps_s = 0.0
         self.events = 0
+        self.longest_gap_s = 0.0
         self.reported_at = -math.inf
 
     def has_news(self) -> bool:
@@ -113,6 +115,7 @@
         evidence = self._get_evidence(upstream)
         evidence.gaps_s += gap_s
         evidence.events += 1
+        evidence.longest_gap_s = max(evidence.longest_gap_s, gap_s)
         self._report_if_due(upstream.incarnation, evidence)
 
     def step(self) -> None:
@@ -147,8 +150,10 @@
             evidence.load,
             evidence.gaps_s / evidence.events if evidence.events else 0.0,
             evidence.events,
+            evidence.longest_gap_s,
         )
         evidence.load, evidence.gaps_s, evidence.events = None, 0.0, 0
+        evidence.longest_gap_s = 0.0
         dispatcher = self._find_dispatcher(report.upstream)
         if not dispatcher or dispatcher == self._host or self._link is None:
             self._tracker.apply_load(report)
@@ -202,14 +207,22 @@
         load,
         round(report.event_gap_s, 6),
         report.events,
+        round(report.longest_gap_s, 4),
     ]
 
 
 def _decode_report(entry: Any) -> LoadReport:
-    name, born, age_s, load, gap_s, events = entry[:6]
+    name, born, age_s, load, gap_s, events, *rest = entry
+    longest_s = rest[0] if rest else 0.0
     stated = None if load is None else StatedLoad(*load[:4])
-    report = LoadReport(str(name), int(born), age_s, stated, gap_s, int(events))
-    if not (0.0 <= age_s < MAX_EVIDENCE_AGE_S and 0.0 <= gap_s < math.inf):
+    report = LoadReport(
+        str(name), int(born), age_s, stated, gap_s, int(events), longest_s
+    )
+    if not (
+        0.0 <= age_s < MAX_EVIDENCE_AGE_S
+        and 0.0 <= gap_s < math.inf
+        and 0.0 <= longest_s < math.inf
+    ):
         raise ValueError('the evidence of an upstream is out of range')
     return report
 
--- a/packages/router/src/rosemaryseam/router/upstreamstates.py
+++ b/packages/router/src/rosemaryseam/router/upstreamstates.py
@@ -37,7 +37,9 @@
     ) -> None:
         self.upstream = upstream
         self.learned = learned
-        self.view = EngineView(capacity, EnginePerformance(), learned.engine)
+        self.view = EngineView(
+            capacity, EnginePerformance(), learned.engine, learned.chunks
+        )
         self.cache = EngineCache(capacity.cache_tokens)
         # Number and time of the latest request with a prompt, of those placed here.
         self.used = (0, -math.inf)
--- a/packages/router/src/rosemaryseam/router/upstreamtracker.py
+++ b/packages/router/src/rosemaryseam/router/upstreamtracker.py
@@ -275,6 +275,7 @@
             state.learned.record_load(report.load, state.view.requests, stated_at)
         if report.events and state.view.capacity.cache_tokens > 0:
             state.view.record_pace(report.event_gap_s, report.events, now)
+            state.view.record_pause(report.longest_gap_s, now)
 
     def adopt_learned(self, report: LearnedReport) -> None:
         """Use what another host knows of an upstream, where nothing is known here.
