--- a/packages/router/src/rosemaryseam/router/learnedcapacity.py
+++ b/packages/router/src/rosemaryseam/router/learnedcapacity.py
@@ -121,11 +121,11 @@
         """
         entry = self._entries.get(upstream.incarnation)
         if entry is None:
-            chunks = self._chunks.get(upstream.service)
-            if chunks is None:
-                chunks = PrefillChunks(EnginePerformance().chunk_tokens)
-                self._chunks[upstream.service] = chunks
-            entry = UpstreamCapacity(upstream, batch_slots, chunks)
+            service = upstream.service
+            if service not in self._chunks:
+                default = EnginePerformance().chunk_tokens
+                self._chunks[service] = PrefillChunks(default)
+            entry = UpstreamCapacity(upstream, batch_slots, self._chunks[service])
             entry.engine.learns = self.learns
             self._entries[upstream.incarnation] = entry
             self._priors_at.pop(upstream.service, None)
