--- a/packages/router/src/rosemaryseam/router/dutyholder.py
+++ b/packages/router/src/rosemaryseam/router/dutyholder.py
@@ -35,6 +35,8 @@
 
 DUTIES_PREFIX = 'rosemaryseam/duties/'
 POLL_S = 0.1  # between two checks of what is due
+# Between two checks of a host that may only claim; a change of the key wakes it up.
+IDLE_POLL_S = 0.5
 RETRY_S = 0.3  # after a call to the store failed
 CALLS_POLL_S = 0.01  # between two checks for calls in flight before a hand-over
 
@@ -215,7 +217,8 @@
 
     def step(self) -> None:
         """Wait, and do what is due; called repeatedly."""
-        self._wakeup.wait(POLL_S)
+        is_idle = self._tenure is None and self._pending is None
+        self._wakeup.wait(IDLE_POLL_S if is_idle else POLL_S)
         self._wakeup.clear()
         self.act()
 
--- a/packages/router/src/rosemaryseam/router/statedload.py
+++ b/packages/router/src/rosemaryseam/router/statedload.py
@@ -19,7 +19,7 @@
     from rosemaryseam.router.upstreamtracker import UpstreamTracker
 
 MESSAGE_KIND = 'load'
-REPORT_INTERVAL_S = 0.25  # between two reports of one upstream by one host
+REPORT_INTERVAL_S = 0.5  # between two reports of one upstream by one host
 TELL_INTERVAL_S = 2.0  # between two messages of what was learned to one host
 MAX_EVIDENCE_AGE_S = 5.0  # older evidence was delayed and tells nothing
 MAX_ENTRIES = 50  # upstreams per message, which must fit in a datagram
