Give reports of brittle upstreams a module of their own

Change: the report and its decoding move to brittlereports.py. Result: tests of brittleness and handover pass; no change of behaviour.

--- a/packages/router/src/rosemaryseam/router/brittleness.py
+++ b/packages/router/src/rosemaryseam/router/brittleness.py
@@ -9,6 +9,7 @@
 from rosemaryseam.common.decisionlog import log_event
 from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.policy.queueroom import REJECTED, QueueRoom
+from rosemaryseam.router.brittlereports import BrittleReport, read_report
 from rosemaryseam.router.placement import NoUpstreamError
 
 if TYPE_CHECKING:
@@ -36,21 +37,6 @@
 Incarnation = tuple[str, int]  # id and start of an upstream
 
 
-class BrittleReport(NamedTuple):
-    """What an upstream's incarnation stated ``age_s`` seconds ago.
-
-    ``limit`` is the number of rejections per second above which it crashes, ``None`` if
-    it is not brittle any more. ``room`` is the number of requests in flight that its
-    dispatcher learned, ``None`` if it is not known.
-    """
-
-    upstream: str
-    born: int
-    limit: float | None
-    age_s: float
-    room: float | None = None
-
-
 class _Statement(NamedTuple):
     """The latest statement of an upstream; ``limit`` is ``None`` if it ended."""
 
@@ -203,7 +189,7 @@
         """
         stated = placement.inputs.get('brittle')
         if stated is not None and dispatcher != self._host:
-            self.adopt(_read_report([*upstream.incarnation, *stated]), dispatcher)
+            self.adopt(read_report([*upstream.incarnation, *stated]), dispatcher)
 
     # Progress of requests that this host dispatches.
 
@@ -408,26 +394,7 @@
 
     def _handle_message(self, host: str, body: Any) -> None:
         for entry in body:
-            self.adopt(_read_report(entry), host)
-
-
-def _read_report(entry: Sequence[Any]) -> BrittleReport:
-    """Return a report of another host.
-
-    :raises ValueError: it is malformed
-    """
-    upstream, born, limit, age_s, room = (*entry, None)[:5]
-    if limit is not None and not 0 <= float(limit) < math.inf:
-        raise ValueError('the rejections per second are no rate')
-    if not 0 <= float(age_s) < math.inf:
-        raise ValueError('the age of a statement is no duration')
-    return BrittleReport(
-        str(upstream),
-        int(born),
-        None if limit is None else float(limit),
-        float(age_s),
-        None if room is None else float(room),
-    )
+            self.adopt(read_report(entry), host)
 
 
 def is_room_refusal(exc: NoUpstreamError) -> bool:
--- a/tests/test_router/test_brittleness.py
+++ b/tests/test_router/test_brittleness.py
@@ -9,7 +9,8 @@
 
 from rosemaryseam.common.addresses import Address
 from rosemaryseam.common.clock import ManualClock
-from rosemaryseam.router.brittleness import Brittleness, BrittleReport
+from rosemaryseam.router.brittleness import Brittleness
+from rosemaryseam.router.brittlereports import BrittleReport
 from rosemaryseam.router.upstreams import Upstream
 
 ONE = Upstream('one', 1, 'work', Address('10.0.0.1', 80), 'a', 8)
