Adopt a dispatcher's statement before the ticket that may end it

Cause: a host that does not dispatch adopted the dispatcher's request limit after the ticket's time, so that an answer without a limit did not end it; test_a_limit_ends_when_answers_no_longer_state_it[safe] failed in about one of three runs, also on the code before this work. Change: the order.

--- a/packages/router/src/rosemaryseam/router/dispatch.py
+++ b/packages/router/src/rosemaryseam/router/dispatch.py
@@ -287,6 +287,11 @@
     def _build_ticket(
         self, upstream: Upstream, query: Query, placement: Placement, dispatcher: str
     ) -> DispatchTicket:
+        # Before the ticket, whose answer tells whether the statements still hold.
+        if placement.request_limit is not None and dispatcher != self._host:
+            report = LimitReport(*upstream.incarnation, placement.request_limit, 0.0)
+            self._tracker.adopt_limit(report, dispatcher)
+        self._tracker.brittleness.adopt_placement(upstream, placement, dispatcher)
         ticket = DispatchTicket(
             self.handover,
             self._clock,
@@ -297,10 +302,6 @@
             dispatcher,
         )
         self.handover.record_placement(ticket)
-        if placement.request_limit is not None and dispatcher != self._host:
-            report = LimitReport(*upstream.incarnation, placement.request_limit, 0.0)
-            self._tracker.adopt_limit(report, dispatcher)
-        self._tracker.brittleness.adopt_placement(upstream, placement, dispatcher)
         return ticket
 
     def _find_usable(self, service: str, name: str) -> Upstream | None:
