--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,7 +11,7 @@
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from common.fleet import Host, Record, run_case  # noqa: E402
+from common.fleet import CannotRunError, Host, Record, run_case  # noqa: E402
 from common.scene import KEY, Scene, configuration  # noqa: E402
 
 INTERVAL_S = 0.05  # between two requests of the callers of one host
@@ -69,8 +69,7 @@
         f' reached the leaving runner {leaving.id}'
     )
     if not own:
-        record('the runner got no requests before it left')
-        raise SystemExit(2)
+        raise CannotRunError('the runner got no requests before it left')
     return bool(late)
 
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -12,7 +12,7 @@
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from common.fleet import Host, Record, run_case  # noqa: E402
+from common.fleet import CannotRunError, Host, Record, run_case  # noqa: E402
 from common.scene import (  # noqa: E402
     HOSTS,
     KEY,
@@ -98,8 +98,7 @@
     sound.cancel()
     await scene.finish()
     if len(crashes) < 5:
-        record('there were fewer than five crashes')
-        raise SystemExit(2)
+        raise CannotRunError('there were fewer than five crashes')
     counted_from = max(counted_from, sorted(crashes)[4] + STABLE_S)
     late = [
         one
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -40,6 +40,10 @@
 }
 
 
+class CannotRunError(Exception):
+    """Raised when a case cannot be run, whatever the reason."""
+
+
 class Record:
     """Writes what happens to record.txt, with the seconds since the start."""
 
@@ -68,7 +72,7 @@
             return network
         except OSError:
             continue
-    raise SystemExit(2)
+    raise CannotRunError('no free addresses')
 
 
 class Host:
@@ -178,8 +182,7 @@
                 self._record(f'{self.name} is ready')
                 return
             await asyncio.sleep(0.05)
-        self._record(f'{self.name} did not become ready')
-        raise SystemExit(2)
+        raise CannotRunError(f'{self.name} did not become ready')
 
 
 def run_case(folder: pathlib.Path, case) -> None:
@@ -213,7 +216,7 @@
                     shutil.copytree(temporary, os.environ['KEEP_LOGS'])
     except TimeoutError:
         record('the case took too long')
-    except SystemExit as exc:
-        code = int(exc.code or 0)
+    except Exception as exc:  # an error of the case is no broken rule
+        record(f'the case could not run: {exc!r}')
     record(f'exit code {code}')
     sys.exit(code)
