Show that streams are joined at upstreams that return with new software

An upstream that starts again under its id passes for its registered version until the hosts read its new entry, and the age of the registry is not asked when a stream goes on there. With the store down, all streams that are broken off then may go on at another version.

--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -90,6 +90,7 @@
         self.ip = ip
         self.front = (ip, 8227)
         self.ready = (ip, 8220)
+        self.store = store
         self._record = record
         self._settings = folder / f'{name}.json'
         self.log_path = folder / f'{name}.log'
--- a/review/common/scene.py
+++ b/review/common/scene.py
@@ -96,7 +96,6 @@
 
     async def open(self, document: bytes) -> None:
         """Start the store with a configuration."""
-        await self.store.start(f'{self._network}.100')
         self.store.put('op/config', document)
 
     async def add_runner(self, service: str, **options: Any) -> Runner:
@@ -118,7 +117,8 @@
         for number in range(HOSTS):
             ip = f'{self._network}.{number + 1}'
             name = f'host-{number}'
-            host = Host(name, ip, self.store.address, self._folder, self.record)
+            store = await self.store.listen(f'{self._network}.{200 + number}')
+            host = Host(name, ip, store, self._folder, self.record)
             self.hosts.append(host)
         for host in self.hosts:
             host.start()
--- a/review/common/server.py
+++ b/review/common/server.py
@@ -84,7 +84,10 @@
         self.register()
 
     def register(self) -> None:
-        """Write the entry in the store."""
+        """Write the entry in the store, if the store is up."""
+        if self._store.mode != 'up':
+            self._record(f'{self.id} at version {self.version} cannot reach the store')
+            return
         self._sequence += 1
         entry = {
             'service': self.service,
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -25,15 +25,16 @@
         self.revision = 1
         self.era = 1  # rises by one each time it comes back from a copy
         self.mode = 'up'  # or 'busy' (503) or 'silent'
-        self.address = ('', 0)
+        self.cut_off: set[tuple[str, int]] = set()  # addresses that leave calls open
         self._changed = asyncio.Event()
         self._writers: set[asyncio.StreamWriter] = set()
+        self._expiry: asyncio.Task[None] | None = None
 
-    async def start(self, ip: str) -> None:
-        """Listen on a free port."""
+    async def listen(self, ip: str) -> tuple[str, int]:
+        """Listen on a free port, such as that for one machine; return the address."""
         server = await asyncio.start_server(self._serve, ip, 0)
-        self.address = server.sockets[0].getsockname()[:2]
-        asyncio.get_running_loop().create_task(self._expire())
+        self._expiry = self._expiry or asyncio.create_task(self._expire())
+        return server.sockets[0].getsockname()[:2]
 
     # What operators and servers write.
 
@@ -83,6 +84,11 @@
             for writer in list(self._writers):
                 reset(writer)
 
+    def _leaves_open(self, writer: asyncio.StreamWriter) -> bool:
+        """Return whether a call gets no answer now."""
+        address = writer.get_extra_info('sockname')[:2]
+        return self.mode == 'silent' or address in self.cut_off
+
     # The calls.
 
     async def _expire(self) -> None:
@@ -103,12 +109,14 @@
         self._writers.add(writer)
         try:
             while (request := await read_request(reader)) is not None:
-                if self.mode == 'silent':
+                if self._leaves_open(writer):
                     await asyncio.sleep(3600)
                 await asyncio.sleep(0.004)
                 status, body = (
                     (503, {}) if self.mode == 'busy' else await self._call(request)
                 )
+                if self._leaves_open(writer):
+                    await asyncio.sleep(3600)
                 headers = {'Content-Type': 'application/json'}
                 headers['Store-Era'] = str(self.era)
                 data = encode_answer(status, headers, json.dumps(body).encode())
