Show repeated work that fails, and configurations that are ignored

Two hypotheses of the incident could not be told apart: a feed that fails at each step, and a configuration of a huge version that hides all later ones, which left no line at all.

internal_error says how many steps of the work failed in a row and is logged for the first, second, fourth and so on; work_recovered ends the series. The failures in a row are in a gauge by work, in the dump and in the answers to readiness checks. A changed configuration that does not replace the one in force is logged once and counted.

--- a/packages/common/src/rosemaryseam/common/fairness.py
+++ b/packages/common/src/rosemaryseam/common/fairness.py
@@ -7,7 +7,7 @@
 
 import gevent
 
-from rosemaryseam.common.decisionlog import log_warning
+from rosemaryseam.common.decisionlog import log_event, log_warning
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -63,6 +63,8 @@
 def run_repeatedly(name: str, step: Callable[[], None], metrics: Metrics) -> None:
     """Run a step again and again; an unexpected error ends only the current step.
 
+    The first, second, fourth, eighth and so on of the failures in a row is logged.
+
     :param name: name of the work in the log
     :param step: one step of the work
     :param metrics: counters of the process
@@ -72,6 +74,17 @@
             step()
         except Exception as exc:
             metrics.count('internal_errors')
-            trace = traceback.format_exc(limit=-LOGGED_TRACE_FRAMES)
-            log_warning('internal_error', work=name, error=repr(exc), trace=trace)
+            failing = metrics.work_failures.record_failure(name, exc)
+            if failing.in_a_row & (failing.in_a_row - 1) == 0:
+                log_warning(
+                    'internal_error',
+                    work=name,
+                    in_a_row=failing.in_a_row,
+                    error=failing.error,
+                    trace=traceback.format_exc(limit=-LOGGED_TRACE_FRAMES),
+                )
             gevent.sleep(ERROR_PAUSE_S)
+        else:
+            failures = metrics.work_failures.record_success(name)
+            if failures:
+                log_event('work_recovered', work=name, failures=failures)
--- a/packages/common/src/rosemaryseam/common/metrics.py
+++ b/packages/common/src/rosemaryseam/common/metrics.py
@@ -12,6 +12,8 @@
     SummaryMetricFamily,
 )
 
+from rosemaryseam.common.workfailures import WorkFailures
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
@@ -26,9 +28,13 @@
 
 
 class Metrics:
-    """Holds all metrics of a process."""
+    """Holds all metrics of a process.
+
+    ``work_failures`` holds the failed steps in a row of repeated work.
+    """
 
     def __init__(self) -> None:
+        self.work_failures = WorkFailures()
         self._counters: dict[tuple[str, Labels], int] = {}
         self._histograms: dict[tuple[str, Labels], HdrHistogram] = {}
         self._gauges: dict[str, Callable[[], float]] = {}
@@ -92,6 +98,15 @@
         yield from self._collect_histograms()
         for name, read in self._gauges.items():
             yield GaugeMetricFamily(PREFIX + name, name, value=read())
+        yield self._collect_work_failures()
+
+    def _collect_work_failures(self) -> GaugeMetricFamily:
+        family = GaugeMetricFamily(
+            PREFIX + 'work_failures_in_a_row', 'work_failures', labels=('work',)
+        )
+        for work, failing in self.work_failures.failing().items():
+            family.add_metric((work,), failing.in_a_row)
+        return family
 
     def _collect_counters(self) -> Iterator[Metric]:
         families: dict[tuple[str, tuple[str, ...]], CounterMetricFamily] = {}
--- a/packages/router/src/rosemaryseam/router/feed.py
+++ b/packages/router/src/rosemaryseam/router/feed.py
@@ -109,6 +109,7 @@
         self._era: int | None = None
         self._restored_at = -math.inf
         self._configuration: Item | None = None  # the one in force
+        self._not_newer: bytes | None = None  # logged once
         self._unreadable: dict[str, bytes] = {}
         self.table: RoutingTable | None = None
         # When the store last answered this host, or the reader that relayed the answer.
@@ -273,6 +274,7 @@
             self._metrics.count('configurations_rejected')
             return
         if self.table is not None and table.version <= self.table.version:
+            self._report_not_newer(item, table)
             return
         log_event(
             'configuration_in_force',
@@ -284,6 +286,21 @@
         self.table = table
         self._configuration = item
 
+    def _report_not_newer(self, item: Item, table: RoutingTable) -> None:
+        """Log a changed configuration that does not replace the one in force."""
+        current = self._configuration
+        if current is None or self._not_newer == item.value or self.table is None:
+            return
+        self._not_newer = item.value
+        if item.value != current.value:
+            self._metrics.count('configurations_not_newer')
+            log_warning(
+                'configuration_not_newer',
+                version=table.version,
+                current=self.table.version,
+                revision=item.revision,
+            )
+
     def _decode_registration(self, item: Item) -> Registration | None:
         upstream_id = self._codec.upstream_id(item.key)
         if upstream_id is None or item.value is None:
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -228,7 +228,9 @@
             listener,
         )
         self._readiness_server = HttpServer(
-            cfg.readiness, build_readiness_app(self.not_ready), ServerTimeouts()
+            cfg.readiness,
+            build_readiness_app(self.not_ready, self._failing_work),
+            ServerTimeouts(),
         )
         self._status_server = HttpServer(
             cfg.metrics, build_metrics_app(self.metrics, self.dump), ServerTimeouts()
@@ -329,6 +331,11 @@
             return 'configuration may be old'
         return None
 
+    def _failing_work(self) -> dict[str, dict[str, Any]]:
+        """Return the repeated work whose latest step failed."""
+        failing = self.metrics.work_failures.failing()
+        return {work: entry._asdict() for work, entry in failing.items()}
+
     def dump(self) -> dict[str, Any]:
         """Return the whole state as JSON-compatible values."""
         table = self.feed.table
@@ -350,6 +357,7 @@
             'upstream_orders': self.autoscaler.dump(),
             'idle_upstream_connections': self._pool.size(),
             'paths': self.paths.dump() | {'relaying': self.tunnels.active},
+            'failing_work': self._failing_work(),
             'counters': self.metrics.dump(),
         }
 
--- a/packages/router/src/rosemaryseam/router/status.py
+++ b/packages/router/src/rosemaryseam/router/status.py
@@ -18,26 +18,39 @@
     """Tells the load balancer whether to send new connections to this host.
 
     :param reason: returns the reason for not being ready, or ``None``
+    :param failing_work: returns the repeated work whose latest step failed
     """
 
-    def __init__(self, reason: Callable[[], str | None]) -> None:
+    def __init__(
+        self,
+        reason: Callable[[], str | None],
+        failing_work: Callable[[], dict[str, Any]],
+    ) -> None:
         self._reason = reason
+        self._failing_work = failing_work
 
     def __call__(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Answer on any path, as the port serves nothing else."""
         reason = self._reason()
         if reason is not None:
             resp.status = falcon.HTTP_503
-        resp.media = {'ready': reason is None, 'reason': reason}
+        resp.media = {
+            'ready': reason is None,
+            'reason': reason,
+            'failing_work': self._failing_work(),
+        }
 
 
-def build_readiness_app(reason: Callable[[], str | None]) -> falcon.App:
+def build_readiness_app(
+    reason: Callable[[], str | None], failing_work: Callable[[], dict[str, Any]]
+) -> falcon.App:
     """Return the application that answers readiness checks.
 
     :param reason: returns the reason for not being ready, or ``None``
+    :param failing_work: returns the repeated work whose latest step failed
     """
     application = falcon.App()
-    application.add_sink(ReadinessResource(reason), '/')
+    application.add_sink(ReadinessResource(reason, failing_work), '/')
     return application
 
 
--- a/tests/test_common/test_fairness.py
+++ b/tests/test_common/test_fairness.py
@@ -10,6 +10,7 @@
 
 from rosemaryseam.common.fairness import FairReceiver, run_repeatedly
 from rosemaryseam.common.metrics import Metrics
+from rosemaryseam.common.workfailures import MAX_ERROR_CHARS, describe_error
 
 
 class NumberedSocket:
@@ -71,3 +72,37 @@
             gevent.sleep(0.01)
     worker.kill()
     assert any('internal_errors' in name for name in str(metrics.dump()).split())
+
+
+def test_failures_in_a_row_are_shown_until_a_step_succeeds() -> None:
+    metrics = Metrics()
+    steps = []
+
+    def step() -> None:
+        steps.append(1)
+        if len(steps) <= 3:
+            raise ValueError('the same input')
+        gevent.sleep(0.01)
+
+    worker = gevent.spawn(run_repeatedly, 'work', step, metrics)
+    most = 0
+    with gevent.Timeout(3.0):
+        while len(steps) < 5:
+            failing = metrics.work_failures.failing().get('work')
+            most = max(most, failing.in_a_row if failing else 0)
+            if failing and failing.in_a_row == 3:
+                assert b'work_failures_in_a_row{work="work"} 3.0' in metrics.render()
+            gevent.sleep(0.005)
+    worker.kill()
+    assert most == 3
+    assert metrics.work_failures.failing() == {}
+
+
+class _UnshowableError(Exception):
+    def __repr__(self) -> str:
+        raise RecursionError
+
+
+def test_an_error_that_cannot_be_shown_is_named() -> None:
+    assert describe_error(_UnshowableError()) == '_UnshowableError'
+    assert len(describe_error(ValueError('x' * 10_000))) <= MAX_ERROR_CHARS
--- a/tests/test_router/test_feed.py
+++ b/tests/test_router/test_feed.py
@@ -196,6 +196,16 @@
     assert feed.table.version == expected
 
 
+# Guards against versions that are ignored without a trace (issue 42).
+def test_a_configuration_that_is_not_newer_is_counted_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    older = (0.1, Changes((configuration_item(2, 4),), at(4)))
+    first = (0.1, Snapshot((configuration_item(3, 2),), at(2)))
+    feed, _, _ = build_feed([first, older, older], monkeypatch)
+    assert feed._metrics.value('configurations_not_newer') == 1
+
+
 UPSTREAMS = [
     ('registered', [INITIAL_SNAPSHOT], True),
     (
--- a/tests/test_router/test_status.py
+++ b/tests/test_router/test_status.py
@@ -38,3 +38,15 @@
     answer = call(router.cfg.readiness, 'GET', '/any', timeout_s=1.0)
     assert answer.status == 503
     assert json.loads(answer.body)['reason'] == 'stopping'
+
+
+def test_readiness_and_dump_show_work_that_fails_repeatedly(
+    router: RunningRouter,
+) -> None:
+    router.router.metrics.work_failures.record_failure('some work', ValueError('again'))
+    for address, path in (
+        (router.cfg.readiness, '/any'),
+        (router.cfg.metrics, '/dump'),
+    ):
+        state = json.loads(call(address, 'GET', path, timeout_s=1.0).body)
+        assert state['failing_work']['some work']['in_a_row'] >= 1
