Decode data of other writers in one place, and skip what is unreadable

Cause: the feed decodes all entries of a read in one step, and each decoder listed the exceptions that it expected. RecursionError was not among them, so that one nested entry ended each step before what came after it was applied; the next step began at the same revision. After the history was dropped, each read applied the configuration and then failed at the entry, so that requests went to upstreams of before.

Why it works: common.decoding turns whatever a decoder raises into one UnreadableError, so that no caller lists exceptions. A value that raises it is skipped, logged once, counted and shown in the dump. A step of the feed that fails for any other reason makes the next one read everything again instead of repeating the watch.

An unreadable entry that replaces a sound one now names no upstream in a watch too. A test expected that the sound one is kept; a host that reads the list first does not know it, so that the hosts of a fleet disagreed.

--- a/packages/common/src/rosemaryseam/common/errors.py
+++ b/packages/common/src/rosemaryseam/common/errors.py
@@ -80,6 +80,10 @@
     code = ResultCode.CATALOGUE_INVALID
 
 
+class UnreadableError(RosemaryseamError):
+    """Raised when data of another writer cannot be decoded."""
+
+
 class RequestError(RosemaryseamError):
     """Raised when a caller's request is refused.
 
--- a/packages/router/src/rosemaryseam/router/codec.py
+++ b/packages/router/src/rosemaryseam/router/codec.py
@@ -86,7 +86,7 @@
         """Decode a configuration.
 
         :param value: value of the configuration's key in the store
-        :raises CatalogueError: the value is not a valid configuration
+        :raises UnreadableError: the value is not a valid configuration
         """
 
     @abc.abstractmethod
@@ -95,5 +95,5 @@
 
         :param upstream_id: id of the upstream, from the entry's key
         :param value: value of the entry in the store
-        :raises CatalogueError: the entry describes no usable upstream
+        :raises UnreadableError: the entry describes no usable upstream
         """
--- a/packages/router/src/rosemaryseam/router/documentcodec.py
+++ b/packages/router/src/rosemaryseam/router/documentcodec.py
@@ -7,12 +7,8 @@
 from pydantic import Field
 
 from rosemaryseam.common.addresses import AddressText, parse_address
-from rosemaryseam.common.documents import (
-    DocumentFaultsError,
-    parse_document,
-    validate_document,
-)
-from rosemaryseam.common.errors import CatalogueError
+from rosemaryseam.common.decoding import decoding
+from rosemaryseam.common.documents import parse_document, validate_document
 from rosemaryseam.router.codec import StateCodec
 from rosemaryseam.router.routes import (
     CallerLimits,
@@ -175,10 +171,8 @@
 
 
 def _parse_entry(value: bytes, entry_type: type[T]) -> T:
-    try:
+    with decoding('document'):
         return validate_document(parse_document(value.decode()), entry_type)
-    except (DocumentFaultsError, UnicodeDecodeError) as exc:
-        raise CatalogueError(f'unreadable document: {exc}') from exc
 
 
 def _build_route(entry: RouteEntry) -> Route:
--- a/packages/router/src/rosemaryseam/router/feed.py
+++ b/packages/router/src/rosemaryseam/router/feed.py
@@ -8,9 +8,10 @@
 import gevent
 
 from rosemaryseam.common.decisionlog import log_event, log_warning
-from rosemaryseam.common.errors import CatalogueError, PlatformError
+from rosemaryseam.common.errors import PlatformError, UnreadableError
 from rosemaryseam.common.fairness import run_repeatedly
 from rosemaryseam.common.rangestore import Changes, EraChangedError, HistoryLostError
+from rosemaryseam.common.skippedvalues import SkippedValues
 from rosemaryseam.router.mirror import Mirror
 
 if TYPE_CHECKING:
@@ -80,6 +81,7 @@
     :param on_other_items: called with items that are neither configuration nor upstream
     :param on_restored: called when the store was restored from a copy
     :param mirror: copy of the items, served to other hosts
+    :param skipped: keeps the values that cannot be read
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         on_other_items: Callable[[OtherItems], None],
         mirror: Mirror | None = None,
         on_restored: Callable[[], None] = lambda: None,
+        skipped: SkippedValues | None = None,
     ) -> None:
         self._store = store
         self._codec = codec
@@ -105,12 +108,12 @@
         self._on_other_items = on_other_items
         self._on_restored = on_restored
         self._mirror = mirror or Mirror(self.staleness_s, lambda: 0.0)
+        self._skipped = skipped or SkippedValues(metrics)
         self._position: StorePosition | None = None
         self._era: int | None = None
         self._restored_at = -math.inf
         self._configuration: Item | None = None  # the one in force
         self._not_newer: bytes | None = None  # logged once
-        self._unreadable: dict[str, bytes] = {}
         self.table: RoutingTable | None = None
         # When the store last answered this host, or the reader that relayed the answer.
         self.last_contact_at = -math.inf
@@ -149,6 +152,10 @@
                 self._record_failure(exc)
         except PlatformError as exc:
             self._record_failure(exc)
+        except Exception:
+            # A watch from the same position would meet the same input again.
+            self._position = None
+            raise
 
     def mark_left(self, upstream: Upstream, reason: str) -> None:
         """Close an incarnation for new requests permanently.
@@ -248,12 +255,13 @@
         upstream_id = self._codec.upstream_id(item.key)
         if upstream_id is None:
             return not self._is_known_kind(item.key)
-        if item.value is None:
-            after_outage = self._is_after_outage()
-            changes = self._registry.remove(upstream_id, now, after_outage=after_outage)
+        entry = self._decode_registration(item)
+        if entry is not None:
+            changes = self._registry.put(entry, now)
         else:
-            entry = self._decode_registration(item)
-            changes = [] if entry is None else self._registry.put(entry, now)
+            # An entry that cannot be read names no upstream, as in a first read.
+            after_outage = item.value is None and self._is_after_outage()
+            changes = self._registry.remove(upstream_id, now, after_outage=after_outage)
         self._publish(changes)
         return False
 
@@ -267,12 +275,14 @@
             return
         try:
             table = self._codec.decode_configuration(item.value)
-        except CatalogueError as exc:
-            log_warning(
-                'configuration_rejected', revision=item.revision, reason=exc.message
-            )
-            self._metrics.count('configurations_rejected')
+        except UnreadableError as exc:
+            if self._skipped.skip('configuration', item.key, item.value, exc):
+                log_warning(
+                    'configuration_rejected', revision=item.revision, reason=exc.message
+                )
+                self._metrics.count('configurations_rejected')
             return
+        self._skipped.forget(item.key)
         if self.table is not None and table.version <= self.table.version:
             self._report_not_newer(item, table)
             return
@@ -303,15 +313,18 @@
 
     def _decode_registration(self, item: Item) -> Registration | None:
         upstream_id = self._codec.upstream_id(item.key)
-        if upstream_id is None or item.value is None:
+        if upstream_id is None:
+            return None
+        if item.value is None:
+            self._skipped.forget(item.key)
             return None
         try:
-            return self._codec.decode_registration(upstream_id, item.value)
-        except CatalogueError as exc:
-            if self._unreadable.get(item.key) != item.value:
-                self._unreadable[item.key] = item.value
-                log_warning('registration_rejected', key=item.key, reason=exc.message)
+            entry = self._codec.decode_registration(upstream_id, item.value)
+        except UnreadableError as exc:
+            self._skipped.skip('registration', item.key, item.value, exc)
             return None
+        self._skipped.forget(item.key)
+        return entry
 
     def _publish(self, changes: list[UpstreamChange]) -> None:
         for change in changes:
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -15,6 +15,7 @@
 from rosemaryseam.common.errors import ResultCode, SettingsError
 from rosemaryseam.common.fairness import run_repeatedly
 from rosemaryseam.common.metrics import Metrics
+from rosemaryseam.common.skippedvalues import SkippedValues
 from rosemaryseam.common.wsgi import HttpServer, ServerTimeouts
 from rosemaryseam.router.autoscaler import Autoscaler
 from rosemaryseam.router.callers import BodyMemoryBudget, CallerServer
@@ -91,6 +92,7 @@
         self._rng = random.Random()
         self._stopping = Event()
         self.metrics = Metrics()
+        self.skipped = SkippedValues(self.metrics)
         self.registry = Registry()
         self.paths, self.tunnels = open_paths(
             cfg,
@@ -176,6 +178,7 @@
             self._apply_other_items,
             self.mirror,
             self.peers.renew_registration,
+            self.skipped,
         )
         self.software = SoftwareHistory(
             cfg.ip,
@@ -358,6 +361,7 @@
             'idle_upstream_connections': self._pool.size(),
             'paths': self.paths.dump() | {'relaying': self.tunnels.active},
             'failing_work': self._failing_work(),
+            'skipped_values': self.skipped.dump(),
             'counters': self.metrics.dump(),
         }
 
