Check the bounds of all values in configurations and registrations

Cause: the platform's decoder converted values instead of checking them. A configuration with a version beyond 2^53, times that are infinite, NaN or 0, ranks that do not fit the datagrams, or a flag as text was taken; a huge version hid all later ones. Registrations with slots or starts beyond 64 bits, text that cannot be encoded and line breaks were taken too and failed where they are used: in datagrams, placement and the heads of requests.

--- a/packages/common/src/rosemaryseam/common/addresses.py
+++ b/packages/common/src/rosemaryseam/common/addresses.py
@@ -8,6 +8,7 @@
 from pydantic import AfterValidator
 
 MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
 
 
 class Address(NamedTuple):
@@ -29,12 +30,18 @@
     :raises ValueError: the text is not an address and a port; host names are rejected
     """
     ip, separator, port = text.rpartition(':')
-    if not separator or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+    if (
+        not separator
+        or not (port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS)
+        or not 0 < int(port) <= MAX_PORT
+    ):
         raise ValueError(f'{text!r} is not an IP address and port, such as 10.0.0.1:80')
     try:
         number = ipaddress.ip_address(ip.strip('[]'))
     except ValueError:
         raise ValueError(f'{ip!r} is not an IP address') from None
+    if '%' in ip:
+        raise ValueError(f'{ip!r} is an address on one link only')
     return Address(str(number), int(port))
 
 
--- a/packages/router/src/rosemaryseam/router/documentcodec.py
+++ b/packages/router/src/rosemaryseam/router/documentcodec.py
@@ -4,13 +4,20 @@
 
 from typing import Annotated, Literal, NamedTuple, TypeVar
 
-from pydantic import Field
+from pydantic import AfterValidator, Field
 
 from rosemaryseam.common.addresses import AddressText, parse_address
-from rosemaryseam.common.decoding import decoding
+from rosemaryseam.common.decoding import (
+    MAX_COUNT,
+    MAX_NUMBER,
+    decoding,
+    require_text,
+)
 from rosemaryseam.common.documents import parse_document, validate_document
 from rosemaryseam.router.codec import StateCodec
 from rosemaryseam.router.routes import (
+    MAX_RANK,
+    MAX_SLOTS,
     CallerLimits,
     EngineProfile,
     Repeat,
@@ -27,10 +34,13 @@
 CONFIGURATION_KEY = 'rosemaryseam/configuration'
 UPSTREAM_PREFIX = 'rosemaryseam/upstreams/'
 
-Name = Annotated[str, Field(min_length=1, max_length=200)]
+Name = Annotated[str, Field(min_length=1, max_length=200), AfterValidator(require_text)]
+OptionalName = Annotated[str, AfterValidator(lambda text: text and require_text(text))]
 Prefix = Annotated[str, Field(pattern=r'^/(.*/)?$')]
 Seconds = Annotated[float, Field(gt=0.0, le=86_400.0)]
-Count = Annotated[int, Field(ge=0)]
+Count = Annotated[int, Field(ge=0, le=MAX_COUNT)]
+Rank = Annotated[int, Field(ge=0, le=MAX_RANK)]
+Price = Annotated[float, Field(ge=0, le=MAX_NUMBER)]
 T = TypeVar('T')
 
 
@@ -38,7 +48,7 @@
     """A service of a route and its relative share of the requests."""
 
     service: Name
-    weight: Annotated[float, Field(gt=0.0)] = 1.0
+    weight: Annotated[float, Field(gt=0.0, le=MAX_NUMBER)] = 1.0
 
 
 class RouteEntry(NamedTuple):
@@ -51,8 +61,8 @@
     repeat: Literal['never', 'whole', 'resume'] = 'never'
     streamed: bool = False
     public: bool = False
-    rank: Count = 0
-    max_runs: Annotated[int, Field(ge=1)] = 1
+    rank: Rank = 0
+    max_runs: Annotated[int, Field(ge=1, le=MAX_COUNT)] = 1
     timeout_s: Seconds = 30.0
     target_s: Seconds = 1.0
     pause_target_s: Seconds | None = None
@@ -61,9 +71,9 @@
 class EngineEntry(NamedTuple):
     """Capacities of the engines of a service."""
 
-    batch_slots: Annotated[int, Field(ge=1)]
+    batch_slots: Annotated[int, Field(ge=1, le=MAX_SLOTS)]
     cache_tokens: Count
-    tokens_per_event: Annotated[int, Field(ge=1)] = 1
+    tokens_per_event: Annotated[int, Field(ge=1, le=MAX_SLOTS)] = 1
     shares_cache: bool = False
 
 
@@ -73,8 +83,8 @@
     minimum: Count
     maximum: Count
     boot_s: Seconds
-    spot_price: Annotated[float, Field(ge=0)] | None
-    zone_prices: dict[Name, Annotated[float, Field(ge=0)]]
+    spot_price: Price | None
+    zone_prices: dict[Name, Price]
 
 
 class ServiceEntry(NamedTuple):
@@ -92,7 +102,7 @@
 
     name: Name
     keys: tuple[str, ...]
-    rank: Count | None = None
+    rank: Rank | None = None
 
 
 class LimitEntry(NamedTuple):
@@ -107,7 +117,7 @@
 class ConfigurationEntry(NamedTuple):
     """A complete configuration."""
 
-    version: Annotated[int, Field(ge=1)]
+    version: Annotated[int, Field(ge=1, le=MAX_COUNT)]
     routes: tuple[RouteEntry, ...]
     services: tuple[ServiceEntry, ...]
     workspaces: tuple[WorkspaceEntry, ...] | None = None
@@ -120,12 +130,12 @@
     service: Name
     address: AddressText
     zone: Name
-    slots: Count
+    slots: Annotated[int, Field(ge=0, le=MAX_SLOTS)]
     born: Count = 0
     leaving: bool = False
-    version: str = ''
+    version: OptionalName = ''
     spot: bool = False
-    leaves_in_s: Annotated[float, Field(ge=0)] | None = None
+    leaves_in_s: Price | None = None
 
 
 class DocumentStateCodec(StateCodec):
--- a/packages/router/src/rosemaryseam/router/routes.py
+++ b/packages/router/src/rosemaryseam/router/routes.py
@@ -9,6 +9,10 @@
     from collections.abc import Iterable, Mapping
 
 
+MAX_RANK = 255  # hosts exchange ranks as 8 bits
+MAX_SLOTS = 1_000_000  # of an upstream
+
+
 class Repeat(enum.Enum):
     """Specifies whether a request that may have run can be sent again."""
 
--- a/tests/test_platform/test_odd_values.py
+++ b/tests/test_platform/test_odd_values.py
@@ -8,7 +8,7 @@
 
 import gevent
 import pytest
-from oddvalues import CONFIGURATION, ENTRY, ODD_ENTRIES, OddValue
+from oddvalues import CONFIGURATION, ENTRY, ODD_CONFIGURATIONS, ODD_ENTRIES, OddValue
 
 from rosemaryseam.common.clock import SystemClock
 from rosemaryseam.common.metrics import Metrics
@@ -118,3 +118,33 @@
     assert following.usable() - {'odd'} == {'one', 'two'}
     assert following.metrics.work_failures.failing() == {}
     assert following.feed.status.failures == 0
+
+
+# Guards against odd entries that are taken and break the work that uses them.
+@pytest.mark.parametrize('odd', ODD_ENTRIES, ids=lambda odd: odd.name)
+def test_an_odd_entry_names_no_upstream(odd: OddValue, following: Following) -> None:
+    put_between_sound_values(following, 'servers/odd', odd)
+    following.start()
+    assert following.wait(lambda: following.version() == 9)
+    assert following.usable() == {'one', 'two'}
+
+
+# Guards against invalid configurations that are taken, or that stop the feed: later
+# versions were ignored and requests ended at once (hypothesis 2 of issue 42).
+@pytest.mark.parametrize('when', ['first read', 'watch'])
+@pytest.mark.parametrize('odd', ODD_CONFIGURATIONS, ids=lambda odd: odd.name)
+def test_an_invalid_configuration_leaves_the_one_in_force(
+    odd: OddValue, when: str, following: Following
+) -> None:
+    if when == 'watch':
+        following.start()
+        assert following.wait(lambda: following.version() == 1)
+    following.store.put(CONFIGURATION_KEY, odd.value)
+    following.register('two', 8002)
+    if when == 'first read':
+        following.start()
+    assert following.wait(lambda: following.usable() == {'one', 'two'})
+    assert following.version() == (1 if when == 'watch' else None)
+    following.configure(9)
+    assert following.wait(lambda: following.version() == 9)
+    assert following.metrics.work_failures.failing() == {}
