Skip unreadable entries in the project's own prefixes of the store

The readers of host entries, stream origins, software versions, duty claims and usage records listed exceptions of their own, and were called one after the other in the step of the feed. A nested entry of another writer, a huge capacity or an infinite number ended the step; a host entry that could not be read registered a host of that name.

They decode through common.decoding and skip what is unreadable.

--- a/packages/common/src/rosemaryseam/common/fairness.py
+++ b/packages/common/src/rosemaryseam/common/fairness.py
@@ -60,31 +60,43 @@
         self._sock.close()
 
 
+def attempt(name: str, step: Callable[[], None], metrics: Metrics) -> bool:
+    """Run a step of repeated work; return whether it ended without an error.
+
+    An unexpected error is logged, so that what comes after the step goes on. The first,
+    second, fourth, eighth and so on of the failures in a row is logged.
+
+    :param name: name of the work in the log
+    :param step: one step of the work
+    :param metrics: counters of the process
+    """
+    try:
+        step()
+    except Exception as exc:
+        metrics.count('internal_errors')
+        failing = metrics.work_failures.record_failure(name, exc)
+        if failing.in_a_row & (failing.in_a_row - 1) == 0:
+            log_warning(
+                'internal_error',
+                work=name,
+                in_a_row=failing.in_a_row,
+                error=failing.error,
+                trace=traceback.format_exc(limit=-LOGGED_TRACE_FRAMES),
+            )
+        return False
+    failures = metrics.work_failures.record_success(name)
+    if failures:
+        log_event('work_recovered', work=name, failures=failures)
+    return True
+
+
 def run_repeatedly(name: str, step: Callable[[], None], metrics: Metrics) -> None:
     """Run a step again and again; an unexpected error ends only the current step.
 
-    The first, second, fourth, eighth and so on of the failures in a row is logged.
-
     :param name: name of the work in the log
     :param step: one step of the work
     :param metrics: counters of the process
     """
     while True:
-        try:
-            step()
-        except Exception as exc:
-            metrics.count('internal_errors')
-            failing = metrics.work_failures.record_failure(name, exc)
-            if failing.in_a_row & (failing.in_a_row - 1) == 0:
-                log_warning(
-                    'internal_error',
-                    work=name,
-                    in_a_row=failing.in_a_row,
-                    error=failing.error,
-                    trace=traceback.format_exc(limit=-LOGGED_TRACE_FRAMES),
-                )
+        if not attempt(name, step, metrics):
             gevent.sleep(ERROR_PAUSE_S)
-        else:
-            failures = metrics.work_failures.record_success(name)
-            if failures:
-                log_event('work_recovered', work=name, failures=failures)
--- a/packages/router/src/rosemaryseam/router/dutyclaim.py
+++ b/packages/router/src/rosemaryseam/router/dutyclaim.py
@@ -5,7 +5,13 @@
 import json
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from rosemaryseam.common.errors import PlatformError
+from rosemaryseam.common.decoding import (
+    decode_json,
+    decoding,
+    require_count,
+    require_text,
+)
+from rosemaryseam.common.errors import PlatformError, UnreadableError
 from rosemaryseam.common.rangestore import (
     ConflictError,
     Expected,
@@ -126,12 +132,18 @@
 
 
 def read_owner(item: Item | None) -> dict[str, Any]:
-    """Return the content of a duty's key, empty if it cannot be read.
+    """Return host and incarnation of a duty's holder, empty if they cannot be read.
 
     :param item: item of the key
     """
+    if item is None or item.value is None:
+        return {}
     try:
-        data = json.loads(item.value) if item is not None and item.value else {}
-    except ValueError:
+        with decoding('duty'):
+            data = decode_json(item.value)
+            return {
+                'host': require_text(data['host']),
+                'incarnation': require_count(data['incarnation']),
+            }
+    except UnreadableError:
         return {}
-    return data if isinstance(data, dict) else {}
--- a/packages/router/src/rosemaryseam/router/originlog.py
+++ b/packages/router/src/rosemaryseam/router/originlog.py
@@ -11,8 +11,17 @@
 from gevent.event import Event
 
 from rosemaryseam.common.decisionlog import log_event, log_warning
-from rosemaryseam.common.errors import PlatformError
+from rosemaryseam.common.decoding import (
+    decode_json,
+    decoding,
+    require_count,
+    require_list,
+    require_text,
+)
+from rosemaryseam.common.errors import PlatformError, UnreadableError
+from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.common.rangestore import Write
+from rosemaryseam.common.skippedvalues import SkippedValues
 from rosemaryseam.policy.rendezvous import rank_by_capacity
 from rosemaryseam.router.origins import Software, StreamOrigin
 
@@ -52,6 +61,7 @@
     :param kept_s: returns the seconds after which entries may be overwritten
     :param clock: clock of the process
     :param on_origin: called with each origin that the store holds
+    :param skipped: keeps the entries that cannot be read
     """
 
     def __init__(
@@ -62,6 +72,7 @@
         kept_s: Callable[[], float],
         clock: Clock,
         on_origin: Callable[[StreamOrigin], None],
+        skipped: SkippedValues | None = None,
     ) -> None:
         self._host = host
         self._capacity = capacity
@@ -69,6 +80,7 @@
         self._kept_s = kept_s
         self._clock = clock
         self._on_origin = on_origin
+        self._skipped = skipped or SkippedValues(Metrics())
         self._link: HostLink | None = None
         self._unwritten: dict[str, Software] = {}
         self._is_needed = False
@@ -161,12 +173,14 @@
         own = item.key.startswith(f'{ORIGINS_PREFIX}{self._host}/')
         if item.value is None:
             self._own_keys.discard(item.key)
+            self._skipped.forget(item.key)
             return
         try:
-            number, origins = _decode(json.loads(item.value))
-        except (ValueError, LookupError, TypeError, AttributeError) as exc:
-            log_warning('origins_unreadable', key=item.key, reason=repr(exc))
+            number, origins = _decode(item.value)
+        except UnreadableError as exc:
+            self._skipped.skip('stream origins', item.key, item.value, exc)
             return
+        self._skipped.forget(item.key)
         if own:
             self._own_keys.add(item.key)
             self._last_number = max(self._last_number, number)
@@ -189,11 +203,16 @@
     return {'number': number, 'streams': streams}
 
 
-def _decode(entry: dict[str, Any]) -> tuple[int, list[StreamOrigin]]:
-    origins = [
-        StreamOrigin(request_id, Software(service, version))
-        for service, by_version in entry['streams'].items()
-        for version, request_ids in by_version.items()
-        for request_id in request_ids
-    ]
-    return int(entry['number']), origins
+def _decode(value: bytes) -> tuple[int, list[StreamOrigin]]:
+    with decoding('stream origins'):
+        entry = decode_json(value)
+        origins = [
+            StreamOrigin(
+                require_text(request_id),
+                Software(require_text(service), version and require_text(version)),
+            )
+            for service, by_version in entry['streams'].items()
+            for version, request_ids in by_version.items()
+            for request_id in require_list(request_ids)
+        ]
+        return require_count(entry['number']), origins
--- a/packages/router/src/rosemaryseam/router/peers.py
+++ b/packages/router/src/rosemaryseam/router/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
 from collections import deque
 from typing import TYPE_CHECKING, Any
@@ -12,9 +13,11 @@
 from gevent.hub import get_hub
 
 from rosemaryseam.common.decisionlog import log_event, log_warning
-from rosemaryseam.common.errors import PeerError, PlatformError
+from rosemaryseam.common.decoding import decode_json, decoding, require_number
+from rosemaryseam.common.errors import PeerError, PlatformError, UnreadableError
 from rosemaryseam.common.fairness import run_repeatedly
 from rosemaryseam.common.rangestore import EraChangedError, Write
+from rosemaryseam.common.skippedvalues import SkippedValues
 from rosemaryseam.router.datagrams import (
     MAX_DATAGRAM_BYTES,
     Datagram,
@@ -59,6 +62,7 @@
 RECEIVE_RETRY_S = 0.05  # after a socket error
 MAX_HANDOVER_ENTRIES = 100  # requests or prompts per datagram
 STOPPING_HOST_S = 15.0  # for which a host that stops may still ask for tunnels
+MAX_CAPACITY = 1e6  # of a host, relative to others
 MAX_INCARNATIONS = 8  # remembered per host, to drop late datagrams of old processes
 
 
@@ -98,6 +102,7 @@
     :param origin_log: writes origins of streams to the store
     :param capacity: relative capacity of this host, as published in its entry
     :param on_left: called with upstreams that told another host that they stop
+    :param skipped: keeps the entries that cannot be read
     """
 
     def __init__(
@@ -114,6 +119,7 @@
         origin_log: OriginLog,
         capacity: float = 1.0,
         on_left: Callable[[Incarnation], None] = lambda _: None,
+        skipped: SkippedValues | None = None,
     ) -> None:
         self._address = address
         self._on_left = on_left
@@ -123,6 +129,7 @@
         self._store = store
         self._clock = clock
         self._metrics = metrics
+        self._skipped = skipped or SkippedValues(metrics)
         self._rng = rng
         self._placer = placer
         self._dispatcher = dispatcher
@@ -256,12 +263,22 @@
 
     def _apply_host_entry(self, host: str, value: bytes | None) -> None:
         self._missing.pop(host, None)
-        was_leaving = host in self._leaving
-        self._leaving.discard(host)
+        key = HOSTS_PREFIX + host
         if value is None:
+            self._leaving.discard(host)
+            self._skipped.forget(key)
             self._drop_host(host)
-        elif host not in self._capacities:
-            self._capacities[host] = capacity = _read_capacity(host, value)
+            return
+        try:
+            capacity = _decode_host_entry(host, value)
+        except UnreadableError as exc:
+            self._skipped.skip('host', key, value, exc)
+            return
+        self._skipped.forget(key)
+        was_leaving = host in self._leaving
+        self._leaving.discard(host)
+        if host not in self._capacities:
+            self._capacities[host] = capacity
             log_event('peer_registered', peer=host, capacity=capacity)
             self._send(host, Datagram(self._address.ip, self._incarnation))
         elif was_leaving:
@@ -572,10 +589,14 @@
         log_event('registered', lease=lease.id, era=lease.era)
 
 
-def _read_capacity(host: str, value: bytes) -> float:
-    """Return the capacity in a host's entry, 0 when it cannot be read."""
-    try:
-        return float(json.loads(value)['capacity'])
-    except (ValueError, LookupError, TypeError) as exc:
-        log_warning('peer_entry_unreadable', peer=host, reason=repr(exc))
-        return 0.0
+def _decode_host_entry(host: str, value: bytes) -> float:
+    """Return the capacity in a host's entry.
+
+    :param host: address of the host, from the entry's key
+    :param value: value of the entry
+    :raises UnreadableError: the entry names no host
+    """
+    with decoding('host'):
+        if str(ipaddress.IPv4Address(host)) != host:
+            raise UnreadableError('the address is not in its usual form')
+        return require_number(decode_json(value)['capacity'], most=MAX_CAPACITY)
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -13,7 +13,7 @@
 from rosemaryseam.common.addresses import Address
 from rosemaryseam.common.decisionlog import log_event
 from rosemaryseam.common.errors import ResultCode, SettingsError
-from rosemaryseam.common.fairness import run_repeatedly
+from rosemaryseam.common.fairness import attempt, run_repeatedly
 from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.common.skippedvalues import SkippedValues
 from rosemaryseam.common.wsgi import HttpServer, ServerTimeouts
@@ -130,6 +130,7 @@
             self._stream_memory_s,
             clock,
             self._origins.adopt,
+            self.skipped,
         )
         self.peers = PeerLink(
             Address(cfg.ip, cfg.peer_port),
@@ -144,6 +145,7 @@
             self._origin_log,
             cfg.capacity,
             self._on_upstream_left,
+            self.skipped,
         )
         self._placer.connect(self.peers)
         self.tracker.brittleness.connect(cfg.ip, self.peers, self.metrics)
@@ -189,6 +191,7 @@
             self._stream_memory_s,
             clock,
             self._rng,
+            self.skipped,
         )
         self.software.connect(self.peers, self._on_versions_changed)
         self.duties = Duties(
@@ -386,12 +389,23 @@
 
     def _on_upstream_changes(self, changes: Iterable[UpstreamChange]) -> None:
         usable = self.registry.all()
-        self._pool.retain(entry.incarnation for entry in usable)
-        self.paths.retain()
-        self.tracker.retain_upstreams(usable)
-        self._placer.upstreams_changed()
-        self._placer.handover.loads.retain(entry.incarnation for entry in usable)
-        self.software.registry_changed()
+        incarnations = {entry.incarnation for entry in usable}
+        self._attempt_all(
+            ('retain_connections', lambda: self._pool.retain(incarnations)),
+            ('retain_paths', self.paths.retain),
+            ('retain_books', lambda: self.tracker.retain_upstreams(usable)),
+            ('place_again', self._placer.upstreams_changed),
+            (
+                'retain_loads',
+                lambda: self._placer.handover.loads.retain(incarnations),
+            ),
+            ('software_changed', self.software.registry_changed),
+        )
+
+    def _attempt_all(self, *steps: tuple[str, Callable[[], None]]) -> None:
+        """Run steps that do not depend on one another, also if one of them fails."""
+        for name, step in steps:
+            attempt(name, step, self.metrics)
 
     def _stream_memory_s(self) -> float:
         """Return for how long streams that ended here may be taken up elsewhere."""
@@ -400,10 +414,12 @@
         return max(MIN_STREAM_MEMORY_S, 2 * longest_s)
 
     def _apply_other_items(self, others: OtherItems) -> None:
-        self.peers.apply_host_entries(others)
-        self.software.apply_items(others)
-        self._origin_log.apply_items(others)
-        self.duties.apply_items(others)
+        self._attempt_all(
+            ('host_entries', lambda: self.peers.apply_host_entries(others)),
+            ('software_entries', lambda: self.software.apply_items(others)),
+            ('origin_entries', lambda: self._origin_log.apply_items(others)),
+            ('duty_entries', lambda: self.duties.apply_items(others)),
+        )
 
     def _on_versions_changed(self) -> None:
         table = self.feed.table
@@ -433,10 +449,12 @@
 
     def _sweep(self) -> None:
         gevent.sleep(SWEEP_INTERVAL_S)
-        self.feed.expire()
-        self._pool.close_expired()
-        self._placer.handover.loads.step()
-        self.tunnels.sweep()
+        self._attempt_all(
+            ('expire_entries', self.feed.expire),
+            ('expire_connections', self._pool.close_expired),
+            ('report_loads', self._placer.handover.loads.step),
+            ('expire_tunnels', self.tunnels.sweep),
+        )
 
     def _start_listener(self, key: str, start: Callable[[], None]) -> None:
         try:
--- a/packages/router/src/rosemaryseam/router/softwarehistory.py
+++ b/packages/router/src/rosemaryseam/router/softwarehistory.py
@@ -10,8 +10,11 @@
 from gevent.event import Event
 
 from rosemaryseam.common.decisionlog import log_event, log_warning
-from rosemaryseam.common.errors import PlatformError
+from rosemaryseam.common.decoding import decode_json, decoding, require_text
+from rosemaryseam.common.errors import PlatformError, UnreadableError
+from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.common.rangestore import Write
+from rosemaryseam.common.skippedvalues import SkippedValues
 from rosemaryseam.policy.rendezvous import rank_by_capacity
 from rosemaryseam.router.origins import Software
 
@@ -47,6 +50,7 @@
         registered; longer than callers take up streams of them
     :param clock: clock of the process
     :param rng: source of the jitter before other hosts write
+    :param skipped: keeps the entries that cannot be read
     """
 
     def __init__(
@@ -59,6 +63,7 @@
         kept_s: Callable[[], float],
         clock: Clock,
         rng: random.Random,
+        skipped: SkippedValues | None = None,
     ) -> None:
         self._host = host
         self._capacity = capacity
@@ -67,6 +72,7 @@
         self._find_table = find_table
         self._kept_s = kept_s
         self._clock = clock
+        self._skipped = skipped or SkippedValues(Metrics())
         self._link: HostLink | None = None
         self._substitute_delay_s = SUBSTITUTE_DELAY_S * rng.uniform(0.5, 1.5)
         self._stored: dict[str, Software] = {}
@@ -146,13 +152,14 @@
     def _apply_item(self, item: Item) -> None:
         if item.value is None:
             self._stored.pop(item.key, None)
+            self._skipped.forget(item.key)
             return
         try:
-            fields = json.loads(item.value)
-            software = Software(str(fields['service']), str(fields['version']))
-        except (ValueError, LookupError, TypeError) as exc:
-            log_warning('software_entry_unreadable', key=item.key, reason=repr(exc))
+            software = _decode(item.value)
+        except UnreadableError as exc:
+            self._skipped.skip('software version', item.key, item.value, exc)
             return
+        self._skipped.forget(item.key)
         self._stored[item.key] = software
         # This host may not have known it; it is kept as if it had served until now.
         self._seen_at.setdefault(software, self._clock.monotonic())
@@ -197,6 +204,16 @@
         return rank_by_capacity(SOFTWARE_PREFIX, hosts)[0] == self._host
 
 
+def _decode(value: bytes) -> Software:
+    with decoding('software version'):
+        fields = decode_json(value)
+        version = fields['version']
+        # Upstreams that state no version have an empty one.
+        return Software(
+            require_text(fields['service']), version and require_text(version)
+        )
+
+
 def _key(software: Software) -> str:
     text = '\x00'.join(software)
     return f'{SOFTWARE_PREFIX}{xxhash.xxh3_64_intdigest(text.encode()):016x}'
--- a/packages/router/src/rosemaryseam/router/usagereporter.py
+++ b/packages/router/src/rosemaryseam/router/usagereporter.py
@@ -9,7 +9,13 @@
 import gevent
 
 from rosemaryseam.common.decisionlog import log_event, log_warning
-from rosemaryseam.common.errors import PlatformError
+from rosemaryseam.common.decoding import (
+    decode_json,
+    decoding,
+    require_count,
+    require_text,
+)
+from rosemaryseam.common.errors import PlatformError, UnreadableError
 from rosemaryseam.common.rangestore import ConflictError, Expected, Write
 from rosemaryseam.policy.usagewindows import (
     KEPT_WINDOWS,
@@ -314,12 +320,19 @@
 def _decode(value: bytes | None) -> UsageRecord | None:
     """Return a record, or ``None`` if there is none that can be read."""
     try:
-        data = json.loads(value or b'')
-        unreported = {
-            int(window): {str(name): int(count) for name, count in counts.items()}
-            for window, counts in data['unreported'].items()
-        }
-        return UsageRecord(int(data['era']), int(data['last']), unreported)
-    except (ValueError, LookupError, TypeError, AttributeError) as exc:
-        log_warning('usage_record_unreadable', reason=repr(exc))
+        with decoding('usage record'):
+            data = decode_json(value or b'')
+            unreported = {
+                require_count(int(window)): _decode_counts(counts)
+                for window, counts in data['unreported'].items()
+            }
+            return UsageRecord(
+                require_count(data['era']), int(data['last']), unreported
+            )
+    except UnreadableError as exc:
+        log_warning('usage_record_unreadable', reason=exc.message)
         return None
+
+
+def _decode_counts(counts: dict[str, Any]) -> dict[str, int]:
+    return {require_text(name): require_count(count) for name, count in counts.items()}
