Read the other items of an answer of which one value is odd

An item of the store whose value is no base64, or whose key cannot be encoded, failed the whole read or watch, which was repeated with the same result. JSON that is nested too deeply, in an answer of the store or in a relayed copy, raised RecursionError through all callers: a host never left a reader that sent it.

Store and relayed copies decode items in one place. Keys and values are chosen by writers and cost that item alone; anything else in an answer that is unreadable fails the call with PlatformError, as before for what was caught.

--- a/packages/common/src/rosemaryseam/common/rangestore.py
+++ b/packages/common/src/rosemaryseam/common/rangestore.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import abc
-from typing import TYPE_CHECKING, NamedTuple
+import base64
+from typing import TYPE_CHECKING, Any, NamedTuple
 
-from rosemaryseam.common.errors import PlatformError
+from rosemaryseam.common.decoding import require_count, require_list
+from rosemaryseam.common.errors import PlatformError, UnreadableError
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
 
 class HistoryLostError(PlatformError):
@@ -52,6 +54,9 @@
     era: int
 
 
+NO_VALUE = b''  # stands for a value that was not sent as bytes; no decoder accepts it
+
+
 class Item(NamedTuple):
     """A key and its value at a revision; the value of a deleted key is ``None``."""
 
@@ -60,6 +65,44 @@
     revision: int
 
 
+def decode_items(
+    entries: Any, is_deleted: Callable[[dict[str, Any]], bool]
+) -> tuple[Item, ...]:
+    """Return the items of a JSON list.
+
+    Writers choose keys and values, the store the rest. An item whose value is
+    unreadable has :data:`NO_VALUE`. One whose key cannot be encoded is left out, as no
+    reader uses such a key.
+
+    :param entries: objects with ``key``, ``value`` in base64 and ``revision``
+    :param is_deleted: returns whether an entry is that of a deleted key
+    :raises UnreadableError: it is no list of items
+    """
+    items = [_decode_item(entry, is_deleted) for entry in require_list(entries)]
+    return tuple(item for item in items if _can_be_encoded(item.key))
+
+
+def _decode_item(entry: Any, is_deleted: Callable[[dict[str, Any]], bool]) -> Item:
+    key, revision = entry['key'], require_count(entry['revision'])
+    if not isinstance(key, str):
+        raise UnreadableError('the key is no text')
+    if is_deleted(entry):
+        return Item(key, None, revision)
+    try:
+        value = base64.b64decode(entry['value'], validate=True)
+    except (LookupError, ValueError, TypeError):
+        value = NO_VALUE
+    return Item(key, value, revision)
+
+
+def _can_be_encoded(text: str) -> bool:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 class Freshness(NamedTuple):
     """Bound on the staleness of an answer that another host relayed.
 
--- a/packages/router/src/rosemaryseam/router/mirror.py
+++ b/packages/router/src/rosemaryseam/router/mirror.py
@@ -14,7 +14,14 @@
 import falcon
 from gevent.event import Event
 
-from rosemaryseam.common.errors import PlatformError
+from rosemaryseam.common.decoding import (
+    decode_json,
+    decoding,
+    require_count,
+    require_number,
+    require_object,
+)
+from rosemaryseam.common.errors import PlatformError, UnreadableError
 from rosemaryseam.common.exchange import call
 from rosemaryseam.common.rangestore import (
     Changes,
@@ -25,6 +32,7 @@
     RefusedError,
     Snapshot,
     StorePosition,
+    decode_items,
 )
 
 if TYPE_CHECKING:
@@ -37,6 +45,7 @@
 
 MAX_KEPT_CHANGES = 4096  # latest changes, for watches that start at an older revision
 MAX_WAIT_MS = 30_000  # longest wait of one watch for a change
+MAX_ANSWER_BYTES = 33_554_432  # after decompression
 PATH = '/mirror'
 ERA_HEADER = 'X-Mirror-Era'  # era of a mirror that lacks the requested changes
 
@@ -208,16 +217,16 @@
 
 def _get(
     address: Address, path: str, timeout_s: float, era: int | None = None
-) -> dict[str, Any]:
+) -> bytes:
     try:
         answer = call(address, 'GET', path, timeout_s=timeout_s)
         if answer.status == HTTPStatus.GONE:
             raise _history_lost(answer, era)
         if answer.status != HTTPStatus.OK:
             raise RefusedError(f'mirror answered with HTTP status {answer.status}')
-        return json.loads(zlib.decompress(answer.body))
-    except (OSError, ValueError, zlib.error) as exc:
+    except (OSError, ValueError) as exc:
         raise PlatformError(f'mirror at {address}: {exc}') from exc
+    return answer.body
 
 
 def _history_lost(answer: Answer, era: int | None) -> HistoryLostError:
@@ -253,26 +262,34 @@
     }
 
 
-def _decode(address: Address, data: Any, kind: type[_Answer]) -> _Answer:
+def _decode(address: Address, body: bytes, kind: type[_Answer]) -> _Answer:
     try:
-        position = StorePosition(int(data['era']), int(data['revision']))
-        return kind(_decode_items(data), position, _decode_freshness(data))
-    except (LookupError, TypeError, ValueError) as exc:
-        raise PlatformError(f'mirror at {address}: unreadable: {exc!r}') from exc
-
-
-def _decode_items(data: dict[str, Any]) -> tuple[Item, ...]:
-    return tuple(
-        Item(
-            entry['key'],
-            None if entry['value'] is None else base64.b64decode(entry['value']),
-            entry['revision'],
-        )
-        for entry in data['items']
-    )
+        with decoding(f'mirror at {address}'):
+            data = require_object(decode_json(_decompress(body)))
+            items = decode_items(data['items'], _is_deleted)
+            position = StorePosition(
+                require_count(data['era']), require_count(data['revision'])
+            )
+            return kind(items, position, _decode_freshness(data))
+    except UnreadableError as exc:
+        raise PlatformError(exc.message) from exc
+
+
+def _decompress(body: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    data = decompressor.decompress(body, MAX_ANSWER_BYTES)
+    if not decompressor.eof:
+        raise ValueError('the answer is cut short or too long')
+    return data
+
+
+def _is_deleted(entry: dict[str, Any]) -> bool:
+    return entry.get('value', '') is None
 
 
 def _decode_freshness(data: dict[str, Any]) -> Freshness:
     return Freshness(
-        float(data['age_s']), float(data['held_s']), float(data['silent_s'])
+        require_number(data['age_s']),
+        require_number(data['held_s']),
+        require_number(data['silent_s']),
     )
