Apply the other entries of a datagram of which one is unreadable

A limit or a speed that is no number lost the whole datagram, and so the placements in it; an entry whose handling failed lost those after it; a message that could not be encoded lost all messages of that turn to all hosts. Evidence of upstreams' load was taken with text or numbers beyond 64 bits and failed where it is used. How deeply nested a value may be depended on the stack of its reader, so that hosts could disagree about it.

Entries are decoded and applied one by one, through common.decoding; what is unreadable is counted, logged once and shown in the dump. JSON may have 64 levels. A test expected that a datagram with an odd limit is refused as a whole; it now expects that this entry is left out and that the others arrive.

--- a/packages/common/src/rosemaryseam/common/decoding.py
+++ b/packages/common/src/rosemaryseam/common/decoding.py
@@ -20,6 +20,7 @@
 MAX_COUNT = 2**53  # larger integers are not exact in all implementations of JSON
 MAX_NUMBER = 1e15
 MAX_TEXT_CHARS = 1000
+MAX_DEPTH = 64  # levels of objects and lists in a JSON text
 MAX_SHOWN_CHARS = 100  # of a value in the text of an error
 
 
@@ -68,7 +69,11 @@
     """
     with decoding('JSON'):
         text = data if isinstance(data, str) else data.decode()
-        return json.loads(text, parse_constant=_reject_constant)
+        value = json.loads(text, parse_constant=_reject_constant)
+        # The depth at which the parser gives up differs between its callers.
+        if text.count('[') + text.count('{') > MAX_DEPTH:
+            _check_depth(value)
+        return value
 
 
 def require_object(value: Any) -> dict[str, Any]:
@@ -157,5 +162,19 @@
     raise UnreadableError(f'{shown} is not {expected}')
 
 
+def _check_depth(value: Any) -> None:
+    level = [value]
+    for _ in range(MAX_DEPTH + 1):
+        parents = [one for one in level if isinstance(one, dict | list)]
+        level = [
+            child
+            for one in parents
+            for child in (one.values() if isinstance(one, dict) else one)
+        ]
+        if not level:
+            return
+    raise UnreadableError(f'more than {MAX_DEPTH} levels')
+
+
 def _reject_constant(text: str) -> NoReturn:
     raise UnreadableError(f'{text} is no JSON')
--- a/packages/common/src/rosemaryseam/common/fairness.py
+++ b/packages/common/src/rosemaryseam/common/fairness.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
+import functools
 import traceback
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import gevent
 
 from rosemaryseam.common.decisionlog import log_event, log_warning
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from rosemaryseam.common.metrics import Metrics
 
+T = TypeVar('T')
+
 RECEIVES_PER_TURN = 8  # before other greenlets get a turn
 ERROR_PAUSE_S = 0.2  # after an unexpected error in repeated work
 LOGGED_TRACE_FRAMES = 3  # innermost frames of the traceback
@@ -60,7 +63,7 @@
         self._sock.close()
 
 
-def attempt(name: str, step: Callable[[], None], metrics: Metrics) -> bool:
+def attempt(name: str, step: Callable[[], object], metrics: Metrics) -> bool:
     """Run a step of repeated work; return whether it ended without an error.
 
     An unexpected error is logged, so that what comes after the step goes on. The first,
@@ -90,6 +93,20 @@
     return True
 
 
+def apply_each(
+    name: str, entries: Iterable[T], apply: Callable[[T], object], metrics: Metrics
+) -> None:
+    """Apply entries one by one; an unexpected error with one does not stop the others.
+
+    :param name: name of the work in the log
+    :param entries: entries to apply
+    :param apply: applies one entry
+    :param metrics: counters of the process
+    """
+    for entry in entries:
+        attempt(name, functools.partial(apply, entry), metrics)
+
+
 def run_repeatedly(name: str, step: Callable[[], None], metrics: Metrics) -> None:
     """Run a step again and again; an unexpected error ends only the current step.
 
--- a/packages/router/src/rosemaryseam/router/brittleness.py
+++ b/packages/router/src/rosemaryseam/router/brittleness.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from rosemaryseam.common.decisionlog import log_event
+from rosemaryseam.common.decoding import readable, require_list
 from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.policy.queueroom import REJECTED, QueueRoom
 from rosemaryseam.router.brittlereports import BrittleReport, read_report
@@ -393,8 +394,8 @@
             self._link.send_message(dispatcher, KIND, body)
 
     def _handle_message(self, host: str, body: Any) -> None:
-        for entry in body:
-            self.adopt(read_report(entry), host)
+        for report in readable(require_list(body), read_report):
+            self.adopt(report, host)
 
 
 def is_room_refusal(exc: NoUpstreamError) -> bool:
--- a/packages/router/src/rosemaryseam/router/brittlereports.py
+++ b/packages/router/src/rosemaryseam/router/brittlereports.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from rosemaryseam.common.decoding import (
+    decoding,
+    require_count,
+    require_number,
+    require_text,
+)
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -28,17 +34,14 @@
     """Return a report of another host.
 
     :param entry: fields of the report, of JSON types
-    :raises ValueError: it is malformed
+    :raises UnreadableError: it is malformed
     """
-    upstream, born, limit, age_s, room = (*entry, None)[:5]
-    if limit is not None and not 0 <= float(limit) < math.inf:
-        raise ValueError('the rejections per second are no rate')
-    if not 0 <= float(age_s) < math.inf:
-        raise ValueError('the age of a statement is no duration')
-    return BrittleReport(
-        str(upstream),
-        int(born),
-        None if limit is None else float(limit),
-        float(age_s),
-        None if room is None else float(room),
-    )
+    with decoding('brittle upstream'):
+        upstream, born, limit, age_s, room = (*entry, None)[:5]
+        return BrittleReport(
+            require_text(upstream),
+            require_count(born),
+            None if limit is None else require_number(limit),
+            require_number(age_s),
+            None if room is None else require_number(room),
+        )
--- a/packages/router/src/rosemaryseam/router/datagrams.py
+++ b/packages/router/src/rosemaryseam/router/datagrams.py
@@ -6,19 +6,30 @@
 import math
 import pathlib
 import zlib
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple, TypeVar
 
 import capnp
 
-from rosemaryseam.common.errors import PeerError
+from rosemaryseam.common.decoding import (
+    decode_json,
+    decoding,
+    readable,
+    require_number,
+    require_object,
+)
+from rosemaryseam.common.errors import PeerError, UnreadableError
 from rosemaryseam.router.crashes import CrashReport, QuarantinedPart, SuspectPart
 from rosemaryseam.router.origins import Software, StreamOrigin
 from rosemaryseam.router.queries import InFlightReport, PlacedPrompt, Placement, Query
 from rosemaryseam.router.requestlimits import LimitReport
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
     from rosemaryseam.policy.prefixes import Part
 
+T = TypeVar('T')
+
 MAX_DATAGRAM_BYTES = 60_000
 MAX_TRAVERSAL_WORDS = 65_536
 MAX_MESSAGE_BYTES = 8 * MAX_TRAVERSAL_WORDS  # of a datagram after decompression
@@ -88,6 +99,7 @@
     holds what the sender knows of the beginning of streams, ``origin_lookups`` the ids
     of the requests that began the streams it asks about. The receiver writes
     ``origins_to_write`` to the store. ``messages`` are those of other parts.
+    ``unreadable`` holds the reasons for which entries were left out.
     """
 
     host: str
@@ -109,6 +121,7 @@
     origin_lookups: tuple[str, ...] = ()
     origins_to_write: tuple[StreamOrigin, ...] = ()
     messages: tuple[PartMessage, ...] = ()
+    unreadable: tuple[str, ...] = ()
 
 
 def encode(datagram: Datagram) -> bytes:
@@ -146,18 +159,21 @@
 
 
 def decode(data: bytes) -> Datagram:
-    """Decode a datagram.
+    """Decode a datagram; entries of it that are unreadable are left out.
 
     :param data: bytes received from a peer
     :raises PeerError: the bytes are not a valid datagram
     """
     try:
-        with _SCHEMA.Datagram.from_bytes(
-            _decompress(data), traversal_limit_in_words=MAX_TRAVERSAL_WORDS
-        ) as message:
+        with (
+            decoding('datagram'),
+            _SCHEMA.Datagram.from_bytes(
+                _decompress(data), traversal_limit_in_words=MAX_TRAVERSAL_WORDS
+            ) as message,
+        ):
             return _decode(message)
-    except (capnp.KjException, ValueError, zlib.error) as exc:
-        raise PeerError(f'unreadable datagram: {exc}') from exc
+    except UnreadableError as exc:
+        raise PeerError(exc.message) from exc
 
 
 def _decompress(data: bytes) -> bytes:
@@ -169,32 +185,37 @@
 
 
 def _decode(message: object) -> Datagram:
-    return Datagram(
+    unreadable: list[UnreadableError] = []
+
+    def each(entries: Iterable[Any], decode_entry: Callable[[Any], T]) -> tuple[T, ...]:
+        return tuple(readable(entries, decode_entry, unreadable.append))
+
+    datagram = Datagram(
         host=message.host,
         incarnation=message.incarnation,
         leaving=message.leaving,
         sync=message.sync,
-        dispatch_requests=tuple(_decode_query(entry) for entry in message.queries),
-        replies=tuple(_decode_reply(entry) for entry in message.replies),
+        dispatch_requests=each(message.queries, _decode_query),
+        replies=each(message.replies, _decode_reply),
         started=tuple(message.started),
-        ended=tuple(_decode_ended(entry) for entry in message.ended),
-        in_flight=tuple(_decode_in_flight(entry) for entry in message.held),
+        ended=each(message.ended, _decode_ended),
+        in_flight=each(message.held, _decode_in_flight),
         active=tuple(message.active),
-        placed=tuple(_decode_placed(entry) for entry in message.placed),
-        left=tuple(Incarnation(entry.id, entry.born) for entry in message.left),
-        crashes=tuple(_decode_crash(entry) for entry in message.crashes),
-        quarantined=tuple(_decode_quarantined(entry) for entry in message.quarantined),
-        limits=tuple(_decode_limit(entry) for entry in message.limits),
-        origins=tuple(_decode_origin(entry) for entry in message.origins),
-        origin_lookups=tuple(message.originLookups),
-        origins_to_write=tuple(
-            _decode_origin(entry) for entry in message.originsToWrite
-        ),
-        messages=tuple(
-            PartMessage(entry.kind, json.loads(entry.body))
-            for entry in message.messages
-        ),
+        placed=each(message.placed, _decode_placed),
+        left=each(message.left, lambda entry: Incarnation(entry.id, entry.born)),
+        crashes=each(message.crashes, _decode_crash),
+        quarantined=each(message.quarantined, _decode_quarantined),
+        limits=each(message.limits, _decode_limit),
+        origins=each(message.origins, _decode_origin),
+        origin_lookups=each(message.originLookups, str),
+        origins_to_write=each(message.originsToWrite, _decode_origin),
+        messages=each(message.messages, _decode_part_message),
     )
+    return datagram._replace(unreadable=tuple(exc.message for exc in unreadable))
+
+
+def _decode_part_message(entry: object) -> PartMessage:
+    return PartMessage(entry.kind, decode_json(entry.body))
 
 
 def _to_ms(seconds: float | None) -> int:
@@ -289,25 +310,28 @@
             fetch_from=entry.fetchFrom or None,
             expected_first_s=entry.expectedFirstMs / 1000,
             answer_timeout_s=entry.answerLimitMs / 1000 or None,
-            engine_slowdown=entry.engineSpeed,
+            engine_slowdown=require_number(entry.engineSpeed),
             inputs=_decode_inputs(entry.inputs),
-            request_limit=entry.requestLimit if entry.isLimited else None,
+            request_limit=require_number(entry.requestLimit)
+            if entry.isLimited
+            else None,
         )
     return Reply(
         entry.number,
         placement,
         entry.refusal,
         entry.retryAfterMs / 1000,
-        entry.pressure,
+        require_number(entry.pressure),
         entry.unable,
     )
 
 
 def _decode_inputs(text: str) -> dict[str, object]:
-    inputs = json.loads(text or '{}')
-    if not isinstance(inputs, dict):
-        raise ValueError('the inputs of a placement are no object')
-    return inputs
+    """Return the inputs of a placement, which is good without them too."""
+    try:
+        return require_object(decode_json(text or '{}'))
+    except UnreadableError:
+        return {}
 
 
 def _encode_ended(entry: EndedRequest) -> dict[str, object]:
@@ -367,7 +391,7 @@
     return PlacedPrompt(
         entry.upstream,
         _decode_parts(entry.parts),
-        entry.engineSpeed,
+        require_number(entry.engineSpeed),
         entry.ageMs / 1000,
     )
 
@@ -434,9 +458,7 @@
 
 
 def _decode_limit(entry: object) -> LimitReport:
-    limit = None if entry.perSecond == UNSET else entry.perSecond
-    if limit is not None and not 0 <= limit < math.inf:
-        raise ValueError('the request limit is no rate')
+    limit = None if entry.perSecond == UNSET else require_number(entry.perSecond)
     return LimitReport(entry.id, entry.born, limit, entry.ageMs / 1000)
 
 
--- a/packages/router/src/rosemaryseam/router/demandcounts.py
+++ b/packages/router/src/rosemaryseam/router/demandcounts.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from rosemaryseam.common.decoding import (
+    decoding,
+    require_count,
+    require_number,
+    require_text,
+)
 from rosemaryseam.policy.demandtrend import RankDemand
 
 if TYPE_CHECKING:
@@ -117,18 +122,20 @@
 
         :param host: address of the host
         :param body: incarnation, number and rates
-        :raises ValueError: the message is not valid
+        :raises UnreadableError: the message is not valid
         """
-        now = self._clock.monotonic()
-        entry = _HostDemand(
-            now,
-            int(body['incarnation']),
-            int(body['number']),
-            {
-                str(service): dict(_decode_rank(fields) for fields in ranks)
-                for service, ranks in body['services'].items()
-            },
-        )
+        with decoding('demand'):
+            entry = _HostDemand(
+                self._clock.monotonic(),
+                require_count(body['incarnation']),
+                require_count(body['number']),
+                {
+                    require_text(service): dict(
+                        _decode_rank(fields) for fields in ranks
+                    )
+                    for service, ranks in body['services'].items()
+                },
+            )
         known = self._hosts.get(host)
         if (
             known is not None
@@ -165,10 +172,8 @@
 
 def _decode_rank(fields: list[float]) -> tuple[int, RankDemand]:
     rank, *values = fields
-    demand = RankDemand(*(float(value) for value in values))
-    if not all(math.isfinite(value) and 0 <= value < MAX_RATE for value in demand):
-        raise ValueError(f'{values!r} are not rates')
-    return int(rank), demand
+    demand = RankDemand(*(require_number(value, most=MAX_RATE) for value in values))
+    return require_count(rank), demand
 
 
 def _add(first: RankDemand, second: RankDemand) -> RankDemand:
--- a/packages/router/src/rosemaryseam/router/dispatcher.py
+++ b/packages/router/src/rosemaryseam/router/dispatcher.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
+from rosemaryseam.common.fairness import apply_each
 from rosemaryseam.policy.slots import SlotPlan
 from rosemaryseam.router.datagrams import DispatchRequest, Reply
 from rosemaryseam.router.placement import NoUpstreamError
@@ -94,20 +95,39 @@
 
         :param datagram: datagram of another host
         """
-        host = datagram.host
-        for placed in datagram.placed:
-            self._tracker.adopt_prompt(placed)
-        for report in datagram.in_flight:
-            self._tracker.adopt_request(host, report)
-        for report in datagram.limits:
-            self._tracker.adopt_limit(report, host)
-        replies = [self.reply(host, request) for request in datagram.dispatch_requests]
-        for number in datagram.started:
-            self._tracker.record_first_event(host, number)
-        for entry in datagram.ended:
-            self._tracker.record_end(
-                host, entry.number, entry.outcome, entry.duration_s
-            )
+        host, tracker = datagram.host, self._tracker
+        replies: list[Reply] = []
+        for name, entries, apply in (
+            ('placed', datagram.placed, tracker.adopt_prompt),
+            (
+                'in_flight',
+                datagram.in_flight,
+                lambda report: tracker.adopt_request(host, report),
+            ),
+            (
+                'limits',
+                datagram.limits,
+                lambda report: tracker.adopt_limit(report, host),
+            ),
+            (
+                'dispatch_requests',
+                datagram.dispatch_requests,
+                lambda request: replies.append(self.reply(host, request)),
+            ),
+            (
+                'started',
+                datagram.started,
+                lambda number: tracker.record_first_event(host, number),
+            ),
+            (
+                'ended',
+                datagram.ended,
+                lambda entry: tracker.record_end(
+                    host, entry.number, entry.outcome, entry.duration_s
+                ),
+            ),
+        ):
+            apply_each(name, entries, apply, self._metrics)
         if datagram.sync:
             self._tracker.retain_requests(host, set(datagram.active))
         return replies
--- a/packages/router/src/rosemaryseam/router/peers.py
+++ b/packages/router/src/rosemaryseam/router/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import ipaddress
 import json
 from collections import deque
@@ -15,9 +16,10 @@
 from rosemaryseam.common.decisionlog import log_event, log_warning
 from rosemaryseam.common.decoding import decode_json, decoding, require_number
 from rosemaryseam.common.errors import PeerError, PlatformError, UnreadableError
-from rosemaryseam.common.fairness import run_repeatedly
+from rosemaryseam.common.fairness import apply_each, attempt, run_repeatedly
 from rosemaryseam.common.rangestore import EraChangedError, Write
 from rosemaryseam.common.skippedvalues import SkippedValues
+from rosemaryseam.common.workfailures import describe_error
 from rosemaryseam.router.datagrams import (
     MAX_DATAGRAM_BYTES,
     Datagram,
@@ -33,6 +35,7 @@
 
     from rosemaryseam.common.addresses import Address
     from rosemaryseam.common.clock import Clock
+    from rosemaryseam.common.errors import RosemaryseamError
     from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.common.rangestore import Lease, RangeStore
     from rosemaryseam.router.datagrams import (
@@ -450,7 +453,13 @@
                 self._transmit(host, data)
 
     def _send(self, host: str, datagram: Datagram) -> None:
-        self._transmit(host, encode(datagram))
+        try:
+            data = encode(datagram)
+        except Exception as exc:  # messages to other hosts must still be sent
+            self._metrics.count('peer_unsendable')
+            log_warning('peer_unsendable', peer=host, error=describe_error(exc))
+            return
+        self._transmit(host, data)
 
     def _transmit(self, host: str, data: bytes) -> None:
         try:
@@ -474,11 +483,23 @@
                     gevent.sleep(RECEIVE_RETRY_S)
                 continue
             try:
-                self._handle_datagram(host, decode(data))
-            except Exception as exc:  # a message must not end the receipt of others
-                self._metrics.count('peer_unreadable')
-                reason = exc.message if isinstance(exc, PeerError) else repr(exc)
-                log_warning('peer_unreadable', peer=host, reason=reason)
+                datagram = decode(data)
+            except PeerError as exc:
+                self._skip_message(host, 'datagram', exc)
+                continue
+            for reason in datagram.unreadable:
+                self._skip_message(host, 'entry of a datagram', UnreadableError(reason))
+            attempt(
+                'datagram',
+                functools.partial(self._handle_datagram, host, datagram),
+                self._metrics,
+            )
+
+    def _skip_message(self, host: str, kind: str, exc: RosemaryseamError) -> None:
+        """Count a message that cannot be read, and log it once for each reason."""
+        self._metrics.count('peer_unreadable')
+        reason = UnreadableError(exc.message)
+        self._skipped.skip(kind, f'{kind} of {host}', exc.message.encode(), reason)
 
     def _handle_datagram(self, host: str, datagram: Datagram) -> None:
         if datagram.host != host or not self._is_current(host, datagram.incarnation):
@@ -490,27 +511,30 @@
             self._placer.hosts_changed()
             return
         self._last_received_at[host] = self._clock.monotonic()
-        for incarnation in datagram.left:
-            self._on_left(incarnation)
-        for reply in datagram.replies:
-            self._placer.handle_reply(reply)
-        for report in datagram.crashes:
-            self._tracker.crashes.apply_report(report)
-        self._tracker.crashes.adopt(host, datagram.quarantined)
-        self._handle_origins(host, datagram)
+        crashes = self._tracker.crashes
+        crashes.adopt(host, datagram.quarantined)
+        for name, entries, apply in (
+            ('left', datagram.left, self._on_left),
+            ('replies', datagram.replies, self._placer.handle_reply),
+            ('crashes', datagram.crashes, crashes.apply_report),
+            (
+                'origins',
+                datagram.origins,
+                functools.partial(self._origins.handle, host),
+            ),
+            ('origins_to_write', datagram.origins_to_write, self._origin_log.add),
+            (
+                'messages',
+                datagram.messages,
+                functools.partial(self._handle_message, host),
+            ),
+        ):
+            apply_each(name, entries, apply, self._metrics)
+        for request_id in datagram.origin_lookups:
+            self._outbox(host).origins.append(self._origins.answer(request_id))
         for reply in self._dispatcher.handle_datagram(datagram):
             self._outbox(host).replies.append(reply)
         self._send_crash_reports()
-        for message in datagram.messages:
-            self._handle_message(host, message)
-
-    def _handle_origins(self, host: str, datagram: Datagram) -> None:
-        for origin in datagram.origins:
-            self._origins.handle(host, origin)
-        for origin in datagram.origins_to_write:
-            self._origin_log.add(origin)
-        for request_id in datagram.origin_lookups:
-            self._outbox(host).origins.append(self._origins.answer(request_id))
 
     def _handle_message(self, host: str, message: PartMessage) -> None:
         """Pass a message to its part; hosts of another version may send others."""
@@ -520,14 +544,8 @@
             return
         try:
             handle(host, message.body)
-        except Exception as exc:  # a message must not end the receipt of others
-            self._metrics.count('peer_unreadable')
-            log_warning(
-                'peer_message_unreadable',
-                peer=host,
-                kind=message.kind,
-                reason=repr(exc),
-            )
+        except UnreadableError as exc:
+            self._skip_message(host, f'{message.kind} message', exc)
 
     def _is_current(self, host: str, incarnation: int) -> bool:
         """Return whether a host's current process sent the datagram.
--- a/packages/router/src/rosemaryseam/router/statedload.py
+++ b/packages/router/src/rosemaryseam/router/statedload.py
@@ -5,13 +5,22 @@
 import math
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from rosemaryseam.common.decoding import (
+    readable,
+    require_count,
+    require_list,
+    require_number,
+    require_object,
+    require_text,
+)
+from rosemaryseam.common.errors import UnreadableError
 from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.policy.enginespeed import EnginePerformance
 from rosemaryseam.router.learnedcapacity import LearnedReport
 from rosemaryseam.router.requests import StatedLoad
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Iterable, Iterator
+    from collections.abc import Callable, Collection, Iterable
 
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.router.hostlink import HostLink
@@ -184,12 +193,13 @@
         :param host: address of the other host
         :param body: content of the message
         """
+        body = require_object(body)
         seen: list[Incarnation] = []
-        for report in _decode_entries(body.get('seen', ()), _decode_report):
+        for report in readable(require_list(body.get('seen', [])), _decode_report):
             self.metrics.count('load_reports_received')
             seen.append((report.upstream, report.born))
             self._tracker.apply_load(report)
-        for learned in _decode_entries(body.get('learned', ()), _decode_learned):
+        for learned in readable(require_list(body.get('learned', [])), _decode_learned):
             self.metrics.count('learned_speeds_received')
             self._tracker.adopt_learned(learned)
         now = self._clock.monotonic()
@@ -213,18 +223,25 @@
 
 def _decode_report(entry: Any) -> LoadReport:
     name, born, age_s, load, gap_s, events, *rest = entry
-    longest_s = rest[0] if rest else 0.0
-    stated = None if load is None else StatedLoad(*load[:4])
-    report = LoadReport(
-        str(name), int(born), age_s, stated, gap_s, int(events), longest_s
+    return LoadReport(
+        require_text(name),
+        require_count(born),
+        require_number(age_s, most=MAX_EVIDENCE_AGE_S),
+        None if load is None else _decode_load(load),
+        require_number(gap_s),
+        require_count(events),
+        require_number(rest[0]) if rest else 0.0,
+    )
+
+
+def _decode_load(entry: Any) -> StatedLoad:
+    running, waiting, slots, percent, *_ = (*entry, None)
+    return StatedLoad(
+        require_count(running),
+        require_count(waiting),
+        require_count(slots),
+        None if percent is None else require_number(percent),
     )
-    if not (
-        0.0 <= age_s < MAX_EVIDENCE_AGE_S
-        and 0.0 <= gap_s < math.inf
-        and 0.0 <= longest_s < math.inf
-    ):
-        raise ValueError('the evidence of an upstream is out of range')
-    return report
 
 
 def _encode_learned(report: LearnedReport) -> list[Any]:
@@ -240,19 +257,18 @@
 
 def _decode_learned(entry: Any) -> LearnedReport:
     name, born, age_s, figures, work_s = entry[:5]
-    values = [*(figures or ()), *(() if work_s is None else (work_s,))]
-    if not (age_s >= 0.0 and all(0.0 < value < math.inf for value in values)):
-        raise ValueError('the learned figures of an upstream are out of range')
-    performance = None if figures is None else EnginePerformance(*figures[:3])
-    return LearnedReport(str(name), int(born), age_s, performance, work_s)
-
-
-def _decode_entries(
-    entries: Iterable[Any], decode: Callable[[Any], Any]
-) -> Iterator[Any]:
-    """Yield the readable entries; one unreadable entry must not hide the others."""
-    for entry in entries:
-        try:
-            yield decode(entry)
-        except (ValueError, TypeError, LookupError):
-            continue
+    return LearnedReport(
+        require_text(name),
+        require_count(born),
+        require_number(age_s),
+        None
+        if figures is None
+        else EnginePerformance(*(_require_positive(value) for value in figures[:3])),
+        None if work_s is None else _require_positive(work_s),
+    )
+
+
+def _require_positive(value: Any) -> float:
+    if not require_number(value):
+        raise UnreadableError('a learned figure is 0')
+    return value
--- a/packages/router/src/rosemaryseam/router/tunnelwire.py
+++ b/packages/router/src/rosemaryseam/router/tunnelwire.py
@@ -6,6 +6,9 @@
 import struct
 from typing import Any, NamedTuple
 
+from rosemaryseam.common.decoding import decode_json
+from rosemaryseam.common.errors import UnreadableError
+
 MAX_MESSAGE_BYTES = 1024
 _LENGTH = struct.Struct('>H')
 
@@ -83,9 +86,9 @@
     if length > MAX_MESSAGE_BYTES:
         raise TunnelProtocolError(f'{length} bytes are more than a message has')
     try:
-        return json.loads(_read_exactly(sock, length))
-    except ValueError as exc:
-        raise TunnelProtocolError('a tunnel message is not JSON') from exc
+        return decode_json(_read_exactly(sock, length))
+    except UnreadableError as exc:
+        raise TunnelProtocolError(f'a tunnel message: {exc.message}') from exc
 
 
 def _read_exactly(sock: Any, size: int) -> bytes:
--- a/packages/router/src/rosemaryseam/router/usagecounts.py
+++ b/packages/router/src/rosemaryseam/router/usagecounts.py
@@ -8,6 +8,7 @@
 import gevent
 
 from rosemaryseam.common.decisionlog import log_event
+from rosemaryseam.common.decoding import decoding, require_count, require_number
 from rosemaryseam.policy.usagewindows import OwnCounts, TrueTime
 
 if TYPE_CHECKING:
@@ -197,18 +198,23 @@
         :param host: address of the host
         :param body: content of the message
         """
-        if body['i'] != self._incarnation:
+        with decoding('acknowledgement of counts'):
+            numbers = {int(window): require_count(one) for window, one in body['w']}
+            sent_s, done = require_number(body['b']), int(body['d'])
+            answered_s = None if body['t'] is None else require_number(body['t'])
+            incarnation = require_count(body['i'])
+        if incarnation != self._incarnation:
             return  # for the process before this one
         kept = self.own.windows()
         known = self._acknowledged.setdefault(host, {})
-        for window, number in body['w']:
-            known[int(window)] = max(known.get(int(window), 0), int(number))
+        for window, number in numbers.items():
+            known[window] = max(known.get(window, 0), number)
         for window in known.keys() - kept.keys():
             del known[window]
-        if body['t'] is not None and host == self._holder.holder():
-            self.own.done = max(self.own.done, int(body['d']))
+        if answered_s is not None and host == self._holder.holder():
+            self.own.done = max(self.own.done, done)
             confirmed = self.time.confirmed
-            corrected = self.time.correct_by_answer(float(body['b']), float(body['t']))
+            corrected = self.time.correct_by_answer(sent_s, answered_s)
             if self.time.confirmed and not confirmed:
                 self._next_send_at = self._clock.monotonic()  # first counts
             if corrected is not None:
--- a/packages/router/src/rosemaryseam/router/usagereporter.py
+++ b/packages/router/src/rosemaryseam/router/usagereporter.py
@@ -13,6 +13,7 @@
     decode_json,
     decoding,
     require_count,
+    require_number,
     require_text,
 )
 from rosemaryseam.common.errors import PlatformError, UnreadableError
@@ -122,24 +123,29 @@
         :param host: address of the host
         :param body: content of the message
         """
-        sent, incarnation = float(body['t']), int(body['i'])
+        with decoding('counts of a host'):
+            sent, incarnation = require_number(body['t']), require_count(body['i'])
+            windows = [
+                (int(window), _decode_counts(counts)) for window, counts in body['w']
+            ]
+            sent_s = require_number(body['b'])
         now = self._time.now()
         # A host sends no counts before its time is confirmed.
-        complete_at = sent if body['c'] else -math.inf
+        complete_at = sent if body.get('c') else -math.inf
         self._heard[host] = Heard(self._clock.monotonic(), complete_at)
         self._votes.add(host, sent - now)
         present = window_at(now, self._window_s)
         received = []
-        for window, counts in body['w']:
+        for window, counts in windows:
             # Before this host's time is confirmed, it may be this host's that is wrong.
             ahead = window - present if self._time.confirmed else 0
             if -KEPT_WINDOWS <= ahead <= MAX_WINDOWS_AHEAD:
-                number = self._merged.merge(int(window), (host, incarnation), counts)
+                number = self._merged.merge(window, (host, incarnation), counts)
                 received.append((window, number))
         known = self._holder.is_holder() and self._time.confirmed
         answer = {
             'i': incarnation,
-            'b': body['b'],
+            'b': sent_s,
             't': self._time.now() if known else None,
             'd': self._counts.own.done,
             'w': received,
