Bound the numbers in the heads of requests and answers

Token counts of a caller were taken without a range: beyond 32 bits they failed the encoding of the query to the dispatcher, with all other messages of that turn; negative ones were placed. A length hint that is no number refused its request. An upstream could state a rate of 1e308.

Numbers of tokens have at most nine digits, or the request is refused as malformed; an odd hint costs the hint alone. Stated rates above 1e9 are ignored and pauses are cut at an hour.

--- a/packages/router/src/rosemaryseam/router/headercodec.py
+++ b/packages/router/src/rosemaryseam/router/headercodec.py
@@ -21,6 +21,9 @@
     from rosemaryseam.router.requests import UpstreamCall
 
 MAX_TIMEOUT_MS = 86_400_000
+MAX_TOKEN_DIGITS = 9  # of a number of tokens
+MAX_RETRY_AFTER_S = 3600.0  # longer pauses are cut
+MAX_STATED_RATE = 1e9  # larger stated rates are nonsense
 MAX_LOAD_BYTES = 200  # of a stated load that are read
 MAX_STATED_COUNT = 1_000_000  # larger stated counts are nonsense
 MAX_WORK_PERCENT = 10_000.0  # larger stated work times are nonsense
@@ -244,13 +247,13 @@
         if counts is None:
             return None
         try:
-            prompt_tokens, max_output = (int(part) for part in counts.split(b','))
+            prompt_tokens, max_output = map(_decode_tokens, counts.split(b','))
             parts = _decode_parts(fields.get(_field_key(names.prompt_parts), b''))
-            hint = int(fields.get(_field_key(names.length_hint)) or 0)
         except ValueError:
             raise BadRequestError('unreadable token counts or prompt parts') from None
         model = fields.get(_field_key(names.model), b'').decode('latin-1')
-        expected = min(hint, max_output) if hint > 0 else max_output
+        hint = _decode_hint(fields.get(_field_key(names.length_hint)))
+        expected = min(hint, max_output) if hint else max_output
         return Prompt(model, parts, prompt_tokens, max_output, expected)
 
 
@@ -298,12 +301,33 @@
     return timeout_ms / 1000
 
 
+def _decode_tokens(value: bytes) -> int:
+    """Return a number of tokens.
+
+    :raises ValueError: it is no number, negative or too large
+    """
+    digits = value.strip()
+    if not digits.isdigit() or len(digits) > MAX_TOKEN_DIGITS:
+        raise ValueError('not a number of tokens')
+    return int(digits)
+
+
+def _decode_hint(value: bytes | None) -> int | None:
+    """Return a hint of a number of tokens; nonsense is ignored."""
+    try:
+        return _decode_tokens(value or b'')
+    except ValueError:
+        return None
+
+
 def _decode_parts(value: bytes) -> tuple[PromptPart, ...]:
     parts = []
     for entry in value.split(b','):
         if entry.strip():
             digest, _, tokens = entry.partition(b':')
-            parts.append(PromptPart(digest.strip().decode('latin-1'), int(tokens)))
+            parts.append(
+                PromptPart(digest.strip().decode('latin-1'), _decode_tokens(tokens))
+            )
     return tuple(parts)
 
 
@@ -349,7 +373,9 @@
         seconds = float(value)
     except ValueError:
         return None
-    return seconds if 0 < seconds < math.inf else None
+    if not 0 < seconds < math.inf:
+        return None
+    return min(seconds, MAX_RETRY_AFTER_S)
 
 
 def _decode_rate(value: bytes | None) -> float | None:
@@ -358,7 +384,7 @@
         limit = float(value or b'')
     except ValueError:
         return None
-    return limit if 0 <= limit < math.inf else None
+    return limit if 0 <= limit <= MAX_STATED_RATE else None
 
 
 def open_header_codec(names: HeaderNames = DEFAULT_HEADER_NAMES) -> HttpCodec:
--- a/tests/test_platform/test_headers.py
+++ b/tests/test_platform/test_headers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from rosemaryseam.common.addresses import Address
 from rosemaryseam.platform.headers import HEADER_NAMES
@@ -127,6 +129,12 @@
     ('infinite deadline', (b'Rosemaryseam-Deadline-Ms', b'inf')),
     ('token counts not numbers', (b'Rosemaryseam-Token-Counts', b'many')),
     ('prompt parts without token counts', (b'Rosemaryseam-Prompt-Prefix', b'5c1e')),
+    ('negative token counts', (b'Rosemaryseam-Token-Counts', b'-5,80')),
+    ('huge token counts', (b'Rosemaryseam-Token-Counts', b'99999999999,80')),
+    ('token counts of many digits', (b'Rosemaryseam-Token-Counts', b'9' * 5000)),
+    ('huge part', (b'Rosemaryseam-Prompt-Prefix', b'5c1e:99999999999')),
+    ('negative part', (b'Rosemaryseam-Prompt-Prefix', b'5c1e:-1')),
+    ('deadline that is no number', (b'Rosemaryseam-Deadline-Ms', b'nan')),
 ]
 
 
@@ -177,3 +185,78 @@
 def test_upstream_load_is_decoded() -> None:
     head = CODEC.decode_answer(200, b'', [(b'Rosemaryseam-Server-Load', b'3,0,8')])
     assert head.load == (3, 0, 8, None)
+
+
+HINTS = [(b'33', 33), (b'900', 80), (b'-3', 80), (b'many', 80), (b'9' * 5000, 80)]
+
+
+# Guards against requests that are refused for an estimate that cannot be read.
+@pytest.mark.parametrize(('hint', 'expected'), HINTS)
+def test_an_odd_length_hint_costs_the_hint_alone(hint: bytes, expected: int) -> None:
+    request = decode([(b'Rosemaryseam-Length-Hint', hint)])
+    assert request.prompt.expected_output_tokens == expected
+
+
+NUMBERS = st.sampled_from(
+    [b'', b'0', b'-0', b'nan', b'inf', b'-1', b'1e400', b'1e308', b'9' * 5000, b'1_0']
+    + [b'\xb2', b'3,0,8', b'3,0,8,1e400', b'1, 2 ,3,nan', b'timeout=', b'12', b'4.5']
+    + [b'timeout=' + b'9' * 400, b'a:1,b:2', b'a:,:1,::', b'a' * 3000]
+)
+ANSWER_NAMES = [
+    HEADER_NAMES.request_id,
+    HEADER_NAMES.load,
+    HEADER_NAMES.leaving,
+    HEADER_NAMES.request_limit,
+    HEADER_NAMES.brittle,
+    HEADER_NAMES.not_run,
+    'Retry-After',
+    'Keep-Alive',
+    'Connection',
+    'Content-Type',
+    'Content-Length',
+]
+REQUEST_NAMES = [
+    HEADER_NAMES.token_counts,
+    HEADER_NAMES.prompt_parts,
+    HEADER_NAMES.length_hint,
+    HEADER_NAMES.timeout_ms,
+    HEADER_NAMES.last_event_id,
+    HEADER_NAMES.resumed_id,
+    'Host',
+    'Connection',
+]
+
+
+def fields(names: list[str]) -> st.SearchStrategy[list[tuple[bytes, bytes]]]:
+    """Return a strategy for headers with odd and random values."""
+    name = st.sampled_from([name.encode() for name in names])
+    value = NUMBERS | st.binary(max_size=30)
+    return st.lists(st.tuples(name, value), max_size=12)
+
+
+# Guards against answers that fail requests, or numbers that break later work.
+@settings(max_examples=500, deadline=None, derandomize=True)
+@given(st.sampled_from([200, 429, 503, 421]), fields(ANSWER_NAMES))
+def test_any_head_of_an_answer_is_decoded(
+    status: int, headers: list[tuple[bytes, bytes]]
+) -> None:
+    head = CODEC.decode_answer(status, b'', headers)
+    for value in (head.request_limit, head.brittle, head.retry_after_s):
+        assert value is None or 0 <= value <= 1e9
+    assert head.load is None or all(0 <= (one or 0) <= 1e6 for one in head.load)
+
+
+@settings(max_examples=500, deadline=None, derandomize=True)
+@given(fields(REQUEST_NAMES))
+def test_any_head_of_a_request_is_decoded_or_refused(
+    headers: list[tuple[bytes, bytes]],
+) -> None:
+    try:
+        request = decode(headers)
+    except BadRequestError:
+        return
+    prompt = request.prompt
+    counts = [prompt.prompt_tokens, prompt.max_output_tokens]
+    counts += [prompt.expected_output_tokens, *(part.tokens for part in prompt.parts)]
+    assert all(0 <= count < 2**32 for count in counts)  # as sent to other hosts
+    CODEC.encode_call(UpstreamCall(request, 'i-7', None, 2.5, None, None, None))
