Take an answer that names no request for no answer on a kept connection

What callers may see: 503 and "not run" for a request that an upstream runs (REFUSED), or the request runs at a second upstream (TWICE).

Cause: an answer without the id of a request was taken for the answer to the current one. One with another id was skipped already.

An upstream that has named the request in its answers on a connection does so in each of them, so that an answer without an id is skipped there like one to another request. The current answer follows, or the request ends without a promise. Upstreams that never name requests are served as before.

Before: 41 of 125 cases failed: each status without an id, on each route, signed or not, 40 of them with 503 or a second send, and one promise without an answer.

--- a/packages/router/src/rosemaryseam/router/upstreamconnection.py
+++ b/packages/router/src/rosemaryseam/router/upstreamconnection.py
@@ -97,6 +97,7 @@
         self._head: AnswerHead | None = None
         self._skipped_bytes = 0
         self._events = 0
+        self._names_requests = False  # in the answers on this connection
         self.requests_served = 0
         self.last_used = clock.monotonic()
         self.keep_alive_timeout_s: float | None = None
@@ -172,7 +173,8 @@
 
         The upstream is leaving if any of these heads says so.
 
-        :param request_id: id of the request, which the answer must echo if it has one
+        :param request_id: id of the request, which the answer must echo if it or an
+            answer before it on this connection has one
         :raises BrokenError: if no answer arrived
         """
         leaving = False
@@ -187,7 +189,8 @@
             leaving = leaving or head.leaving
             if isinstance(event, h11.InformationalResponse):
                 continue
-            if head.request_id is None or head.request_id == request_id:
+            if self._is_of_request(head, request_id):
+                self._names_requests = head.request_id is not None
                 self._head = head._replace(leaving=leaving)
                 return self._head
             self._skip_answer()
@@ -237,6 +240,16 @@
         self.path.on_released()
         self._sock.close()
 
+    def _is_of_request(self, head: AnswerHead, request_id: str) -> bool:
+        """Return whether an answer is one to the request.
+
+        An upstream that has named the request before in its answers on this connection
+        does so in each of them.
+        """
+        if head.request_id is None:
+            return not self._names_requests
+        return head.request_id == request_id
+
     def _skip_answer(self) -> None:
         """Read an answer to another request to its end and reset the HTTP state."""
         for chunk in self.chunks():
