Expect the one error of unreadable data from a demand message

The test listed the exceptions that the decoder may raise; it raises UnreadableError alone since messages of other hosts are decoded in one place. The six cases failed since then and pass again.

--- a/tests/test_router/test_demandcounts.py
+++ b/tests/test_router/test_demandcounts.py
@@ -9,6 +9,7 @@
 from routers import RunningRouter, configuration
 
 from rosemaryseam.common.clock import ManualClock
+from rosemaryseam.common.errors import UnreadableError
 from rosemaryseam.router.demandcounts import (
     HOST_TIMEOUT_S,
     MIN_INTERVAL_S,
@@ -59,7 +60,7 @@
 @pytest.mark.parametrize('body', INVALID)
 def test_invalid_message_is_rejected(body: Any) -> None:
     table = DemandTable(ManualClock())
-    with pytest.raises((TypeError, ValueError, LookupError, AttributeError)):
+    with pytest.raises(UnreadableError):
         table.receive('a', body)
     assert table.host_count() == 0
 
