Confirm the versions that serve before an unknown stream goes on

What callers may see: a stream of a new software version goes on at an old one (ORDER).

Cause: a stream whose origin no host told went on if the host knew of one version only and had heard of the store within 3 s. A version that joined in these 3 s was not known. After a pause of the process the age is that of the clock, and requests are read before the store.

Such a stream goes on only if the store confirms that the feed has applied all changes up to that moment, by a watch that does not wait; questions within 5 ms share a call. The confirmation also brings origins that the store holds. Against the refusals that this adds, a host whose origin the homes do not know asks up to 32 other hosts, as the one that relayed the beginning may live.

--- a/packages/router/src/rosemaryseam/router/feed.py
+++ b/packages/router/src/rosemaryseam/router/feed.py
@@ -109,7 +109,8 @@
         self._on_restored = on_restored
         self._mirror = mirror or Mirror(self.staleness_s, lambda: 0.0)
         self._skipped = skipped or SkippedValues(metrics)
-        self._position: StorePosition | None = None
+        # Up to which changes were applied; ``None`` before a read of all items.
+        self.position: StorePosition | None = None
         self._era: int | None = None
         self._restored_at = -math.inf
         self._configuration: Item | None = None  # the one in force
@@ -127,6 +128,14 @@
         """Return the era of the store that this host follows."""
         return self._era or 0
 
+    def record_confirmation(self, at: float) -> None:
+        """Record that all changes up to a time are applied.
+
+        :param at: monotonic time in seconds
+        """
+        confirmed_at = max(at, self.status.confirmed_at)
+        self.status = self.status._replace(confirmed_at=confirmed_at)
+
     def run(self) -> None:
         """Follow the store indefinitely."""
         run_repeatedly('feed', self.step, self._metrics)
@@ -135,26 +144,26 @@
         """Make one call to the store and apply the result."""
         started = self._clock.monotonic()
         try:
-            if self._position is None:
+            if self.position is None:
                 self._load(started)
             else:
-                self._watch(self._position, started)
+                self._watch(self.position, started)
         except HistoryLostError as exc:
-            position = self._position
+            position = self.position
             log_warning(
                 'store_history_lost',
                 reason=exc.message,
                 era=position.era if position else None,
                 revision=position.revision if position else None,
             )
-            self._position = None
+            self.position = None
             if position is None:
                 self._record_failure(exc)
         except PlatformError as exc:
             self._record_failure(exc)
         except Exception:
             # A watch from the same position would meet the same input again.
-            self._position = None
+            self.position = None
             raise
 
     def mark_left(self, upstream: Upstream, reason: str) -> None:
@@ -189,7 +198,7 @@
         )
         self._publish(changes)
         self._on_other_items(OtherItems(tuple(others), True, restored))
-        self._position = snapshot.position
+        self.position = snapshot.position
         self._mirror.load(snapshot._replace(items=self._mirrored(snapshot.items)))
         self._record_answer(
             _confirmed_at(started, snapshot.freshness), snapshot.freshness
@@ -221,7 +230,7 @@
         others = [item for item in changes.items if self._apply_item(item, now)]
         if others:
             self._on_other_items(OtherItems(tuple(others)))
-        self._position = changes.position
+        self.position = changes.position
         self._mirror.extend(Changes(self._mirrored(changes.items), changes.position))
         confirmed = _confirmed_at(started, changes.freshness)
         if changes.freshness is None and not changes.items:
--- a/packages/router/src/rosemaryseam/router/origins.py
+++ b/packages/router/src/rosemaryseam/router/origins.py
@@ -23,6 +23,7 @@
 SHARE_INTERVAL_S = 0.05  # within which origins are sent together
 RESEND_DELAY_S = 0.02  # hosts answer in 1 to 5 ms unless a datagram is lost
 LOOKUP_TIMEOUT_S = 0.1
+MAX_OTHERS_ASKED = 32  # hosts besides the homes of an origin
 
 
 class Software(NamedTuple):
@@ -129,13 +130,18 @@
 
         :param request_id: id of the request that brought the first event
         """
-        software = self._get(request_id)
+        software = self.get(request_id)
         if software is not None:
             return software
-        homes = [host for host in self._homes(request_id) if host != self._host]
-        if not homes or self._link is None:
+        if self._link is None:
             return None
-        software = self._ask(request_id, homes)
+        homes = [host for host in self._homes(request_id) if host != self._host]
+        others = [host for host in self._link.known_hosts() if host not in homes]
+        software = self._ask(request_id, homes) if homes else None
+        if software is None and 0 < len(others) <= MAX_OTHERS_ASKED:
+            # One of them may have relayed the beginning, of which the homes lost word.
+            software = self._ask(request_id, others)
+            homes += others
         log_event('stream_origin', id=request_id, software=software, asked=homes)
         return software
 
@@ -178,7 +184,7 @@
 
         :param request_id: id of the request that brought the first event
         """
-        return StreamOrigin(request_id, self._get(request_id))
+        return StreamOrigin(request_id, self.get(request_id))
 
     def handle(self, host: str, origin: StreamOrigin) -> None:
         """Keep an origin that another host sent, and finish a lookup of it.
@@ -231,6 +237,10 @@
     def _first_kept_at(self) -> float:
         return next(iter(self._kept.values()))[1]
 
-    def _get(self, request_id: str) -> Software | None:
+    def get(self, request_id: str) -> Software | None:
+        """Return the software that began a stream, ``None`` if it is not known here.
+
+        :param request_id: id of the request that brought the first event
+        """
         software, at = self._kept.get(request_id, (None, 0.0))
         return software if at > self._clock.monotonic() - self._kept_s() else None
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -35,6 +35,7 @@
 from rosemaryseam.router.routes import CallerLimits
 from rosemaryseam.router.softwarehistory import SoftwareHistory
 from rosemaryseam.router.status import build_metrics_app, build_readiness_app
+from rosemaryseam.router.storeconfirmer import StoreConfirmer
 from rosemaryseam.router.upstreams import Registry
 from rosemaryseam.router.upstreamtracker import UpstreamTracker
 from rosemaryseam.router.usagereporter import is_usage_record
@@ -182,6 +183,9 @@
             self.peers.renew_registration,
             self.skipped,
         )
+        self._store_confirmer = StoreConfirmer(
+            store, state.root, self.feed, clock, self.metrics
+        )
         self.software = SoftwareHistory(
             cfg.ip,
             cfg.capacity,
@@ -210,7 +214,9 @@
         self._forwarder = Forwarder(
             self.feed,
             self.registry,
-            StreamResumption(self._origins, self.software, self.feed),
+            StreamResumption(
+                self._origins, self.software, self.feed, self._store_confirmer
+            ),
             self._pool,
             self._placer,
             http,
--- a/packages/router/src/rosemaryseam/router/resumption.py
+++ b/packages/router/src/rosemaryseam/router/resumption.py
@@ -16,9 +16,9 @@
     from rosemaryseam.router.origins import StreamOrigins
     from rosemaryseam.router.relay import StreamRelay
     from rosemaryseam.router.softwarehistory import SoftwareHistory
+    from rosemaryseam.router.storeconfirmer import StoreConfirmer
     from rosemaryseam.router.upstreams import Upstream
 
-MAX_STALENESS_S = 3.0  # of the versions, to conclude that only one version serves
 RETRY_AFTER_S = 0.5  # the messages of another host that knows may have been lost
 
 
@@ -27,15 +27,21 @@
 
     :param origins: origins of streams
     :param software: versions that serve or have served lately
-    :param feed: provides the routing table and its staleness
+    :param feed: provides the routing table
+    :param confirmer: tells whether the versions are the newest
     """
 
     def __init__(
-        self, origins: StreamOrigins, software: SoftwareHistory, feed: StateFeed
+        self,
+        origins: StreamOrigins,
+        software: SoftwareHistory,
+        feed: StateFeed,
+        confirmer: StoreConfirmer,
     ) -> None:
         self._origins = origins
         self._software = software
         self._feed = feed
+        self._confirmer = confirmer
 
     def record_begin(self, admitted: AdmittedRequest, upstream: Upstream) -> None:
         """Record the software whose event a caller got first, or next.
@@ -79,19 +85,26 @@
     def _only_software(self, admitted: AdmittedRequest) -> Software:
         """Return the software of an unknown stream, if it can only be one.
 
+        This host may have missed that another version joined, or may not have read the
+        stream's origin from the store yet.
+
         :raises RefusalError: if there are several versions
         """
-        name = admitted.service.name
+        name, resumed_id = admitted.service.name, admitted.request.resumed_id
+        confirmed = self._confirmer.confirm()
+        software = self._origins.get(resumed_id) if resumed_id else None
+        if software is not None:
+            return software
         versions = self._software.versions(name)
-        staleness_s = self._feed.staleness_s()
         log_event(
             'stream_origin_unknown',
             id=admitted.request.id,
-            resumes=admitted.request.resumed_id,
+            resumes=resumed_id,
             versions=sorted(versions),
-            table_age_ms=int(staleness_s * 1000),
+            confirmed=confirmed,
+            table_age_ms=int(self._feed.staleness_s() * 1000),
         )
-        if len(versions) != 1 or staleness_s > MAX_STALENESS_S:
+        if len(versions) != 1 or not confirmed:
             raise _refusal('the version that began the stream is not known')
         return Software(name, next(iter(versions)))
 
--- /dev/null
+++ b/packages/router/src/rosemaryseam/router/storeconfirmer.py
@@ -0,0 +1,90 @@
+"""Confirms that this host knows all that is in the store at a moment."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent.event import AsyncResult
+
+from rosemaryseam.common.decisionlog import log_event
+from rosemaryseam.common.errors import PlatformError
+
+if TYPE_CHECKING:
+    from rosemaryseam.common.clock import Clock
+    from rosemaryseam.common.metrics import Metrics
+    from rosemaryseam.common.rangestore import RangeStore, StorePosition
+    from rosemaryseam.router.feed import StateFeed
+
+BATCH_S = 0.005  # within which questions share a call
+TIMEOUT_S = 0.5  # for the call, and then for the feed to catch up
+POLL_S = 0.005  # between two looks at the feed
+
+
+class StoreConfirmer:
+    """Asks the store whether it has changes that the feed has not applied.
+
+    The feed's own watch cannot tell: it may wait on a connection that is dead, and a
+    process that stood still does not know for how long.
+
+    :param store: client of the store itself
+    :param root: prefix of the keys that the feed follows
+    :param feed: feed of this host
+    :param clock: clock of the process
+    :param metrics: counters of the process
+    """
+
+    def __init__(
+        self,
+        store: RangeStore,
+        root: str,
+        feed: StateFeed,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._store = store
+        self._root = root
+        self._feed = feed
+        self._clock = clock
+        self._metrics = metrics
+        self._pending: AsyncResult | None = None
+
+    def confirm(self) -> bool:
+        """Return whether the feed has applied all changes up to this moment.
+
+        Waits for the store, and for the feed if there are changes.
+        """
+        pending = self._pending
+        if pending is None:
+            pending = self._pending = AsyncResult()
+            gevent.spawn_later(BATCH_S, self._answer, pending)
+        return pending.get()
+
+    def _answer(self, pending: AsyncResult) -> None:
+        self._pending = None  # later questions need a later call
+        self._metrics.count('store_confirmations')
+        confirmed = False
+        try:
+            with gevent.Timeout(2 * TIMEOUT_S, False):
+                confirmed = self._ask()
+        except PlatformError as exc:
+            log_event('store_not_confirmed', reason=exc.message)
+        finally:
+            pending.set(confirmed)
+
+    def _ask(self) -> bool:
+        position, asked_at = self._feed.position, self._clock.monotonic()
+        if position is None:
+            return False
+        newest = self._store.watch_range(self._root, position, 0.0).position
+        with gevent.Timeout(TIMEOUT_S, False):
+            while not self._has_reached(newest):
+                gevent.sleep(POLL_S)
+            self._feed.record_confirmation(asked_at)
+            return True
+        log_event('store_not_confirmed', reason='the feed is behind')
+        return False
+
+    def _has_reached(self, newest: StorePosition) -> bool:
+        position = self._feed.position
+        return position is not None and position >= newest
--- /dev/null
+++ b/tests/test_router/test_take_ups_out_of_step.py
@@ -0,0 +1,125 @@
+"""Tests take-ups of streams at hosts that missed what others did for a while."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+import pytest
+from outofstep import OutOfStep
+from routers import RunningFleet
+from test_stream_versions import (
+    Versioned,
+    break_off,
+    count_joined,
+    streams_of,
+    take_up,
+    version_of,
+    versions,
+)
+
+from rosemaryseam.standins.scripted import ScriptedUpstream
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from routers import RunningRouter
+
+STREAMS = 8
+
+
+@pytest.fixture
+def fleet() -> Iterator[RunningFleet]:
+    """Yield three hosts with an engine of the first version."""
+    running = RunningFleet(3)
+    add_engine(running, 'engine-1', '1', running.hosts)
+    yield running
+    running.stop()
+
+
+def add_engine(
+    fleet: RunningFleet, name: str, version: str, hosts: list[RunningRouter]
+) -> None:
+    """Start an engine and wait until some hosts know it; its streams break off."""
+    first = fleet.hosts[0]
+    first.upstreams[name] = ScriptedUpstream(Versioned(version, break_off))
+    first.register(name, version=version)
+    for host in hosts:
+        host.wait(lambda host=host: version_of(host, name) == version)
+
+
+def replace_engine(fleet: RunningFleet) -> None:
+    """Add an engine of a new version, which two hosts get to know."""
+    add_engine(fleet, 'engine-2', '2', fleet.hosts[:2])
+
+
+def wait_serving(host: RunningRouter) -> None:
+    """Wait until a host places requests without the hosts that it does not reach."""
+    host.wait(lambda: host.call('single').status == 200, 8.0)
+
+
+def begin_at_new_version(fleet: RunningFleet, host: RunningRouter) -> list:
+    """Begin streams; return those that began at the new version."""
+    begun = streams_of(fleet, 3 * STREAMS, host)
+    return [stream for stream in begun if versions(stream[1]) == {'2'}]
+
+
+# Guards against streams of a new version that go on at another one through a host that
+# has not heard of it (report of issue 42, ORDER).
+@pytest.mark.parametrize('store', [True, False], ids=['hosts and store', 'hosts'])
+def test_a_host_that_is_out_of_step_joins_no_stream(
+    store: bool, fleet: RunningFleet
+) -> None:
+    late = fleet.hosts[2]
+    out_of_step = OutOfStep(late)
+    out_of_step.cut(store=store)
+    replace_engine(fleet)
+    begun = begin_at_new_version(fleet, fleet.hosts[1])
+    assert len(begun) >= 3
+    wait_serving(late)
+    rest = [take_up(late, *stream) for stream in begun]
+    assert count_joined(begun, rest) == 0
+    assert {response.status for response in rest} <= {200, 503}
+
+
+# Guards against the same just after the host is back, as a process that stood still
+# reads requests before anything else.
+def test_a_host_that_is_back_joins_no_stream(fleet: RunningFleet) -> None:
+    late = fleet.hosts[2]
+    out_of_step = OutOfStep(late)
+    out_of_step.cut(store=True)
+    replace_engine(fleet)
+    begun = begin_at_new_version(fleet, fleet.hosts[1])
+    for host in fleet.hosts[:2]:
+        host.router.kill()
+    wait_serving(late)
+    out_of_step.heal()
+    rest = [take_up(late, *stream) for stream in begun]
+    assert count_joined(begun, rest) == 0
+
+
+# Guards against the loss of take-ups for the sake of the tests above (LOST).
+def test_a_host_that_is_back_in_step_takes_streams_up(fleet: RunningFleet) -> None:
+    late = fleet.hosts[2]
+    out_of_step = OutOfStep(late)
+    out_of_step.cut(store=True)
+    replace_engine(fleet)
+    begun = begin_at_new_version(fleet, fleet.hosts[1])
+    gevent.sleep(0.5)
+    out_of_step.heal()
+    late.wait(lambda: version_of(late, 'engine-2') == '2')
+    wait_serving(late)
+    rest = [take_up(late, *stream) for stream in begun]
+    assert count_joined(begun, rest) == 0
+    assert {response.status for response in rest} == {200}, rest[0].body
+
+
+def test_streams_of_an_only_version_go_on_while_their_hosts_are_gone(
+    fleet: RunningFleet,
+) -> None:
+    begun = streams_of(fleet, STREAMS, fleet.hosts[1])
+    for host in fleet.hosts[:2]:
+        host.router.kill()
+    wait_serving(fleet.hosts[2])
+    rest = [take_up(fleet.hosts[2], *stream) for stream in begun]
+    assert {response.status for response in rest} == {200}, rest[0].body
