Write origins of streams that their writer did not write

Cause: one host in 200 writes the origins of all streams to the store. What was sent to it while it stood still or was cut off was lost, or still waited there when it was killed; nobody noticed. And a host told the homes of an origin 50 ms later, so that they lost word of a stream if it was killed before.

A host keeps the origins that it had sent to the writer until it sees them in the store, and writes them itself after 1.5 s. While several versions serve, the homes are told at once.

--- a/packages/router/src/rosemaryseam/router/originlog.py
+++ b/packages/router/src/rosemaryseam/router/originlog.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+from collections import OrderedDict
 from typing import TYPE_CHECKING, Any
 
 import gevent
@@ -36,6 +37,7 @@
 ORIGINS_PREFIX = 'rosemaryseam/streams/'
 WRITE_INTERVAL_S = 0.4  # each write wakes all watches
 RETRY_DELAY_S = 0.5  # after a failed write
+RESEND_S = 1.5  # until an origin that another host should write is seen in the store
 MAX_ENTRIES = 1000  # per writer, overwritten in turn
 MAX_UNWRITTEN = 5000  # older origins are dropped while the store is away
 MAX_REMOVALS = 32  # per call to the store
@@ -83,6 +85,9 @@
         self._skipped = skipped or SkippedValues(Metrics())
         self._link: HostLink | None = None
         self._unwritten: dict[str, Software] = {}
+        # Origins that another host is to write, and when they were sent there, until
+        # they are seen in the store.
+        self._sent: OrderedDict[str, tuple[StreamOrigin, float]] = OrderedDict()
         self._is_needed = False
         self._wakeup = Event()
         self._own_keys: set[str] = set()
@@ -107,6 +112,11 @@
                 self.add(origin)
             else:
                 self._link.send_origin_to_write(writer, origin)
+                self._sent[origin.request_id] = (origin, self._clock.monotonic())
+        while len(self._sent) > MAX_UNWRITTEN:
+            self._sent.popitem(last=False)
+        if self._sent:
+            self._wakeup.set()
 
     def add(self, origin: StreamOrigin) -> None:
         """Have an origin written by this host.
@@ -136,10 +146,13 @@
 
     def step(self) -> None:
         """Wait for origins, and write those that have come together."""
-        self._wakeup.wait()
+        self._wakeup.wait(RESEND_S if self._sent else None)
+        self._wakeup.clear()
+        self._take_back_unwritten()
+        if not self._unwritten and (self._is_needed or not self._own_keys):
+            return
         due_at = self._last_write_at + WRITE_INTERVAL_S
         gevent.sleep(max(0.0, due_at - self._clock.monotonic()))
-        self._wakeup.clear()
         self._last_write_at = self._clock.monotonic()
         try:
             if self._unwritten:
@@ -151,6 +164,16 @@
             gevent.sleep(RETRY_DELAY_S)
             self._wakeup.set()
 
+    def _take_back_unwritten(self) -> None:
+        """Write here what another host should have written and did not."""
+        sent_before = self._clock.monotonic() - RESEND_S
+        while self._sent:
+            origin, sent_at = next(iter(self._sent.values()))
+            if sent_at > sent_before:
+                return
+            self._sent.popitem(last=False)
+            self.add(origin)
+
     def _write(self) -> None:
         batch = dict(self._unwritten)
         self._last_number += 1
@@ -185,6 +208,7 @@
             self._own_keys.add(item.key)
             self._last_number = max(self._last_number, number)
         for origin in origins:
+            self._sent.pop(origin.request_id, None)
             self._on_origin(origin)
 
     def _writer(self) -> str:
--- a/packages/router/src/rosemaryseam/router/origins.py
+++ b/packages/router/src/rosemaryseam/router/origins.py
@@ -154,7 +154,8 @@
     def share_step(self) -> None:
         """Wait for origins that were recorded, and send them to their hosts."""
         self._has_unshared.wait()
-        gevent.sleep(SHARE_INTERVAL_S)
+        if not self._is_urgent():
+            gevent.sleep(SHARE_INTERVAL_S)
         self._has_unshared.clear()
         unshared, self._unshared = self._unshared, []
         if self._link is None:
@@ -165,6 +166,11 @@
                     self._link.send_origin(host, origin)
         self._write(self._take_unwritten(unshared))
 
+    def _is_urgent(self) -> bool:
+        """Return whether a stream is lost if no other host knows where it began."""
+        services = {origin.software.service for origin in self._unshared}
+        return any(map(self._has_several_versions, services))
+
     def _take_unwritten(self, recorded: list[StreamOrigin]) -> list[StreamOrigin]:
         """Return the origins to be written: new ones, and all of a service at first."""
         oldest = self._clock.monotonic() - self._kept_s()
--- a/tests/test_router/test_take_ups_out_of_step.py
+++ b/tests/test_router/test_take_ups_out_of_step.py
@@ -12,6 +12,7 @@
     Versioned,
     break_off,
     count_joined,
+    restart_all,
     streams_of,
     take_up,
     version_of,
@@ -123,3 +124,26 @@
     wait_serving(fleet.hosts[2])
     rest = [take_up(fleet.hosts[2], *stream) for stream in begun]
     assert {response.status for response in rest} == {200}, rest[0].body
+
+
+# Guards against origins that are lost with the host that should write them to the
+# store: take-ups were refused after all hosts had been killed (LOST).
+def test_origins_are_written_while_their_writer_is_out_of_step(
+    fleet: RunningFleet,
+) -> None:
+    replace_engine(fleet)
+    fleet.hosts[2].wait(lambda: version_of(fleet.hosts[2], 'engine-2') == '2')
+    writer_ip = fleet.hosts[0].router._origin_log._writer()
+    writer = next(host for host in fleet.hosts if host.cfg.ip == writer_ip)
+    others = [host for host in fleet.hosts if host is not writer]
+    OutOfStep(writer).cut(store=True)
+    begun = streams_of(fleet, 2 * STREAMS, others[0])
+    gevent.sleep(2.5)
+    restarted = restart_all(fleet)
+    try:
+        wait_serving(restarted.hosts[1])
+        rest = [take_up(restarted.hosts[1], *stream) for stream in begun]
+        assert count_joined(begun, rest) == 0
+        assert {response.status for response in rest} == {200}, rest[0].body
+    finally:
+        restarted.stop()
