Let a stream go on only at a known start of its upstream

Cause: the registry tells which software an upstream ran when its entry was read. A process that started since then under the same id and address accepts requests that name the id.

A stream goes on at an upstream only if the registry is known at a time after the connection was made: then the process at its other end is the registered one. For a new connection the store is asked; kept ones that are older than the latest confirmation serve as before, also while the store is down. A question that the store does not answer fails the next ones for 0.5 s.

--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -437,6 +437,8 @@
         conn = self._pool.acquire(upstream, recently_used=recently_used)
         try:
             self._check_key_again(admitted, attempts)
+            if relay.version is not None:
+                self._resumption.check_upstream(upstream, conn)
             self._record_arrival(admitted, attempts)
             log_event(
                 'request_sent',
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -215,7 +215,11 @@
             self.feed,
             self.registry,
             StreamResumption(
-                self._origins, self.software, self.feed, self._store_confirmer
+                self._origins,
+                self.software,
+                self.feed,
+                self._store_confirmer,
+                self.registry,
             ),
             self._pool,
             self._placer,
--- a/packages/router/src/rosemaryseam/router/resumption.py
+++ b/packages/router/src/rosemaryseam/router/resumption.py
@@ -7,6 +7,7 @@
 from rosemaryseam.common.decisionlog import log_event
 from rosemaryseam.common.errors import ResultCode
 from rosemaryseam.router.admission import RefusalError
+from rosemaryseam.router.faults import NotSentError
 from rosemaryseam.router.origins import Software
 from rosemaryseam.router.routes import Repeat
 
@@ -17,7 +18,8 @@
     from rosemaryseam.router.relay import StreamRelay
     from rosemaryseam.router.softwarehistory import SoftwareHistory
     from rosemaryseam.router.storeconfirmer import StoreConfirmer
-    from rosemaryseam.router.upstreams import Upstream
+    from rosemaryseam.router.upstreamconnection import UpstreamConnection
+    from rosemaryseam.router.upstreams import Registry, Upstream
 
 RETRY_AFTER_S = 0.5  # the messages of another host that knows may have been lost
 
@@ -29,6 +31,7 @@
     :param software: versions that serve or have served lately
     :param feed: provides the routing table
     :param confirmer: tells whether the versions are the newest
+    :param registry: registered upstreams
     """
 
     def __init__(
@@ -37,11 +40,13 @@
         software: SoftwareHistory,
         feed: StateFeed,
         confirmer: StoreConfirmer,
+        registry: Registry,
     ) -> None:
         self._origins = origins
         self._software = software
         self._feed = feed
         self._confirmer = confirmer
+        self._registry = registry
 
     def record_begin(self, admitted: AdmittedRequest, upstream: Upstream) -> None:
         """Record the software whose event a caller got first, or next.
@@ -82,6 +87,22 @@
         relay.version = software.version
         return admitted._replace(service=service)
 
+    def check_upstream(self, upstream: Upstream, conn: UpstreamConnection) -> None:
+        """Check that a connection leads to the incarnation that is registered.
+
+        An upstream may start again with other software under its id and address. The
+        registry must have been known after the connection was made to tell of it.
+
+        :param upstream: upstream at which a stream is to go on
+        :param conn: connection to it
+        :raises NotSentError: another incarnation may have accepted the connection
+        """
+        confirmed_at = self._feed.status.confirmed_at
+        if conn.opened_at > confirmed_at and not self._confirmer.confirm():
+            raise NotSentError(f'{upstream.id} may run other software by now')
+        if not self._registry.is_usable(upstream):
+            raise NotSentError(f'{upstream.id} is not registered any more')
+
     def _only_software(self, admitted: AdmittedRequest) -> Software:
         """Return the software of an unknown stream, if it can only be one.
 
--- a/packages/router/src/rosemaryseam/router/storeconfirmer.py
+++ b/packages/router/src/rosemaryseam/router/storeconfirmer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import gevent
@@ -17,7 +18,8 @@
     from rosemaryseam.router.feed import StateFeed
 
 BATCH_S = 0.005  # within which questions share a call
-TIMEOUT_S = 0.5  # for the call, and then for the feed to catch up
+TIMEOUT_S = 0.5  # for the call and for the feed to catch up
+RETRY_S = 0.5  # after a failure, within which all questions fail at once
 POLL_S = 0.005  # between two looks at the feed
 
 
@@ -48,12 +50,15 @@
         self._clock = clock
         self._metrics = metrics
         self._pending: AsyncResult | None = None
+        self._failed_until = -math.inf
 
     def confirm(self) -> bool:
         """Return whether the feed has applied all changes up to this moment.
 
         Waits for the store, and for the feed if there are changes.
         """
+        if self._clock.monotonic() < self._failed_until:
+            return False
         pending = self._pending
         if pending is None:
             pending = self._pending = AsyncResult()
@@ -65,9 +70,10 @@
         self._metrics.count('store_confirmations')
         confirmed = False
         try:
-            with gevent.Timeout(2 * TIMEOUT_S, False):
+            with gevent.Timeout(TIMEOUT_S, PlatformError('no answer in time')):
                 confirmed = self._ask()
         except PlatformError as exc:
+            self._failed_until = self._clock.monotonic() + RETRY_S
             log_event('store_not_confirmed', reason=exc.message)
         finally:
             pending.set(confirmed)
@@ -75,15 +81,12 @@
     def _ask(self) -> bool:
         position, asked_at = self._feed.position, self._clock.monotonic()
         if position is None:
-            return False
+            raise PlatformError('nothing is known of the store yet')
         newest = self._store.watch_range(self._root, position, 0.0).position
-        with gevent.Timeout(TIMEOUT_S, False):
-            while not self._has_reached(newest):
-                gevent.sleep(POLL_S)
-            self._feed.record_confirmation(asked_at)
-            return True
-        log_event('store_not_confirmed', reason='the feed is behind')
-        return False
+        while not self._has_reached(newest):
+            gevent.sleep(POLL_S)
+        self._feed.record_confirmation(asked_at)
+        return True
 
     def _has_reached(self, newest: StorePosition) -> bool:
         position = self._feed.position
--- a/packages/router/src/rosemaryseam/router/upstreamconnection.py
+++ b/packages/router/src/rosemaryseam/router/upstreamconnection.py
@@ -98,6 +98,7 @@
         self._skipped_bytes = 0
         self._events = 0
         self._names_requests = False  # in the answers on this connection
+        self.opened_at = clock.monotonic()
         self.requests_served = 0
         self.last_used = clock.monotonic()
         self.keep_alive_timeout_s: float | None = None
--- a/tests/test_router/test_take_ups_out_of_step.py
+++ b/tests/test_router/test_take_ups_out_of_step.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import gevent
+import gevent.event
 import pytest
 from outofstep import OutOfStep
 from routers import RunningFleet
@@ -22,10 +23,12 @@
 from rosemaryseam.standins.scripted import ScriptedUpstream
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from routers import RunningRouter
 
+    from rosemaryseam.standins.scripted import ScriptedExchange
+
 STREAMS = 8
 
 
@@ -147,3 +150,49 @@
         assert {response.status for response in rest} == {200}, rest[0].body
     finally:
         restarted.stop()
+
+
+def break_off_when_told(told: gevent.event.Event) -> Callable[..., None]:
+    """Return the end of a stream that breaks off at a moment of the test."""
+
+    def end(exchange: ScriptedExchange) -> None:
+        told.wait(3.0)
+        exchange.close()
+
+    return end
+
+
+# Guards against streams that go on at an upstream which has started again under its id
+# with other software while the store is down (review/2, ORDER), and against the loss of
+# those whose upstream cannot have started again.
+@pytest.mark.parametrize('restarts', [True, False])
+def test_a_stream_goes_on_only_at_a_known_start_of_its_upstream(
+    restarts: bool, router: RunningRouter
+) -> None:
+    told = gevent.event.Event()
+    out_of_step = OutOfStep(router)
+    breaking = Versioned('1', break_off_when_told(told))
+    for name, script in (('other', Versioned('1')), ('first', breaking)):
+        router.upstreams[name] = ScriptedUpstream(script)
+        router.register(name, version='1')
+        router.wait(lambda name=name: version_of(router, name) == '1')
+        if name == 'other':
+            assert router.call('long').complete  # leaves a connection to be reused
+    first, other = router.upstreams['first'], router.upstreams['other']
+    calls = []
+    while not first.requests:
+        calls.append(gevent.spawn(router.call, 'long', patience_ms=6000))
+        gevent.sleep(0.05)
+    for _ in range(2):  # ends the watch in progress, and the next one
+        router.store.put('rosemaryseam/other', b'')
+        gevent.sleep(0.05)
+    out_of_step.cut(store=True)
+    if restarts:
+        for upstream in (first, other):
+            upstream.stop()
+            upstream.script = Versioned('2')
+            upstream.restart()
+    told.set()
+    answer = calls[-1].get()
+    assert versions(answer) == {'1'}
+    assert answer.complete is not restarts
