Let answers that have begun go on while engines refuse new ones

What callers saw: streams that they took up again were refused (LOST).

Cause: an answer that goes on may use the engines of its version alone. When few of these are left, one more prompt lengthens the pauses of many streams, and the placement refused it by the same limit as a new request, although its caller loses the part that it has and returns once.

An answer that has begun is placed if its next event comes before callers leave and the engine has memory for it; else the limit holds as before.

--- a/packages/policy/src/rosemaryseam/policy/engineplacement.py
+++ b/packages/policy/src/rosemaryseam/policy/engineplacement.py
@@ -47,6 +47,7 @@
 PROBE_AFTER_REQUESTS = 20  # that others got meanwhile
 PROBE_TIME_SHARE = 0.4  # of the time until the target that a trial may take
 PROBE_TIME_FACTOR = 2.5  # on the estimates; the engine may have become slower
+MAX_GAP_S = 2.0  # after which callers leave a stream
 MEMORY_FULL_LOSS = 5.0  # an engine without free memory preempts a request
 
 
@@ -58,7 +59,8 @@
     largest ones of its route. ``allowance`` is a factor on the loss at which it is
     refused, usually 1. ``due_in_s`` is the time until the target for the first event,
     ``expires_in_s`` the time until the timeout of its caller ends. ``prompt_tokens``
-    counts the whole prompt, ``body_bytes`` the bytes sent to the engine.
+    counts the whole prompt, ``body_bytes`` the bytes sent to the engine. ``is_begun``
+    is true if its caller has a part of the answer.
     """
 
     rank: int
@@ -72,6 +74,7 @@
     due_in_s: float
     expires_in_s: float
     body_bytes: int
+    is_begun: bool = False
 
 
 class EngineCandidate(NamedTuple):
@@ -156,9 +159,14 @@
     short requests would use up all remaining time, and callers with long prompts would
     not be served.
 
+    An answer that has begun is not refused if it can go on in time, as its caller would
+    lose the part that it has.
+
     :param request: request to place
     :param choice: best engine for the request
     """
+    if request.is_begun and _goes_on_in_time(choice):
+        return True
     rank = min(request.rank, len(ADMISSION_LOSS_LIMITS) - 1)
     beyond = max(0.0, min(MAX_LIMIT_WORK, request.relative_work) - 1.0)
     share = ADMISSION_LOSS_LIMITS[rank] * (1.0 + LARGE_LIMIT_GROWTH * beyond)
@@ -168,6 +176,11 @@
     return choice.loss + choice.headroom_loss <= limit
 
 
+def _goes_on_in_time(choice: EngineChoice) -> bool:
+    has_memory = choice.losses.capacity < MEMORY_FULL_LOSS / 2
+    return has_memory and choice.first_event_s <= MAX_GAP_S * FIRST_EVENT_SAFETY
+
+
 def may_probe(
     request: PlacementRequest, choice: EngineChoice, idle_s: float, skipped: int
 ) -> bool:
--- a/packages/router/src/rosemaryseam/router/promptplacer.py
+++ b/packages/router/src/rosemaryseam/router/promptplacer.py
@@ -79,6 +79,7 @@
             due_in_s=query.due_in_s,
             expires_in_s=query.expires_in_s,
             body_bytes=query.body_bytes,
+            is_begun=query.version is not None,
         )
         candidates = list(self._candidates(query, upstreams, now))
         choice = choose_engine(request, candidates, self.part_uses, now)
--- a/tests/test_policy/test_engineplacement.py
+++ b/tests/test_policy/test_engineplacement.py
@@ -235,3 +235,24 @@
 def test_hosts_agree_on_the_order_for_a_new_session() -> None:
     names = ['a', 'b', 'c']
     assert rank_by_affinity('s', names) == rank_by_affinity('s', names[::-1])
+
+
+BEGUN = [
+    ('beside many streams', streaming('a', 44), True),
+    ('behind a long backlog', loaded('a', 16, prefill_tokens=9200), False),
+    ('without memory', loaded('a', 60, prefill_tokens=0, memory_tokens=9_000), False),
+]
+
+
+# Guards against streams that are lost although an engine of their version could go on
+# with them (LOST, issue 42): new requests are refused lest other streams pause.
+@pytest.mark.parametrize(
+    ('name', 'engine', 'admitted'), BEGUN, ids=[row[0] for row in BEGUN]
+)
+def test_an_answer_that_has_begun_goes_on_if_it_can(
+    name: str, engine: EngineCandidate, admitted: bool
+) -> None:
+    new, begun = request(), request(is_begun=True)
+    choice = choose_engine(new, [engine], PartUses(), 0.0)
+    assert not should_admit(new, choice)
+    assert should_admit(begun, choice) is admitted
