Learn from other hosts of a configuration that the store does not have

Cause: a host kept a newer configuration than the store's only if it had read it itself, and took any read of the store for a confirmation of its keys.

While the store may lack a configuration (first read in a later era than the first, a new era, or none that is readable), a host asks up to eight others for their version, reads a newer one from their mirror and confirms no keys. It trusts the store again when they have told, when the operator has written the configuration in force again, or after 2 s. Stores that were never restored are followed as before.

--- a/packages/router/src/rosemaryseam/router/feed.py
+++ b/packages/router/src/rosemaryseam/router/feed.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 import gevent
+from gevent.event import Event
 
 from rosemaryseam.common.decisionlog import log_event, log_warning
 from rosemaryseam.common.errors import PlatformError, UnreadableError
@@ -116,6 +117,8 @@
         self._configuration: Item | None = None  # the one in force
         self._not_newer: bytes | None = None  # logged once
         self.table: RoutingTable | None = None
+        # Set while the store may lack a newer configuration that hosts had in force.
+        self.uncertain = Event()
         # When the store last answered this host, or the reader that relayed the answer.
         self.last_contact_at = -math.inf
         self.status = StoreStatus(float('-inf'), None, 0)
@@ -133,8 +136,34 @@
 
         :param at: monotonic time in seconds
         """
-        confirmed_at = max(at, self.status.confirmed_at)
-        self.status = self.status._replace(confirmed_at=confirmed_at)
+        if not self.uncertain.is_set():
+            confirmed_at = max(at, self.status.confirmed_at)
+            self.status = self.status._replace(confirmed_at=confirmed_at)
+
+    def is_configuration(self, item: Item) -> bool:
+        """Return whether an item is the configuration.
+
+        :param item: item of the store
+        """
+        return self._codec.is_configuration(item.key)
+
+    def adopt_configuration(self, item: Item, host: str) -> None:
+        """Put a configuration in force that another host has, if it is newer.
+
+        :param item: configuration as that host read it
+        :param host: address of that host
+        """
+        log_event('configuration_told', peer=host, revision=item.revision)
+        self._apply_configuration(item)
+
+    def settle(self, reason: str) -> None:
+        """Trust the store again, as no newer configuration can be learned.
+
+        :param reason: why, for the log
+        """
+        if self.uncertain.is_set():
+            self.uncertain.clear()
+            log_event('configuration_certain', reason=reason)
 
     def run(self) -> None:
         """Follow the store indefinitely."""
@@ -200,6 +229,8 @@
         self._on_other_items(OtherItems(tuple(others), True, restored))
         self.position = snapshot.position
         self._mirror.load(snapshot._replace(items=self._mirrored(snapshot.items)))
+        if self.table is None:
+            self.uncertain.set()
         self._record_answer(
             _confirmed_at(started, snapshot.freshness), snapshot.freshness
         )
@@ -212,6 +243,8 @@
         if previous is not None and era < previous:
             raise EraChangedError('the answer is of an era that has ended')
         self._era = era
+        if era != previous and era > 0:
+            self.uncertain.set()
         if previous is None or era == previous:
             return False
         self._restored_at = self._clock.monotonic()
@@ -228,6 +261,8 @@
         changes = self._store.watch_range(self._codec.root, position, wait_s)
         now = self._clock.monotonic()
         others = [item for item in changes.items if self._apply_item(item, now)]
+        if any(map(self._is_in_force, changes.items)):
+            self.settle('the operator wrote again')
         if others:
             self._on_other_items(OtherItems(tuple(others)))
         self.position = changes.position
@@ -305,6 +340,15 @@
         self.table = table
         self._configuration = item
 
+    def _is_in_force(self, item: Item) -> bool:
+        """Return whether an item has the content of the configuration in force."""
+        current = self._configuration
+        return (
+            current is not None
+            and self.is_configuration(item)
+            and item.value == current.value
+        )
+
     def _report_not_newer(self, item: Item, table: RoutingTable) -> None:
         """Log a changed configuration that does not replace the one in force."""
         current = self._configuration
@@ -360,6 +404,8 @@
         since_contact_s = 0.0 if freshness is None else freshness.since_contact_s
         self.last_contact_at = self._clock.monotonic() - since_contact_s
         confirmed_at = max(confirmed_at, self.status.confirmed_at)
+        if self.uncertain.is_set():
+            confirmed_at = self.status.confirmed_at
         self.status = StoreStatus(confirmed_at, self.status.failed_at, 0)
 
     def _record_failure(self, exc: PlatformError) -> None:
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -31,6 +31,7 @@
 from rosemaryseam.router.peers import PeerLink
 from rosemaryseam.router.pool import ConnectionPool
 from rosemaryseam.router.relayedstore import RelayedStore, StoreProber
+from rosemaryseam.router.restoredtable import RestoredTable
 from rosemaryseam.router.resumption import StreamResumption
 from rosemaryseam.router.routes import CallerLimits
 from rosemaryseam.router.softwarehistory import SoftwareHistory
@@ -186,6 +187,9 @@
         self._store_confirmer = StoreConfirmer(
             store, state.root, self.feed, clock, self.metrics
         )
+        self._restored_table = RestoredTable(
+            self.feed, self.peers, cfg.peer_port, clock, self._rng
+        )
         self.software = SoftwareHistory(
             cfg.ip,
             cfg.capacity,
@@ -275,6 +279,12 @@
             gevent.spawn(run_repeatedly, 'sweep', self._sweep, self.metrics),
             gevent.spawn(run_repeatedly, 'paths', self.paths.step, self.metrics),
             gevent.spawn(run_repeatedly, 'software', self.software.step, self.metrics),
+            gevent.spawn(
+                run_repeatedly,
+                'restored_table',
+                self._restored_table.step,
+                self.metrics,
+            ),
             gevent.spawn(
                 run_repeatedly, 'origin_log', self._origin_log.step, self.metrics
             ),
