Take up no unknown stream while a restored store may lack entries

All hosts are killed while the store comes back from a copy that is older than a release.

Cause: the new hosts read a store without the new version's upstreams, without its place in the history of versions and without the origins of streams, so that one version seemed to serve.

For 3 s after a host first reads a later era of the store, a stream of unknown origin is refused as not run, as upstreams write their entries again within about 2 s. Stores that were never restored are not concerned.

--- a/packages/router/src/rosemaryseam/router/feed.py
+++ b/packages/router/src/rosemaryseam/router/feed.py
@@ -119,6 +119,7 @@
         self.table: RoutingTable | None = None
         # Set while the store may lack a newer configuration that hosts had in force.
         self.uncertain = Event()
+        self._uncertain_since = -math.inf
         # When the store last answered this host, or the reader that relayed the answer.
         self.last_contact_at = -math.inf
         self.status = StoreStatus(float('-inf'), None, 0)
@@ -165,6 +166,10 @@
             self.uncertain.clear()
             log_event('configuration_certain', reason=reason)
 
+    def uncertain_s(self) -> float:
+        """Return the seconds since entries may have been missing from the store."""
+        return self._clock.monotonic() - self._uncertain_since
+
     def run(self) -> None:
         """Follow the store indefinitely."""
         run_repeatedly('feed', self.step, self._metrics)
@@ -244,6 +249,7 @@
             raise EraChangedError('the answer is of an era that has ended')
         self._era = era
         if era != previous and era > 0:
+            self._uncertain_since = self._clock.monotonic()
             self.uncertain.set()
         if previous is None or era == previous:
             return False
--- a/packages/router/src/rosemaryseam/router/resumption.py
+++ b/packages/router/src/rosemaryseam/router/resumption.py
@@ -21,6 +21,8 @@
     from rosemaryseam.router.upstreamconnection import UpstreamConnection
     from rosemaryseam.router.upstreams import Registry, Upstream
 
+# After a store was restored, for lost entries of upstreams to be written again.
+SETTLE_S = 3.0
 RETRY_AFTER_S = 0.5  # the messages of another host that knows may have been lost
 
 
@@ -125,7 +127,8 @@
             confirmed=confirmed,
             table_age_ms=int(self._feed.staleness_s() * 1000),
         )
-        if len(versions) != 1 or not confirmed:
+        is_settled = self._feed.uncertain_s() > SETTLE_S
+        if len(versions) != 1 or not confirmed or not is_settled:
             raise _refusal('the version that began the stream is not known')
         return Software(name, next(iter(versions)))
 
--- a/tests/test_router/test_restored_table.py
+++ b/tests/test_router/test_restored_table.py
@@ -7,6 +7,8 @@
 import gevent
 import pytest
 from routers import RunningFleet, RunningRouter, configuration
+from test_stream_versions import count_joined, streams_of, take_up
+from test_take_ups_out_of_step import add_engine
 
 from rosemaryseam.router import restoredtable
 from rosemaryseam.router.documentcodec import CONFIGURATION_KEY
@@ -117,3 +119,24 @@
     fleet.store.put(CONFIGURATION_KEY, configuration(3))
     for one in fleet.hosts:
         wait_version(one, 3)
+
+
+# Guards against streams that are joined after all hosts were killed while the store
+# came back from a copy, which lacks the new version (review/3, ORDER).
+def test_no_stream_is_joined_while_entries_may_be_missing() -> None:
+    fleet = RunningFleet(3)
+    add_engine(fleet, 'engine-1', '1', fleet.hosts)
+    copy = fleet.store.copy()
+    add_engine(fleet, 'engine-2', '2', fleet.hosts)
+    begun = streams_of(fleet, 12, fleet.hosts[1])
+    upstreams = fleet.hosts[0].upstreams
+    for host in fleet.hosts:
+        host.router.kill()
+    fleet.store.restore(copy)
+    restarted = RunningFleet(3, store=fleet.store)
+    try:
+        restarted.hosts[0].upstreams = upstreams
+        rest = [take_up(restarted.hosts[2], *stream) for stream in begun]
+        assert count_joined(begun, rest) == 0
+    finally:
+        restarted.stop()
