Decode what the platform and engines send to the other front in one place

A value of the key-value service that is no list or no base64 ended the greenlet that reads the catalogue, for good; one odd check hid all hosts of the list; a load of NaN ended a poll.

All of them decode through common.decoding. Odd checks are left out; other unreadable answers fail their call with the error that it documents.

--- a/packages/common/src/rosemaryseam/common/keyvalue.py
+++ b/packages/common/src/rosemaryseam/common/keyvalue.py
@@ -4,13 +4,17 @@
 
 import abc
 import base64
-import json
 from http import HTTPStatus
 from typing import TYPE_CHECKING, NamedTuple
 
 import gevent
 
-from rosemaryseam.common.errors import PlatformError, UnknownOutcomeError
+from rosemaryseam.common.decoding import decode_json, decoding, require_count
+from rosemaryseam.common.errors import (
+    PlatformError,
+    UnknownOutcomeError,
+    UnreadableError,
+)
 from rosemaryseam.common.exchange import TRANSPORT_ERRORS, call, open_exchange
 
 if TYPE_CHECKING:
@@ -108,10 +112,13 @@
             return None
         if answer.status != HTTPStatus.OK:
             raise PlatformError(f'the key-value service answered {answer.status}')
-        entry = json.loads(answer.body)[0]
-        return VersionedValue(
-            base64.b64decode(entry['Value'] or ''), entry['ModifyIndex']
-        )
+        try:
+            with decoding('value'):
+                entry = decode_json(answer.body)[0]
+                value = base64.b64decode(entry['Value'] or '', validate=True)
+                return VersionedValue(value, require_count(entry['ModifyIndex']))
+        except UnreadableError as exc:
+            raise self._unavailable(exc) from exc
 
     def _unavailable(self, exc: BaseException) -> PlatformError:
         return PlatformError(f'key-value service at {self._address}: {exc}')
--- a/packages/node/src/rosemaryseam/node/claims.py
+++ b/packages/node/src/rosemaryseam/node/claims.py
@@ -13,14 +13,16 @@
 from typing import TYPE_CHECKING, Literal, NamedTuple
 
 from loguru import logger
-from pydantic import TypeAdapter, ValidationError
+from pydantic import TypeAdapter
 
+from rosemaryseam.common.decoding import decoding
 from rosemaryseam.common.documents import to_json
 from rosemaryseam.common.errors import (
     PlatformError,
     RequestError,
     ResultCode,
     UnknownOutcomeError,
+    UnreadableError,
 )
 
 if TYPE_CHECKING:
@@ -308,8 +310,9 @@
 
 def _parse_record(stored: VersionedValue) -> ClaimRecord:
     try:
-        return _RECORD_ADAPTER.validate_json(stored.value)
-    except ValidationError as exc:
+        with decoding('claim'):
+            return _RECORD_ADAPTER.validate_json(stored.value)
+    except UnreadableError as exc:
         raise PlatformError('a claim record is malformed') from exc
 
 
--- a/packages/node/src/rosemaryseam/node/codec.py
+++ b/packages/node/src/rosemaryseam/node/codec.py
@@ -7,7 +7,8 @@
 
 import capnp
 
-from rosemaryseam.common.errors import PeerError
+from rosemaryseam.common.decoding import decoding
+from rosemaryseam.common.errors import PeerError, UnreadableError
 from rosemaryseam.node import messages
 
 if TYPE_CHECKING:
@@ -53,12 +54,15 @@
     :raises PeerError: the data is malformed
     """
     try:
-        with _SCHEMA.Frame.from_bytes(
-            data, traversal_limit_in_words=MAX_TRAVERSAL_WORDS
-        ) as reader:
+        with (
+            decoding('frame'),
+            _SCHEMA.Frame.from_bytes(
+                data, traversal_limit_in_words=MAX_TRAVERSAL_WORDS
+            ) as reader,
+        ):
             entries = tuple(_read_message(entry) for entry in reader.messages)
             return Frame(reader.host, reader.incarnation, entries)
-    except (capnp.KjException, UnicodeDecodeError, KeyError, ValueError) as exc:
+    except UnreadableError as exc:
         raise PeerError('malformed frame') from exc
 
 
--- a/packages/node/src/rosemaryseam/node/gateway/completions.py
+++ b/packages/node/src/rosemaryseam/node/gateway/completions.py
@@ -7,7 +7,13 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
-from rosemaryseam.common.errors import RequestError, ResultCode, UpstreamError
+from rosemaryseam.common.decoding import decode_json
+from rosemaryseam.common.errors import (
+    RequestError,
+    ResultCode,
+    UnreadableError,
+    UpstreamError,
+)
 from rosemaryseam.common.wsgi import SOCKET_KEY, watch_caller
 from rosemaryseam.node.gateway.admission import (
     Admission,
@@ -238,8 +244,8 @@
 
 def _parse_body(data: bytes) -> dict[str, Any]:
     try:
-        body = json.loads(data)
-    except (ValueError, RecursionError) as exc:
+        body = decode_json(data)
+    except UnreadableError as exc:
         raise RequestError('the body is not valid JSON') from exc
     if not isinstance(body, dict) or not isinstance(body.get('model'), str):
         raise RequestError('the body must be an object that names a model')
@@ -277,7 +283,7 @@
     try:
         for event in events:
             aggregator.add_event(event)
-    except ValueError as exc:
+    except UnreadableError as exc:
         events.close()
         message = 'the upstream sent a malformed event'
         raise RequestError(message, ResultCode.UPSTREAM_FAILED, 1.0) from exc
--- a/packages/node/src/rosemaryseam/node/gateway/events.py
+++ b/packages/node/src/rosemaryseam/node/gateway/events.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
+from rosemaryseam.common.decoding import decode_json, decoding, require_object
+
 DATA_PREFIX = b'data: '
 DONE_MARKER = b'[DONE]'
 
@@ -30,7 +31,7 @@
         """Add an event to the answer.
 
         :param event: complete event, including its blank line
-        :raises ValueError: if the data of the event is not valid JSON
+        :raises UnreadableError: if the data of the event is no chunk of an answer
         """
         for line in event.split(b'\n'):
             if not line.startswith(DATA_PREFIX):
@@ -39,7 +40,8 @@
             if data == DONE_MARKER:
                 self.complete = True
             else:
-                self._add_chunk(json.loads(data))
+                with decoding('event'):
+                    self._add_chunk(require_object(decode_json(data)))
 
     def answer(self) -> dict[str, Any]:
         """Return the answer as a JSON object."""
--- a/packages/node/src/rosemaryseam/node/hostlist.py
+++ b/packages/node/src/rosemaryseam/node/hostlist.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import abc
-import json
 from http import HTTPStatus
 from typing import TYPE_CHECKING, NamedTuple
 
-from rosemaryseam.common.errors import PlatformError
+from rosemaryseam.common.decoding import (
+    decode_json,
+    readable,
+    require_list,
+    require_text,
+)
+from rosemaryseam.common.errors import PlatformError, UnreadableError
 from rosemaryseam.common.exchange import call
 
 if TYPE_CHECKING:
@@ -52,9 +57,9 @@
             answer = call(self._address, 'GET', path, timeout_s=self._timeout_s)
             if answer.status != HTTPStatus.OK:
                 raise PlatformError(f'host list answered with status {answer.status}')
-            checks = json.loads(answer.body)
-            return {check['ServiceID']: _listed_state(check) for check in checks}
-        except (OSError, ValueError, KeyError, TypeError) as exc:
+            checks = require_list(decode_json(answer.body))
+            return dict(readable(checks, _decode_check))
+        except (OSError, UnreadableError) as exc:
             raise PlatformError(
                 f'cannot read the host list at {self._address}: {exc}'
             ) from exc
@@ -69,6 +74,7 @@
     return HttpHostList(address, timeout_s)
 
 
-def _listed_state(check: dict[str, str]) -> ListedState:
+def _decode_check(check: dict[str, str]) -> tuple[str, ListedState]:
+    name = require_text(check['ServiceID'])
     leaving = check['CheckID'].startswith(MAINTENANCE_CHECK_PREFIX)
-    return ListedState(leaving, check['Status'] == 'critical' and not leaving)
+    return name, ListedState(leaving, check['Status'] == 'critical' and not leaving)
--- a/packages/node/src/rosemaryseam/node/loadreports.py
+++ b/packages/node/src/rosemaryseam/node/loadreports.py
@@ -8,7 +8,8 @@
 
 from prometheus_client.parser import text_string_to_metric_families
 
-from rosemaryseam.common.errors import PlatformError
+from rosemaryseam.common.decoding import decoding, require_number
+from rosemaryseam.common.errors import PlatformError, UnreadableError
 from rosemaryseam.common.exchange import call
 
 if TYPE_CHECKING:
@@ -54,14 +55,16 @@
                 raise PlatformError(
                     f'engine at {address} answered with status {answer.status}'
                 )
-            values = _parse_samples(answer.body.decode())
-        except (OSError, ValueError) as exc:
+            with decoding('load report'):
+                values = _parse_samples(answer.body.decode())
+                return LoadReport(
+                    int(require_number(values.get(RUNNING_METRIC, 0))),
+                    int(require_number(values.get(WAITING_METRIC, 0))),
+                )
+        except (OSError, UnreadableError) as exc:
             raise PlatformError(
                 f'cannot read the load report of {address}: {exc}'
             ) from exc
-        return LoadReport(
-            int(values.get(RUNNING_METRIC, 0)), int(values.get(WAITING_METRIC, 0))
-        )
 
 
 def open_load_report_reader(timeout_s: float) -> LoadReportReader:
--- a/packages/operator/src/rosemaryseam/operator/explain.py
+++ b/packages/operator/src/rosemaryseam/operator/explain.py
@@ -6,7 +6,8 @@
 from datetime import datetime, timedelta
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from rosemaryseam.common.errors import ResultCode, SettingsError
+from rosemaryseam.common.decoding import decode_json, decoding
+from rosemaryseam.common.errors import ResultCode, SettingsError, UnreadableError
 from rosemaryseam.operator.commands import Result
 
 if TYPE_CHECKING:
@@ -112,11 +113,12 @@
     if start < 0:
         return None
     try:
-        data = json.loads(text[start:])
-        at = datetime.fromisoformat(data['time'])
-        fields = {key: data[key] for key in data if key not in _COMMON_FIELDS}
-        return LogLine(at, data['host'], data['event'], data.get('id'), fields)
-    except (ValueError, KeyError, TypeError):
+        with decoding('line'):
+            data = decode_json(text[start:])
+            at = datetime.fromisoformat(data['time'])
+            fields = {key: data[key] for key in data if key not in _COMMON_FIELDS}
+            return LogLine(at, data['host'], data['event'], data.get('id'), fields)
+    except UnreadableError:
         return None
 
 
--- a/packages/operator/src/rosemaryseam/operator/hosts.py
+++ b/packages/operator/src/rosemaryseam/operator/hosts.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import json
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 import gevent
 
 from rosemaryseam.common.addresses import parse_address
-from rosemaryseam.common.errors import PeerError, ResultCode
+from rosemaryseam.common.decoding import decode_json
+from rosemaryseam.common.errors import PeerError, ResultCode, UnreadableError
 from rosemaryseam.common.exchange import call
 
 if TYPE_CHECKING:
@@ -68,7 +68,7 @@
             answer = call(address, method, path, body, headers, self._cfg.timeout_s)
             if answer.status != HTTPStatus.OK:
                 raise OSError(f'answer {answer.status}')
-            return json.loads(answer.body)
-        except (OSError, ValueError) as exc:
+            return decode_json(answer.body)
+        except (OSError, UnreadableError) as exc:
             message = f'host {host} at {address}: {exc}'
             raise PeerError(message, ResultCode.HOST_UNREACHABLE) from exc
