Teach the soak odd values of another writer

During a run odd entries appear among those of the upstreams and in the project's own prefixes, entries of running upstreams are overwritten, and invalid configurations are written and corrected within 0.5 s.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -301,6 +301,8 @@
     started = []
     chosen = [fault for fault in FAULTS if only in ('', fault.__name__)]
     deadline = time.monotonic() + seconds
+    if not chosen:
+        gevent.sleep(seconds)  # the only fault is not one of these
     while time.monotonic() < deadline:
         fault = env.rng.choice(chosen)
         started.append(gevent.spawn(fault, env))
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -5,6 +5,7 @@
 import argparse
 import os
 import pathlib
+import random
 import signal
 import sys
 import tempfile
@@ -21,6 +22,7 @@
 from checks import find_violations  # noqa: E402
 from environment import SoakEnvironment  # noqa: E402
 from faults import run_faults  # noqa: E402
+from oddities import write_odd_values  # noqa: E402
 from storeserver import StoreServer  # noqa: E402
 
 FAULTS_S = 12.0
@@ -44,6 +46,9 @@
     env = SoakEnvironment(seed, folder, store, network)
     try:
         env.start()
+        if not only or only == write_odd_values.__name__:
+            odd_rng = random.Random(f'odd values {seed}')
+            gevent.spawn(write_odd_values, env, odd_rng, faults_s)
         gevent.joinall(run_faults(env, faults_s, only), timeout=20.0)
         gevent.sleep(RECOVERY_S)
         recovered_at = time.monotonic()
