Report a crash also while the host suspects its own path

Cause: a host that may be cut off itself reports failures as cancelled, lest sound upstreams are ejected for all hosts. One request that crashes an upstream, and its repeat, are two broken upstreams, enough for that suspicion, so that the crashes which prove the part deadly were not reported.

The report of a crash waits, as it does without suspicion, until the host has heard from any upstream or for 0.5 s; a host that is cut off hears from none.

--- a/packages/router/src/rosemaryseam/router/outcomereports.py
+++ b/packages/router/src/rosemaryseam/router/outcomereports.py
@@ -30,7 +30,8 @@
 
     A host that is cut off must not have sound upstreams ejected for all hosts. The
     report of a failed connect therefore waits until this host has reached an upstream,
-    or for :data:`REPORT_DELAY_S`.
+    or for :data:`REPORT_DELAY_S`. That of a crash does so also while the host suspects
+    itself, as requests that crash upstreams make it do that.
 
     :param reachability: state of the path to upstreams
     :param is_suspect: returns whether this host may be cut off
@@ -70,12 +71,13 @@
         known = self._reachability.is_confirmed_down(name, now)
         if known or outcome not in PATH_OUTCOMES:
             send(outcome)
-        elif self._is_suspect():
-            send('cancelled')
-        elif outcome in DELAYED_OUTCOMES and self._may_delay():
+        elif self._may_delay() and (
+            outcome == 'crashed'
+            or (outcome in DELAYED_OUTCOMES and not self._is_suspect())
+        ):
             self._delayed.append(_DelayedReport(name, outcome, now, send))
         else:
-            send(outcome)
+            send('cancelled' if self._is_suspect() else outcome)
 
     def settle(self) -> None:
         """Send the delayed reports for which it is known who is at fault."""
