--- a/tests/test_router/test_outcome_reports.py
+++ b/tests/test_router/test_outcome_reports.py
@@ -29,7 +29,7 @@
 
 
 # Guards against crashes that are reported as cancelled, so that no prompt part is
-# quarantined: a request that crashes upstreams makes its host suspect itself (review/5).
+# quarantined: such a request makes its host suspect itself (review/5).
 DECISIONS: list[tuple[str, str, bool, bool, bool, str]] = [
     ('a crash, contact since', 'crashed', True, True, False, 'crashed'),
     ('a crash, no contact', 'crashed', True, False, False, 'cancelled'),
