Split the outbox and host entries from the link to other hosts

What waits to be sent and how it is put into datagrams is a module of its own, and so are the entries by which hosts register.

--- a/packages/router/src/rosemaryseam/router/peers.py
+++ b/packages/router/src/rosemaryseam/router/peers.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import functools
-import ipaddress
-import json
 from collections import deque
 from typing import TYPE_CHECKING, Any
 
@@ -14,7 +12,6 @@
 from gevent.hub import get_hub
 
 from rosemaryseam.common.decisionlog import log_event, log_warning
-from rosemaryseam.common.decoding import decode_json, decoding, require_number
 from rosemaryseam.common.errors import PeerError, PlatformError, UnreadableError
 from rosemaryseam.common.fairness import apply_each, attempt, run_repeatedly
 from rosemaryseam.common.rangestore import EraChangedError, Write
@@ -27,7 +24,14 @@
     decode,
     encode,
 )
+from rosemaryseam.router.hostentries import (
+    HOSTS_PREFIX,
+    decode_host_entry,
+    encode_host_entry,
+    host_key,
+)
 from rosemaryseam.router.hostlink import HostLink
+from rosemaryseam.router.outbox import Outbox
 
 if TYPE_CHECKING:
     import random
@@ -42,7 +46,6 @@
         DispatchRequest,
         EndedRequest,
         Incarnation,
-        Reply,
     )
     from rosemaryseam.router.dispatch import DispatchPlacer
     from rosemaryseam.router.dispatcher import Dispatcher
@@ -53,7 +56,6 @@
     from rosemaryseam.router.requestlimits import LimitReport
     from rosemaryseam.router.upstreamtracker import UpstreamTracker
 
-HOSTS_PREFIX = 'rosemaryseam/hosts/'
 LEASE_TTL_S = 600.0  # the store's maximum; allows renewals minutes apart
 LEASE_RENEWAL_S = 240.0  # between two renewals, before jitter
 REGISTRATION_RETRY_S = 1.0  # after a failed registration or renewal
@@ -63,30 +65,10 @@
 PEER_TIMEOUT_S = 3.0  # requests of a host that is silent for longer are dropped
 DATAGRAMS_PER_TURN = 32  # received before other greenlets get a turn
 RECEIVE_RETRY_S = 0.05  # after a socket error
-MAX_HANDOVER_ENTRIES = 100  # requests or prompts per datagram
 STOPPING_HOST_S = 15.0  # for which a host that stops may still ask for tunnels
-MAX_CAPACITY = 1e6  # of a host, relative to others
 MAX_INCARNATIONS = 8  # remembered per host, to drop late datagrams of old processes
 
 
-class _Outbox:
-    """Messages queued for one host in the current turn of the event loop."""
-
-    def __init__(self) -> None:
-        self.dispatch_requests: list[DispatchRequest] = []
-        self.replies: list[Reply] = []
-        self.started: list[int] = []
-        self.ended: list[EndedRequest] = []
-        self.in_flight: list[InFlightReport] = []
-        self.placed: list[PlacedPrompt] = []
-        self.left: list[Incarnation] = []
-        self.limits: list[LimitReport] = []
-        self.origins: list[StreamOrigin] = []
-        self.origins_to_write: list[StreamOrigin] = []
-        self.origin_lookups: list[str] = []
-        self.messages: list[PartMessage] = []
-
-
 class PeerLink(HostLink):
     """Exchanges datagrams with the other hosts and keeps this host registered.
 
@@ -144,7 +126,7 @@
         self._capacities: dict[str, float] = {}
         self._leaving: set[str] = set()
         self._incarnations: dict[str, deque[int]] = {}  # the last one is current
-        self._outboxes: dict[str, _Outbox] = {}
+        self._outboxes: dict[str, Outbox] = {}
         self._flushing = False
         self._closed = False
         self._lease: Lease | None = None
@@ -211,7 +193,7 @@
         for host in {*self._capacities, *self._last_received_at}:
             self._transmit(host, data)
         try:
-            self._store.write((), (HOSTS_PREFIX + self._address.ip,))
+            self._store.write((), (host_key(self._address.ip),))
         except PlatformError as exc:
             log_warning('cannot_unregister', reason=exc.message)
 
@@ -266,14 +248,14 @@
 
     def _apply_host_entry(self, host: str, value: bytes | None) -> None:
         self._missing.pop(host, None)
-        key = HOSTS_PREFIX + host
+        key = host_key(host)
         if value is None:
             self._leaving.discard(host)
             self._skipped.forget(key)
             self._drop_host(host)
             return
         try:
-            capacity = _decode_host_entry(host, value)
+            capacity = decode_host_entry(host, value)
         except UnreadableError as exc:
             self._skipped.skip('host', key, value, exc)
             return
@@ -346,10 +328,10 @@
         """Report a recently prefilled prompt to a new dispatcher."""
         self._outbox(host).placed.append(placed)
 
-    def _outbox(self, host: str) -> _Outbox:
+    def _outbox(self, host: str) -> Outbox:
         outbox = self._outboxes.get(host)
         if outbox is None:
-            outbox = self._outboxes[host] = _Outbox()
+            outbox = self._outboxes[host] = Outbox()
         if not self._flushing:
             self._flushing = True
             get_hub().loop.run_callback(self._flush)
@@ -359,59 +341,10 @@
         """Send all messages that were queued in this turn of the event loop."""
         self._flushing = False
         outboxes, self._outboxes = self._outboxes, {}
+        empty = Datagram(self._address.ip, self._incarnation)
         for host, outbox in outboxes.items():
-            self._send_handover(host, outbox)
-            self._send_origins(host, outbox)
-            rest = Datagram(
-                self._address.ip,
-                self._incarnation,
-                dispatch_requests=tuple(outbox.dispatch_requests),
-                replies=tuple(outbox.replies),
-                started=tuple(outbox.started),
-                ended=tuple(outbox.ended),
-                left=tuple(outbox.left),
-                limits=tuple(outbox.limits),
-                origin_lookups=tuple(outbox.origin_lookups),
-            )
-            self._send_messages(host, outbox.messages)
-            if rest != Datagram(self._address.ip, self._incarnation):
-                self._send(host, rest)
-
-    def _send_handover(self, host: str, outbox: _Outbox) -> None:
-        """Send the state that a dispatcher takes over, ahead of any requests to it."""
-        for start in range(0, len(outbox.placed), MAX_HANDOVER_ENTRIES):
-            placed = tuple(outbox.placed[start : start + MAX_HANDOVER_ENTRIES])
-            self._send(
-                host, Datagram(self._address.ip, self._incarnation, placed=placed)
-            )
-        for start in range(0, len(outbox.in_flight), MAX_HANDOVER_ENTRIES):
-            reports = tuple(outbox.in_flight[start : start + MAX_HANDOVER_ENTRIES])
-            self._send(
-                host, Datagram(self._address.ip, self._incarnation, in_flight=reports)
-            )
-
-    def _send_origins(self, host: str, outbox: _Outbox) -> None:
-        """Send what this host knows of streams, of which there may be many."""
-        for start in range(0, len(outbox.origins), MAX_HANDOVER_ENTRIES):
-            origins = tuple(outbox.origins[start : start + MAX_HANDOVER_ENTRIES])
-            self._send(
-                host, Datagram(self._address.ip, self._incarnation, origins=origins)
-            )
-        for start in range(0, len(outbox.origins_to_write), MAX_HANDOVER_ENTRIES):
-            origins = tuple(
-                outbox.origins_to_write[start : start + MAX_HANDOVER_ENTRIES]
-            )
-            self._send(
-                host,
-                Datagram(self._address.ip, self._incarnation, origins_to_write=origins),
-            )
-
-    def _send_messages(self, host: str, messages: list[PartMessage]) -> None:
-        for start in range(0, len(messages), MAX_HANDOVER_ENTRIES):
-            batch = tuple(messages[start : start + MAX_HANDOVER_ENTRIES])
-            self._send(
-                host, Datagram(self._address.ip, self._incarnation, messages=batch)
-            )
+            for datagram in outbox.datagrams(empty):
+                self._send(host, datagram)
 
     def _sync(self) -> None:
         gevent.sleep(SYNC_INTERVAL_S * self._rng.uniform(0.9, 1.1))
@@ -597,24 +530,10 @@
             return
         self._lease = None
         lease = self._store.grant_lease(LEASE_TTL_S)
-        entry = {'port': self._address.port, 'capacity': self._capacity}
-        value = json.dumps(entry).encode()
-        key = HOSTS_PREFIX + self._address.ip
+        value = encode_host_entry(self._address.port, self._capacity)
+        key = host_key(self._address.ip)
         position = self._store.write((Write(key, value, lease.id),))
         if position.era != lease.era:
             raise EraChangedError('the store was restored during the registration')
         self._lease = lease
         log_event('registered', lease=lease.id, era=lease.era)
-
-
-def _decode_host_entry(host: str, value: bytes) -> float:
-    """Return the capacity in a host's entry.
-
-    :param host: address of the host, from the entry's key
-    :param value: value of the entry
-    :raises UnreadableError: the entry names no host
-    """
-    with decoding('host'):
-        if str(ipaddress.IPv4Address(host)) != host:
-            raise UnreadableError('the address is not in its usual form')
-        return require_number(decode_json(value)['capacity'], most=MAX_CAPACITY)
--- a/tests/test_platform/test_decoder_fuzz.py
+++ b/tests/test_platform/test_decoder_fuzz.py
@@ -21,8 +21,8 @@
 from rosemaryseam.router.datagrams import Datagram, Incarnation, decode, encode
 from rosemaryseam.router.dutyclaim import read_owner
 from rosemaryseam.router.headercodec import open_header_codec
+from rosemaryseam.router.hostentries import decode_host_entry
 from rosemaryseam.router.origins import Software, StreamOrigin
-from rosemaryseam.router.peers import _decode_host_entry
 from rosemaryseam.router.softwarehistory import _decode as decode_software
 from rosemaryseam.router.statedload import _decode_learned, _decode_report
 
@@ -132,7 +132,7 @@
 
 
 READERS: list[tuple[str, Callable[[bytes], Any], Any]] = [
-    ('host', lambda data: _decode_host_entry('10.0.0.1', data), {'capacity': 1.0}),
+    ('host', lambda data: decode_host_entry('10.0.0.1', data), {'capacity': 1.0}),
     ('software', decode_software, {'service': 'desk', 'version': 'v1'}),
     (
         'origins',
--- a/tests/test_router/test_restored_store.py
+++ b/tests/test_router/test_restored_store.py
@@ -30,8 +30,8 @@
     DocumentStateCodec,
 )
 from rosemaryseam.router.feed import StateFeed
+from rosemaryseam.router.hostentries import HOSTS_PREFIX
 from rosemaryseam.router.mirror import Mirror, build_mirror_app, watch_mirror
-from rosemaryseam.router.peers import HOSTS_PREFIX
 from rosemaryseam.router.relayedstore import RelayedStore, StoreProber
 from rosemaryseam.router.upstreams import RESTORED_HOLD_S, Registry
 from rosemaryseam.standins.rangestore import MemoryRangeStore
