Take no version of another type from the history of versions

Cause: an empty version is allowed, and what else is falsy in Python passed the same way: 0, null or a list as the version of an entry. Comparing it with texts failed each later step of the history, so that no version was recorded.

An optional text is empty or a text. A host also asks others for their configuration only if the store has one that is unreadable, not before the operator has written the first.

--- a/packages/common/src/rosemaryseam/common/decoding.py
+++ b/packages/common/src/rosemaryseam/common/decoding.py
@@ -111,6 +111,15 @@
     return value
 
 
+def require_optional_text(value: Any) -> str:
+    """Return a value after checking that it is empty or a text that fits in a header.
+
+    :param value: a value of a JSON document
+    :raises UnreadableError: it is neither
+    """
+    return '' if value == '' else require_text(value)
+
+
 def require_number(value: Any, most: float = MAX_NUMBER) -> float:
     """Return a value after checking that it is a number, 0 or more.
 
--- a/packages/router/src/rosemaryseam/router/documentcodec.py
+++ b/packages/router/src/rosemaryseam/router/documentcodec.py
@@ -11,6 +11,7 @@
     MAX_COUNT,
     MAX_NUMBER,
     decoding,
+    require_optional_text,
     require_text,
 )
 from rosemaryseam.common.documents import parse_document, validate_document
@@ -35,7 +36,7 @@
 UPSTREAM_PREFIX = 'rosemaryseam/upstreams/'
 
 Name = Annotated[str, Field(min_length=1, max_length=200), AfterValidator(require_text)]
-OptionalName = Annotated[str, AfterValidator(lambda text: text and require_text(text))]
+OptionalName = Annotated[str, AfterValidator(require_optional_text)]
 Prefix = Annotated[str, Field(pattern=r'^/(.*/)?$')]
 Seconds = Annotated[float, Field(gt=0.0, le=86_400.0)]
 Count = Annotated[int, Field(ge=0, le=MAX_COUNT)]
--- a/packages/router/src/rosemaryseam/router/feed.py
+++ b/packages/router/src/rosemaryseam/router/feed.py
@@ -234,8 +234,8 @@
         self._on_other_items(OtherItems(tuple(others), True, restored))
         self.position = snapshot.position
         self._mirror.load(snapshot._replace(items=self._mirrored(snapshot.items)))
-        if self.table is None:
-            self.uncertain.set()
+        if self.table is None and any(map(self.is_configuration, snapshot.items)):
+            self.uncertain.set()  # it is unreadable, and others may have one in force
         self._record_answer(
             _confirmed_at(started, snapshot.freshness), snapshot.freshness
         )
--- a/packages/router/src/rosemaryseam/router/originlog.py
+++ b/packages/router/src/rosemaryseam/router/originlog.py
@@ -17,6 +17,7 @@
     decoding,
     require_count,
     require_list,
+    require_optional_text,
     require_text,
 )
 from rosemaryseam.common.errors import PlatformError, UnreadableError
@@ -233,7 +234,7 @@
         origins = [
             StreamOrigin(
                 require_text(request_id),
-                Software(require_text(service), version and require_text(version)),
+                Software(require_text(service), require_optional_text(version)),
             )
             for service, by_version in entry['streams'].items()
             for version, request_ids in by_version.items()
--- a/packages/router/src/rosemaryseam/router/softwarehistory.py
+++ b/packages/router/src/rosemaryseam/router/softwarehistory.py
@@ -10,7 +10,12 @@
 from gevent.event import Event
 
 from rosemaryseam.common.decisionlog import log_event, log_warning
-from rosemaryseam.common.decoding import decode_json, decoding, require_text
+from rosemaryseam.common.decoding import (
+    decode_json,
+    decoding,
+    require_optional_text,
+    require_text,
+)
 from rosemaryseam.common.errors import PlatformError, UnreadableError
 from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.common.rangestore import Write
@@ -207,10 +212,9 @@
 def _decode(value: bytes) -> Software:
     with decoding('software version'):
         fields = decode_json(value)
-        version = fields['version']
         # Upstreams that state no version have an empty one.
         return Software(
-            require_text(fields['service']), version and require_text(version)
+            require_text(fields['service']), require_optional_text(fields['version'])
         )
 
 
--- a/tests/test_router/test_odd_store_values.py
+++ b/tests/test_router/test_odd_store_values.py
@@ -39,6 +39,9 @@
         'software of a megabyte',
         json.dumps({'service': 'work', 'version': 'x' * 900_000}).encode(),
     ),
+    OddValue('software of version 0', b'{"service": "work", "version": 0}'),
+    OddValue('software of no version', b'{"service": "work", "version": null}'),
+    OddValue('software of versions', b'{"service": "work", "version": []}'),
     OddValue(
         'streams of nested versions',
         f'{{"number": 1, "streams": {{"work": {{"1": {nested(900)}}}}}}}'.encode(),
