Report odd settings instead of ending at the early start

The listener that opens before the other imports listed the exceptions of an odd settings file; deeply nested JSON ended the process at each start, before it could log what is wrong.

--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -7,9 +7,11 @@
 from typing import Any
 
 import pytest
+from oddvalues import BYTES, OddValue
 
 from rosemaryseam.common.addresses import Address
 from rosemaryseam.common.errors import ResultCode, SettingsError
+from rosemaryseam.platform.earlystart import SETTINGS_VARIABLE, open_caller_listener
 from rosemaryseam.platform.settings import METRICS_PORT, load_platform_settings
 
 SETTINGS: dict[str, Any] = {
@@ -91,3 +93,16 @@
     with pytest.raises(SettingsError) as caught:
         load_platform_settings(str(tmp_path / 'none.json'))
     assert caught.value.code == ResultCode.SETTINGS_FILE_MISSING
+
+
+# Guards against processes that end at each start, before they can say why (issue 42).
+@pytest.mark.parametrize('odd', BYTES, ids=lambda odd: odd.name)
+def test_odd_settings_are_reported_after_the_early_start(
+    odd: OddValue, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = tmp_path / 'settings.json'
+    path.write_bytes(odd.value)
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
+    assert open_caller_listener() is None
+    with pytest.raises(SettingsError):
+        load_platform_settings(str(path))
--- a/tests/test_platform/test_state.py
+++ b/tests/test_platform/test_state.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import pytest
+from oddvalues import ENTRY
 
 from rosemaryseam.common.errors import UnreadableError
 from rosemaryseam.platform.state import PlatformStateCodec
@@ -46,17 +47,6 @@
     },
     'tenants': [{'name': 'north', 'apiKeys': ['k1', 'k2'], 'priority': 1}],
 }
-ENTRY = {
-    'service': 'desk',
-    'addr': '10.0.0.9:8080',
-    'zone': 'q1',
-    'version': 'v1',
-    'slots': 64,
-    'state': 'ready',
-    'coldLeftMs': 0,
-    'seq': 4,
-    'born': 1774481671684,
-}
 CODEC = PlatformStateCodec()
 
 
