Wait for urgent changes alone when the store is asked to confirm

Hosts of fleets of 13 and more read through others and get origins of streams up to half a second late, which is as long as a confirmation may take. While several versions serve, origins are written each 0.4 s, so that streams of unknown origin and those on new connections would have been refused by such hosts (LOST).

Only changes for which relayed hosts are woken are waited for; origins in the answer are adopted at once.

--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -169,7 +169,7 @@
         self.mirror = Mirror(
             lambda: self.feed.staleness_s(),
             self.store_prober.since_contact_s,
-            lambda key: not (is_origin_entry(key) or is_usage_record(key)),
+            _is_urgent,
         )
         self.feed = StateFeed(
             self.relayed_store,
@@ -185,7 +185,13 @@
             self.skipped,
         )
         self._store_confirmer = StoreConfirmer(
-            store, state.root, self.feed, clock, self.metrics
+            store,
+            state.root,
+            self.feed,
+            clock,
+            self.metrics,
+            _is_urgent,
+            self._origin_log.apply_items,
         )
         self._restored_table = RestoredTable(
             self.feed, self.peers, cfg.peer_port, clock, self._rng
@@ -484,3 +490,8 @@
             if exc.errno == errno.EADDRINUSE:
                 code = ResultCode.ADDRESS_IN_USE
             raise SettingsError(f'{key}: {exc.strerror or exc}', code) from exc
+
+
+def _is_urgent(key: str) -> bool:
+    """Return whether hosts that read through others wait for changes of a key."""
+    return not (is_origin_entry(key) or is_usage_record(key))
--- a/packages/router/src/rosemaryseam/router/storeconfirmer.py
+++ b/packages/router/src/rosemaryseam/router/storeconfirmer.py
@@ -10,11 +10,15 @@
 
 from rosemaryseam.common.decisionlog import log_event
 from rosemaryseam.common.errors import PlatformError
+from rosemaryseam.common.rangestore import StorePosition
+from rosemaryseam.router.feed import OtherItems
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.common.metrics import Metrics
-    from rosemaryseam.common.rangestore import RangeStore, StorePosition
+    from rosemaryseam.common.rangestore import RangeStore
     from rosemaryseam.router.feed import StateFeed
 
 BATCH_S = 0.005  # within which questions share a call
@@ -34,6 +38,9 @@
     :param feed: feed of this host
     :param clock: clock of the process
     :param metrics: counters of the process
+    :param is_urgent: returns whether hosts that read through others wait for changes of
+        a key; they get the others up to half a second later
+    :param on_origins: called with the origins of streams that the feed may lack
     """
 
     def __init__(
@@ -43,19 +50,23 @@
         feed: StateFeed,
         clock: Clock,
         metrics: Metrics,
+        is_urgent: Callable[[str], bool],
+        on_origins: Callable[[OtherItems], None],
     ) -> None:
         self._store = store
         self._root = root
         self._feed = feed
         self._clock = clock
         self._metrics = metrics
+        self._is_urgent = is_urgent
+        self._on_origins = on_origins
         self._pending: AsyncResult | None = None
         self._failed_until = -math.inf
 
     def confirm(self) -> bool:
-        """Return whether the feed has applied all changes up to this moment.
+        """Return whether the feed has applied all urgent changes up to this moment.
 
-        Waits for the store, and for the feed if there are changes.
+        Waits for the store, and for the feed if there are such changes.
         """
         if self._clock.monotonic() < self._failed_until:
             return False
@@ -82,7 +93,10 @@
         position, asked_at = self._feed.position, self._clock.monotonic()
         if position is None:
             raise PlatformError('nothing is known of the store yet')
-        newest = self._store.watch_range(self._root, position, 0.0).position
+        changes = self._store.watch_range(self._root, position, 0.0)
+        self._on_origins(OtherItems(changes.items))
+        urgent = [one.revision for one in changes.items if self._is_urgent(one.key)]
+        newest = StorePosition(position.era, max(urgent, default=position.revision))
         while not self._has_reached(newest):
             gevent.sleep(POLL_S)
         self._feed.record_confirmation(asked_at)
