Take a configuration from the next host if the newest cannot be read

A host that starts while the store's configuration is invalid asks the others. The host that told the newest version was read again and again, also when its copy cannot be read, so that the starting host served nothing although others had a configuration in force.

Cause: only the host with the highest version was tried, and the same input was met again at each attempt. Now the hosts are tried from the newest version down until the one in force is at least as new.

--- a/packages/router/src/rosemaryseam/router/restoredtable.py
+++ b/packages/router/src/rosemaryseam/router/restoredtable.py
@@ -114,19 +114,17 @@
         self._told[host] = told.version
 
     def _adopt_newest(self) -> None:
-        """Read the newest configuration from the host that has it."""
-        if not self._told:
-            return
-        host = max(self._told, key=lambda one: self._told[one])
-        if self._told[host] <= self._version():
-            return
-        try:
-            item = self._read_configuration(host)
-        except PlatformError as exc:
-            log_event('table_not_read', peer=host, reason=exc.message)
-            return
-        if item is not None:
-            self._feed.adopt_configuration(item, host)
+        """Read the newest configuration from a host that has it and can be read."""
+        for host in sorted(self._told, key=lambda one: self._told[one], reverse=True):
+            if self._told[host] <= self._version():
+                return
+            try:
+                item = self._read_configuration(host)
+            except PlatformError as exc:
+                log_event('table_not_read', peer=host, reason=exc.message)
+                continue
+            if item is not None:
+                self._feed.adopt_configuration(item, host)
 
     def _read_configuration(self, host: str) -> Item | None:
         address = Address(host, self._port)
--- a/tests/test_router/test_restored_table.py
+++ b/tests/test_router/test_restored_table.py
@@ -10,12 +10,16 @@
 from test_stream_versions import count_joined, streams_of, take_up
 from test_take_ups_out_of_step import add_engine
 
+from rosemaryseam.common.errors import PlatformError
 from rosemaryseam.router import restoredtable
 from rosemaryseam.router.documentcodec import CONFIGURATION_KEY
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from rosemaryseam.common.addresses import Address
+    from rosemaryseam.common.rangestore import Snapshot
+
 REVOKED = configuration(2, workspaces=[{'name': 'north', 'keys': ['other']}])
 
 
@@ -121,6 +125,26 @@
         wait_version(one, 3)
 
 
+# Guards against a host that serves nothing, as the one that told the newest version
+# cannot be read, though others have a configuration (issue 42).
+def test_a_host_that_cannot_be_read_hides_no_configuration_of_others(
+    fleet: RunningFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    unreadable = fleet.hosts[0]
+    unreadable.router.feed.table.version = 9
+    read = restoredtable.read_mirror
+
+    def read_others(address: Address, timeout_s: float) -> Snapshot:
+        if address.ip == unreadable.cfg.ip:
+            raise PlatformError('no answer')
+        return read(address, timeout_s)
+
+    monkeypatch.setattr(restoredtable, 'read_mirror', read_others)
+    fleet.store.put(CONFIGURATION_KEY, b'{')
+    host = start_another(fleet)
+    wait_version(host, 1)
+
+
 # Guards against streams that are joined after all hosts were killed while the store
 # came back from a copy, which lacks the new version (review/3, ORDER).
 def test_no_stream_is_joined_while_entries_may_be_missing() -> None:
