Count a list of entries as one step of the work that applies it

An entry of a datagram that failed again and again was not shown as failing work: each entry counted as a step, so that the next sound entry ended the failures in a row, and each failure was logged as the first.

Now the entries of a list are one step, which fails if one of them does; all are still applied. Empty lists are no steps.

Measured: the new test failed before (no failing work after three lists with the same failure); it and the tests of datagrams and odd messages pass after.

--- a/packages/common/src/rosemaryseam/common/fairness.py
+++ b/packages/common/src/rosemaryseam/common/fairness.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import functools
 import traceback
 from typing import TYPE_CHECKING, Any, TypeVar
 
@@ -98,13 +97,27 @@
 ) -> None:
     """Apply entries one by one; an unexpected error with one does not stop the others.
 
+    The entries are one step of the work, which fails if one of them does.
+
     :param name: name of the work in the log
     :param entries: entries to apply
     :param apply: applies one entry
     :param metrics: counters of the process
     """
-    for entry in entries:
-        attempt(name, functools.partial(apply, entry), metrics)
+
+    def apply_all() -> None:
+        failures = []
+        for entry in pending:
+            try:
+                apply(entry)
+            except Exception as exc:
+                failures.append(exc)
+        if failures:
+            raise failures[0]
+
+    pending = tuple(entries)
+    if pending:
+        attempt(name, apply_all, metrics)
 
 
 def run_repeatedly(name: str, step: Callable[[], None], metrics: Metrics) -> None:
--- a/tests/test_common/test_fairness.py
+++ b/tests/test_common/test_fairness.py
@@ -8,7 +8,7 @@
 import pytest
 from gevent import socket
 
-from rosemaryseam.common.fairness import FairReceiver, run_repeatedly
+from rosemaryseam.common.fairness import FairReceiver, apply_each, run_repeatedly
 from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.common.workfailures import MAX_ERROR_CHARS, describe_error
 
@@ -98,6 +98,25 @@
     assert metrics.work_failures.failing() == {}
 
 
+# Guards against an entry that fails in each step and is hidden by the next one.
+def test_an_entry_that_fails_again_is_shown_beside_others_that_do_not() -> None:
+    metrics = Metrics()
+    applied = []
+
+    def apply(entry: int) -> None:
+        if entry == 1:
+            raise ValueError('the same input')
+        applied.append(entry)
+
+    for _ in range(3):
+        apply_each('work', [0, 1, 2], apply, metrics)
+        apply_each('work', [], apply, metrics)
+    assert applied == [0, 2] * 3
+    assert metrics.work_failures.failing()['work'].in_a_row == 3
+    apply_each('work', [2], apply, metrics)
+    assert metrics.work_failures.failing() == {}
+
+
 class _UnshowableError(Exception):
     def __repr__(self) -> str:
         raise RecursionError
