Show the entries of load and brittle messages that are left out

An unreadable entry in a message of these kinds was left out without a line, a count or a place in the dump, unlike all other skipped values.

Cause: the two handlers passed nothing to the decoder of lists that reports the entries it leaves out. Handlers now return these errors, and the link to other hosts records them as it records unreadable messages.

Measured: the 3 new cases failed before (nothing shown); they and the tests of odd messages, stated loads and brittle upstreams pass (90).

--- a/packages/router/src/rosemaryseam/router/brittleness.py
+++ b/packages/router/src/rosemaryseam/router/brittleness.py
@@ -18,6 +18,7 @@
     from collections.abc import Callable, Collection, Sequence
 
     from rosemaryseam.common.clock import Clock
+    from rosemaryseam.common.errors import UnreadableError
     from rosemaryseam.policy.engines import RequestKey
     from rosemaryseam.router.hostlink import HostLink
     from rosemaryseam.router.peers import PeerLink
@@ -393,9 +394,11 @@
             body = [list(report) for report in reports[start : start + MAX_REPORTS]]
             self._link.send_message(dispatcher, KIND, body)
 
-    def _handle_message(self, host: str, body: Any) -> None:
-        for report in readable(require_list(body), read_report):
+    def _handle_message(self, host: str, body: Any) -> list[UnreadableError]:
+        errors: list[UnreadableError] = []
+        for report in readable(require_list(body), read_report, errors.append):
             self.adopt(report, host)
+        return errors
 
 
 def is_room_refusal(exc: NoUpstreamError) -> bool:
--- a/packages/router/src/rosemaryseam/router/peers.py
+++ b/packages/router/src/rosemaryseam/router/peers.py
@@ -35,7 +35,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Collection
+    from collections.abc import Callable, Collection, Iterable
 
     from rosemaryseam.common.addresses import Address
     from rosemaryseam.common.clock import Clock
@@ -56,6 +56,8 @@
     from rosemaryseam.router.requestlimits import LimitReport
     from rosemaryseam.router.upstreamtracker import UpstreamTracker
 
+    MessageHandler = Callable[[str, Any], Iterable[UnreadableError] | None]
+
 LEASE_TTL_S = 600.0  # the store's maximum; allows renewals minutes apart
 LEASE_RENEWAL_S = 240.0  # between two renewals, before jitter
 REGISTRATION_RETRY_S = 1.0  # after a failed registration or renewal
@@ -109,7 +111,7 @@
         self._address = address
         self._on_left = on_left
         self._left_at: dict[str, float] = {}  # when hosts said that they stop
-        self._handlers: dict[str, Callable[[str, Any], None]] = {}
+        self._handlers: dict[str, MessageHandler] = {}
         self._capacity = capacity
         self._store = store
         self._clock = clock
@@ -312,11 +314,12 @@
         """Send a message of one part of the router to the same part of another host."""
         self._outbox(host).messages.append(PartMessage(kind, body))
 
-    def subscribe(self, kind: str, handle: Callable[[str, Any], None]) -> None:
+    def subscribe(self, kind: str, handle: MessageHandler) -> None:
         """Set the handler of a kind of message.
 
         :param kind: name of the part
-        :param handle: called with the address of the sending host and the content
+        :param handle: called with the address of the sending host and the content; may
+            return the errors of entries that it left out
         """
         self._handlers[kind] = handle
 
@@ -476,8 +479,10 @@
             self._metrics.count('peer_messages_unknown', kind='other')
             return
         try:
-            handle(host, message.body)
+            errors = handle(host, message.body) or ()
         except UnreadableError as exc:
+            errors = (exc,)
+        for exc in errors:
             self._skip_message(host, f'{message.kind} message', exc)
 
     def _is_current(self, host: str, incarnation: int) -> bool:
--- a/packages/router/src/rosemaryseam/router/statedload.py
+++ b/packages/router/src/rosemaryseam/router/statedload.py
@@ -187,25 +187,29 @@
             body = {'learned': [_encode_learned(report) for report in chunk]}
             self._link.send_message(host, MESSAGE_KIND, body)
 
-    def handle(self, host: str, body: Any) -> None:
-        """Apply a message of another host.
+    def handle(self, host: str, body: Any) -> list[UnreadableError]:
+        """Apply a message of another host; return the errors of unreadable entries.
 
         :param host: address of the other host
         :param body: content of the message
         """
         body = require_object(body)
         seen: list[Incarnation] = []
-        for report in readable(require_list(body.get('seen', [])), _decode_report):
+        errors: list[UnreadableError] = []
+        reports = require_list(body.get('seen', []))
+        for report in readable(reports, _decode_report, errors.append):
             self.metrics.count('load_reports_received')
             seen.append((report.upstream, report.born))
             self._tracker.apply_load(report)
-        for learned in readable(require_list(body.get('learned', [])), _decode_learned):
+        figures = require_list(body.get('learned', []))
+        for learned in readable(figures, _decode_learned, errors.append):
             self.metrics.count('learned_speeds_received')
             self._tracker.adopt_learned(learned)
         now = self._clock.monotonic()
         if seen and now - self._told_at.get(host, -math.inf) >= TELL_INTERVAL_S:
             self._told_at[host] = now
             self.tell(host, self._tracker.learned.names_beside(seen[0]))
+        return errors
 
 
 def _encode_report(report: LoadReport) -> list[Any]:
--- a/tests/test_router/test_odd_messages.py
+++ b/tests/test_router/test_odd_messages.py
@@ -90,6 +90,28 @@
         assert host.router.metrics.value('internal_errors') == 0
 
 
+# Guards against entries of messages that are skipped without a trace.
+@pytest.mark.parametrize(
+    ('kind', 'body'),
+    [
+        ('load', {'seen': [REPORT, ['one'], REPORT]}),
+        ('load', {'learned': [LEARNED, ['one'], LEARNED]}),
+        ('brittle', [['one', 1, 2.0, 0.1], ['one'], ['one', 1, 2.0, 0.1]]),
+    ],
+)
+def test_an_odd_entry_of_a_message_is_shown_once(
+    kind: str, body: Any, fleet: RunningFleet
+) -> None:
+    sender, receiver = (host.router for host in fleet.hosts)
+    for _ in range(3):
+        sender.peers.send_message(receiver.peers._address.ip, kind, body)
+    fleet.hosts[1].wait(lambda: receiver.metrics.value('peer_unreadable') == 3)
+    (shown,) = receiver.dump()['skipped_values'].items()
+    assert f'{kind} message' in shown[0]
+    values = receiver.metrics.dump().items()
+    assert sum(number for name, number in values if 'values_skipped' in name) == 1
+
+
 # Guards against messages of a whole turn that are lost with one that is not encoded.
 def test_a_message_that_cannot_be_encoded_stops_no_other(fleet: RunningFleet) -> None:
     sender, receiver = (host.router.peers for host in fleet.hosts)
