Remove a duty's key that another writer left

After another writer had written a value under the key of a duty, no host held that duty any more: usage was not reported and upstreams were not ordered until somebody deleted the key.

Cause: hosts claim a duty only while its key is absent, and rely on the lease of its holder to remove it. A key of another writer has no lease. Now a host that sees the key name no known host for two leases asks the store, and removes the key, at this revision only, if it has no lease. Hosts do so in the order in which they claim the duty.

--- a/packages/router/src/rosemaryseam/router/dutyholder.py
+++ b/packages/router/src/rosemaryseam/router/dutyholder.py
@@ -11,6 +11,7 @@
 from rosemaryseam.common.errors import PlatformError
 from rosemaryseam.common.rangestore import Expected, Item, RefusedError
 from rosemaryseam.policy.dutylease import (
+    CLAIM_STEP_S,
     ClaimTiming,
     HandoverTiming,
     Permission,
@@ -234,6 +235,8 @@
                 self._send_claim(self._pending)
             elif self._is_stray(now):
                 self._key.remove(self._item.revision)
+            elif self._is_unknown(now):
+                self._remove_unless_leased(self._item)
             elif self._item_known and now >= self._timing.claim_at(self._place()):
                 self._claim()
         except PlatformError as exc:
@@ -322,6 +325,20 @@
             and now - self._item_since > 2 * self._lease_s
         )
 
+    def _is_unknown(self, now: float) -> bool:
+        """Return whether the key has long named no host that may hold the duty."""
+        if self._item is None or read_owner(self._item).get('host') in self._hosts():
+            return False
+        wait_s = 2 * self._lease_s + self._place() * CLAIM_STEP_S
+        return now - self._item_since > wait_s
+
+    def _remove_unless_leased(self, item: Item) -> None:
+        """Remove the key if another writer left it; those of hosts have a lease."""
+        self._item_since = self._clock.monotonic()  # asked again after as long
+        if self._store.read_key(self._key.name).lease == 0:
+            log_warning('duty_key_removed', duty=self.name, revision=item.revision)
+            self._key.remove(item.revision)
+
     # Keeping and handing over.
 
     def _keep(self, tenure: Tenure, now: float) -> None:
--- a/tests/test_router/test_duty_ownership.py
+++ b/tests/test_router/test_duty_ownership.py
@@ -160,6 +160,33 @@
     assert fleet.ledger.violations == []
 
 
+# Guards against a duty that no host holds any more, as another writer left a value
+# under its key (issue 42).
+@pytest.mark.parametrize('held', [True, False])
+@pytest.mark.parametrize(
+    'value', [b'', b'{', b'[' * 5000, b'{"host": "10.9.9.9", "incarnation": 7}']
+)
+def test_a_key_of_another_writer_is_removed(value: bytes, held: bool) -> None:
+    fleet = DutyFleet(4)
+    if held:
+        fleet.run(LEASE_S + 0.5)
+    fleet.store.put(KEY, value)
+    fleet.run(5 * LEASE_S)
+    assert fleet.holders() == [0]
+    assert fleet.ledger.violations == []
+
+
+def test_a_key_with_a_lease_is_kept_while_its_host_is_unknown(
+    fleet: DutyFleet,
+) -> None:
+    """A host may be missing from the list of the others for a while."""
+    owner = fleet.hosts[0].name
+    fleet.names.remove(owner)
+    fleet.run(6 * LEASE_S)
+    assert fleet.holders() == [0]
+    assert fleet.ledger.holders == [owner]
+
+
 def test_fences_increase_when_the_store_is_restored(fleet: DutyFleet) -> None:
     """Revisions are reused, and the key of the present holder is lost."""
     copy = fleet.store.copy()
