Show unreadable duty keys and usage records like other skipped values

An unreadable key of a duty was skipped without a line, a count or a place in the dump; an unreadable usage record gave a line at each read and no count.

Cause: both readers handled the error themselves. They now use the same record of skipped values as the other readers. The test of odd values in the project's own prefixes runs hosts without duties, so that it read neither key; the new test runs hosts with the duty.

--- a/packages/router/src/rosemaryseam/router/duties.py
+++ b/packages/router/src/rosemaryseam/router/duties.py
@@ -23,6 +23,7 @@
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.common.rangestore import RangeStore
+    from rosemaryseam.common.skippedvalues import SkippedValues
     from rosemaryseam.router.dutyport import DutyPort
     from rosemaryseam.router.feed import OtherItems
     from rosemaryseam.router.peers import PeerLink
@@ -43,6 +44,7 @@
     :param incarnation: number of this process, different for each start
     :param clock: clock of the process
     :param metrics: counters of the process
+    :param skipped: keeps the values that cannot be read
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         incarnation: int,
         clock: Clock,
         metrics: Metrics,
+        skipped: SkippedValues | None = None,
     ) -> None:
         self._cfg = cfg
         self._port = port
@@ -64,6 +67,7 @@
         self._incarnation = incarnation
         self._clock = clock
         self._metrics = metrics
+        self._skipped = skipped
         self._holders: dict[str, DutyHolder] = {}
         self._usage: tuple[UsageCounts, UsageReporter] | None = None
         if self.has(USAGE_DUTY):
@@ -104,6 +108,7 @@
             duties.lease_s,
             self._clock,
             self._metrics,
+            self._skipped,
         )
         return holder, HeldDutyPort(self._port, holder, self._clock)
 
@@ -180,6 +185,7 @@
             self.call_interval_s(),
             self._clock,
             self._metrics,
+            self._skipped,
         )
         self._peers.subscribe(USAGE_KIND, reporter.handle_counts)
         self._peers.subscribe(USAGE_ACK_KIND, counts.handle_ack)
--- a/packages/router/src/rosemaryseam/router/dutyclaim.py
+++ b/packages/router/src/rosemaryseam/router/dutyclaim.py
@@ -131,6 +131,20 @@
         )
 
 
+def decode_owner(value: bytes) -> dict[str, Any]:
+    """Return host and incarnation of a duty's holder.
+
+    :param value: value of the key
+    :raises UnreadableError: it names no holder
+    """
+    with decoding('duty'):
+        data = decode_json(value)
+        return {
+            'host': require_text(data['host']),
+            'incarnation': require_count(data['incarnation']),
+        }
+
+
 def read_owner(item: Item | None) -> dict[str, Any]:
     """Return host and incarnation of a duty's holder, empty if they cannot be read.
 
@@ -139,11 +153,6 @@
     if item is None or item.value is None:
         return {}
     try:
-        with decoding('duty'):
-            data = decode_json(item.value)
-            return {
-                'host': require_text(data['host']),
-                'incarnation': require_count(data['incarnation']),
-            }
+        return decode_owner(item.value)
     except UnreadableError:
         return {}
--- a/packages/router/src/rosemaryseam/router/dutyholder.py
+++ b/packages/router/src/rosemaryseam/router/dutyholder.py
@@ -8,8 +8,9 @@
 from gevent.event import Event
 
 from rosemaryseam.common.decisionlog import log_event, log_warning
-from rosemaryseam.common.errors import PlatformError
+from rosemaryseam.common.errors import PlatformError, UnreadableError
 from rosemaryseam.common.rangestore import Expected, Item, RefusedError
+from rosemaryseam.common.skippedvalues import SkippedValues
 from rosemaryseam.policy.dutylease import (
     CLAIM_STEP_S,
     ClaimTiming,
@@ -23,6 +24,7 @@
     DutyKey,
     PendingClaim,
     Tenure,
+    decode_owner,
     read_owner,
 )
 
@@ -55,6 +57,7 @@
     :param lease_s: seconds after which the store removes the key of a silent holder
     :param clock: clock of the process, which counts suspended time
     :param metrics: counters of the process
+    :param skipped: keeps the keys that cannot be read
     """
 
     def __init__(
@@ -69,6 +72,7 @@
         lease_s: float,
         clock: Clock,
         metrics: Metrics,
+        skipped: SkippedValues | None = None,
     ) -> None:
         self.name = name
         self._host = host
@@ -80,6 +84,7 @@
         self._lease_s = lease_s
         self._clock = clock
         self._metrics = metrics
+        self._skipped = skipped or SkippedValues(metrics)
         self._timing = ClaimTiming(lease_s, clock.monotonic())
         self._handover = HandoverTiming()
         self._item: Item | None = None  # the key, as this host last knew it
@@ -209,6 +214,7 @@
         owner = read_owner(item).get('incarnation')
         if item is not None and owner != read_owner(before).get('incarnation'):
             self._handover.note_change(now)
+        self._record_skipped(item)
         self._item_known = True
         self._timing.note_key(now, present=item is not None)
         tenure = self._tenure
@@ -216,6 +222,17 @@
             self._doubtful = True
         self._wakeup.set()
 
+    def _record_skipped(self, item: Item | None) -> None:
+        if item is None or item.value is None:
+            self._skipped.forget(self._key.name)
+            return
+        try:
+            decode_owner(item.value)
+        except UnreadableError as exc:
+            self._skipped.skip('duty', item.key, item.value, exc)
+        else:
+            self._skipped.forget(item.key)
+
     def step(self) -> None:
         """Wait, and do what is due; called repeatedly."""
         is_idle = self._tenure is None and self._pending is None
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -217,6 +217,7 @@
             self._rng.getrandbits(53),
             clock,
             self.metrics,
+            self.skipped,
         )
         self.autoscaler = Autoscaler(
             cfg.ip, self.registry, self.feed, clock, self.metrics, self._rng
--- a/packages/router/src/rosemaryseam/router/usagereporter.py
+++ b/packages/router/src/rosemaryseam/router/usagereporter.py
@@ -18,6 +18,7 @@
 )
 from rosemaryseam.common.errors import PlatformError, UnreadableError
 from rosemaryseam.common.rangestore import ConflictError, Expected, Write
+from rosemaryseam.common.skippedvalues import SkippedValues
 from rosemaryseam.policy.usagewindows import (
     KEPT_WINDOWS,
     MIN_VOTES,
@@ -35,7 +36,7 @@
 if TYPE_CHECKING:
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.common.metrics import Metrics
-    from rosemaryseam.common.rangestore import RangeStore
+    from rosemaryseam.common.rangestore import Item, RangeStore
     from rosemaryseam.router.dutyholder import DutyHolder
     from rosemaryseam.router.dutyport import DutyPort
     from rosemaryseam.router.hostlink import HostLink
@@ -77,6 +78,7 @@
     :param interval_s: shortest time between two calls
     :param clock: clock of the process
     :param metrics: counters of the process
+    :param skipped: keeps the records that cannot be read
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         interval_s: float,
         clock: Clock,
         metrics: Metrics,
+        skipped: SkippedValues | None = None,
     ) -> None:
         self._sender = (host, incarnation)
         self._holder = holder
@@ -104,6 +107,7 @@
         self._interval_s = interval_s
         self._clock = clock
         self._metrics = metrics
+        self._skipped = skipped or SkippedValues(metrics)
         self._merged = MergedCounts()
         self._votes = ClockVotes()
         self._heard: dict[str, Heard] = {}
@@ -209,11 +213,22 @@
         if state.era != self._holder.era_of_claim():
             self._holder.doubt()
             return
-        self._record = _decode(state.item.value) if state.item else None
+        self._record = self._decode_record(state.item) if state.item else None
         self._revision = state.item.revision if state.item else 0
         self._accepted &= set(self._record.unreported if self._record else ())
         self._fence = fence
 
+    def _decode_record(self, item: Item) -> UsageRecord | None:
+        """Return a record, or ``None`` if it cannot be read."""
+        value = item.value or b''
+        try:
+            record = _decode(value)
+        except UnreadableError as exc:
+            self._skipped.skip('usage record', item.key, value, exc)
+            return None
+        self._skipped.forget(item.key)
+        return record
+
     def _record_final(self, now: float) -> None:
         """Write the counts of the windows that are final to the store."""
         condition, era = self._holder.claim_condition(), self._holder.era_of_claim()
@@ -323,21 +338,14 @@
     ).encode()
 
 
-def _decode(value: bytes | None) -> UsageRecord | None:
-    """Return a record, or ``None`` if there is none that can be read."""
-    try:
-        with decoding('usage record'):
-            data = decode_json(value or b'')
-            unreported = {
-                require_count(int(window)): _decode_counts(counts)
-                for window, counts in data['unreported'].items()
-            }
-            return UsageRecord(
-                require_count(data['era']), int(data['last']), unreported
-            )
-    except UnreadableError as exc:
-        log_warning('usage_record_unreadable', reason=exc.message)
-        return None
+def _decode(value: bytes) -> UsageRecord:
+    with decoding('usage record'):
+        data = decode_json(value)
+        unreported = {
+            require_count(int(window)): _decode_counts(counts)
+            for window, counts in data['unreported'].items()
+        }
+        return UsageRecord(require_count(data['era']), int(data['last']), unreported)
 
 
 def _decode_counts(counts: dict[str, Any]) -> dict[str, int]:
--- a/tests/test_router/test_usage_fleet.py
+++ b/tests/test_router/test_usage_fleet.py
@@ -9,10 +9,12 @@
 import gevent
 import pytest
 from dutyfleet import LedgerPort
+from oddvalues import BYTES, OddValue
 from routers import RunningFleet, RunningRouter
 
 from rosemaryseam.common.addresses import Address
 from rosemaryseam.common.clock import SystemClock
+from rosemaryseam.router.dutyholder import DUTIES_PREFIX
 from rosemaryseam.router.settings import DutySettings
 from rosemaryseam.router.usagereporter import USAGE_KEY
 from rosemaryseam.standins.dutyapi import DutyLedger
@@ -120,6 +122,27 @@
     exchange.answer(200, b'done')
 
 
+# Guards against usage that is not reported any more, or not shown to be in doubt, as
+# another writer left a value under a key of the duty (issue 42).
+@pytest.mark.parametrize('key', [DUTIES_PREFIX + 'usage', USAGE_KEY])
+@pytest.mark.parametrize('odd', BYTES[::5], ids=lambda odd: odd.name)
+def test_an_odd_value_under_a_key_of_the_duty_costs_no_report(
+    odd: OddValue, key: str, fleet: UsageFleet
+) -> None:
+    fleet.store.put(key, odd.value)
+    fleet.add('one', answer)
+    metrics = [host.router.metrics for host in fleet.hosts]
+    kind = 'usage record' if key == USAGE_KEY else 'duty'
+    first = fleet.hosts[0]
+    first.wait(lambda: any(one.value('values_skipped', kind=kind) for one in metrics))
+    first.wait(lambda: fleet.holder() is not None, 5 * DUTIES.lease_s)
+    assert first.call('safe').status == 200
+    window = int(time.time() / WINDOW_S)
+    first.wait(lambda: fleet.ledger.usage.get(window, {}).get('north') == 1, 8.0)
+    assert all(one.value('values_skipped', kind=kind) <= 1 for one in metrics)
+    assert all(one.value('internal_errors') == 0 for one in metrics)
+
+
 @pytest.mark.parametrize('stops', ['none', 'holder crashes', 'holder stops'])
 def test_all_requests_are_reported_once(fleet: UsageFleet, stops: str) -> None:
     """A crash or a stop of the holder must lose or repeat no window."""
