Show failing questions to the store as failing work

An unexpected error in the question whether the store has changes that this host lacks ended its greenlet: take-ups of unknown streams were refused again and again, and neither readiness nor metrics told why.

Cause: the question ran outside the wrapper of repeated work. It now runs in it, and later questions fail at once for half a second, as after an outage; an outage itself is no failing work.

Measured: the new test failed before (no failing work); it and the tests of take-ups at hosts out of step pass after (15).

--- a/packages/router/src/rosemaryseam/router/storeconfirmer.py
+++ b/packages/router/src/rosemaryseam/router/storeconfirmer.py
@@ -10,6 +10,7 @@
 
 from rosemaryseam.common.decisionlog import log_event
 from rosemaryseam.common.errors import PlatformError
+from rosemaryseam.common.fairness import attempt
 from rosemaryseam.common.rangestore import StorePosition
 from rosemaryseam.router.feed import OtherItems
 
@@ -79,17 +80,25 @@
     def _answer(self, pending: AsyncResult) -> None:
         self._pending = None  # later questions need a later call
         self._metrics.count('store_confirmations')
-        confirmed = False
+        answers: list[bool] = []
+        attempt(
+            'confirm_store', lambda: answers.append(self._ask_in_time()), self._metrics
+        )
+        confirmed = answers == [True]
+        if not confirmed:
+            self._failed_until = self._clock.monotonic() + RETRY_S
+        pending.set(confirmed)
+
+    def _ask_in_time(self) -> bool:
         try:
             with gevent.Timeout(TIMEOUT_S, PlatformError('no answer in time')):
-                confirmed = self._ask()
+                self._ask()
         except PlatformError as exc:
-            self._failed_until = self._clock.monotonic() + RETRY_S
             log_event('store_not_confirmed', reason=exc.message)
-        finally:
-            pending.set(confirmed)
+            return False
+        return True
 
-    def _ask(self) -> bool:
+    def _ask(self) -> None:
         position, asked_at = self._feed.position, self._clock.monotonic()
         if position is None:
             raise PlatformError('nothing is known of the store yet')
@@ -100,7 +109,6 @@
         while not self._has_reached(newest):
             gevent.sleep(POLL_S)
         self._feed.record_confirmation(asked_at)
-        return True
 
     def _has_reached(self, newest: StorePosition) -> bool:
         position = self._feed.position
--- a/tests/test_router/test_store_confirmer.py
+++ b/tests/test_router/test_store_confirmer.py
@@ -11,7 +11,7 @@
 from rosemaryseam.common.errors import PlatformError
 from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.common.rangestore import Changes, Item, StorePosition
-from rosemaryseam.router.storeconfirmer import TIMEOUT_S, StoreConfirmer
+from rosemaryseam.router.storeconfirmer import RETRY_S, TIMEOUT_S, StoreConfirmer
 
 QUIET = Item('quiet', b'x', 7)
 URGENT = Item('urgent', b'x', 6)
@@ -81,6 +81,20 @@
     assert followed.origins == list(changes)
 
 
+# Guards against take-ups that are refused again and again without anybody noticing.
+def test_an_unexpected_error_is_shown_as_failing_work() -> None:
+    followed = Followed(URGENT, reaches=6)
+    followed.origins = None
+    confirmer = followed.confirmer()
+    assert not confirmer.confirm()
+    assert not confirmer.confirm()
+    assert confirmer._metrics.work_failures.failing()['confirm_store'].in_a_row == 1
+    followed.origins = []
+    gevent.sleep(RETRY_S)
+    assert confirmer.confirm()
+    assert confirmer._metrics.work_failures.failing() == {}
+
+
 def test_questions_share_a_call_and_failures_are_not_repeated() -> None:
     followed = Followed(error=True)
     confirmer = followed.confirmer()
