Read anew after a lost history whose era cannot be read

A host that another host told of a lost history, with an era that is no number, took the answer for a failure of the call and asked again from the same position, instead of reading all items.

Cause: the reader of the era raised an error that its caller took for one of the connection. An unreadable era is now left out.

--- a/packages/router/src/rosemaryseam/router/mirror.py
+++ b/packages/router/src/rosemaryseam/router/mirror.py
@@ -17,6 +17,7 @@
 from rosemaryseam.common.decoding import (
     decode_json,
     decoding,
+    readable,
     require_count,
     require_number,
     require_object,
@@ -224,19 +225,16 @@
             raise _history_lost(answer, era)
         if answer.status != HTTPStatus.OK:
             raise RefusedError(f'mirror answered with HTTP status {answer.status}')
-    except (OSError, ValueError) as exc:
+    except OSError as exc:
         raise PlatformError(f'mirror at {address}: {exc}') from exc
     return answer.body
 
 
 def _history_lost(answer: Answer, era: int | None) -> HistoryLostError:
     """Return the error for an answer of a mirror that lacks the requested changes."""
-    eras = [
-        int(value)
-        for name, value in answer.headers
-        if name.lower() == ERA_HEADER.lower()
-    ]
-    if era is not None and eras and eras[0] > era:
+    name = ERA_HEADER.lower()
+    values = [value for key, value in answer.headers if key.lower() == name]
+    if era is not None and any(later > era for later in readable(values, int)):
         return EraChangedError('the mirror is of a later era')
     return HistoryLostError('position is outside the range that the mirror holds')
 
--- a/tests/test_platform/test_odd_store_answers.py
+++ b/tests/test_platform/test_odd_store_answers.py
@@ -11,9 +11,9 @@
 from rawanswers import RawServer
 
 from rosemaryseam.common.errors import PlatformError
-from rosemaryseam.common.rangestore import NO_VALUE, StorePosition
+from rosemaryseam.common.rangestore import NO_VALUE, HistoryLostError, StorePosition
 from rosemaryseam.platform.store import PlatformStore
-from rosemaryseam.router.mirror import read_mirror, watch_mirror
+from rosemaryseam.router.mirror import ERA_HEADER, read_mirror, watch_mirror
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -138,6 +138,18 @@
         read(server)
 
 
+# Guards against a watch of another host that fails in the same way again and again
+# instead of a new read of all items.
+@pytest.mark.parametrize('era', ['x', '9' * 5000, '1.5', ''])
+def test_an_odd_era_of_a_host_hides_no_lost_history(
+    era: str, server: RawServer
+) -> None:
+    server.status = '410 Gone'
+    server.headers = [(ERA_HEADER, era)]
+    with pytest.raises(HistoryLostError):
+        watch_host(server)
+
+
 def test_a_copy_that_decompresses_without_end_is_a_failure(server: RawServer) -> None:
     server.body = zlib.compress(b' ' * 100_000_000)
     with pytest.raises(PlatformError):
