--- a/packages/common/src/rosemaryseam/common/rangestore.py
+++ b/packages/common/src/rosemaryseam/common/rangestore.py
@@ -6,7 +6,7 @@
 import base64
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from rosemaryseam.common.decoding import require_count, require_list
+from rosemaryseam.common.decoding import decoding, require_count, require_list
 from rosemaryseam.common.errors import PlatformError, UnreadableError
 
 if TYPE_CHECKING:
@@ -89,8 +89,9 @@
     if is_deleted(entry):
         return Item(key, None, revision)
     try:
-        value = base64.b64decode(entry['value'], validate=True)
-    except (LookupError, ValueError, TypeError):
+        with decoding('value'):
+            value = base64.b64decode(entry['value'], validate=True)
+    except UnreadableError:
         value = NO_VALUE
     return Item(key, value, revision)
 
--- a/tests/test_platform/test_dutyapi.py
+++ b/tests/test_platform/test_dutyapi.py
@@ -111,6 +111,17 @@
     assert api.report_usage(5, {}, permission()) is DutyResult.REFUSED
 
 
+@pytest.mark.parametrize(
+    'answer', [b'\r\n', b'HTTP/1.1\r\n', b'HTTP/1.1 x\r\n', b'HTTP/1.1 -20 OK\r\n']
+)
+def test_an_odd_status_line_is_no_known_outcome(answer: bytes) -> None:
+    listener = StreamServer(('127.0.0.1', 0), lambda sock, _: sock.sendall(answer))
+    listener.start()
+    api = DutyApi(Address('127.0.0.1', listener.server_port), 'host-1', CLOCK)
+    assert api.report_usage(5, {}, permission()) is DutyResult.UNKNOWN
+    listener.stop(timeout=0)
+
+
 def test_the_connection_of_an_unanswered_call_is_reset() -> None:
     """Otherwise the kernel delivers its bytes after another host acts."""
     seen = []
