Leave an item without a key or a revision out of a read

Callers saw nothing served by a host: one item of the store without a key or a revision failed its whole page, in a first read and in a watch, and each repeated call failed at the same item.

A first read now leaves such an item out, logs and counts it once and shows it in the dump, like an item whose key cannot be encoded, which was left out without a trace. A change without a key may be any change, so that a watch asks for a new read of all items. A relayed copy with such an item is a failure of the call, as before, since another reader or the store has it whole.

--- a/packages/common/src/rosemaryseam/common/rangestore.py
+++ b/packages/common/src/rosemaryseam/common/rangestore.py
@@ -65,21 +65,57 @@
     revision: int
 
 
+class LeftOutItem(NamedTuple):
+    """An item that no reader can use, and why.
+
+    ``name`` is its key as far as it can be shown. ``is_unknown`` is set if it may stand
+    for any key, so that a change of it may be any change.
+    """
+
+    name: str
+    reason: str
+    is_unknown: bool
+
+
+class DecodedItems(NamedTuple):
+    """The items of a list, and those that were left out."""
+
+    items: tuple[Item, ...]
+    left_out: tuple[LeftOutItem, ...]
+
+
 def decode_items(
     entries: Any, is_deleted: Callable[[dict[str, Any]], bool]
-) -> tuple[Item, ...]:
+) -> DecodedItems:
     """Return the items of a JSON list.
 
     Writers choose keys and values, the store the rest. An item whose value is
-    unreadable has :data:`NO_VALUE`. One whose key cannot be encoded is left out, as no
-    reader uses such a key.
+    unreadable has :data:`NO_VALUE`. One without a key or a revision is left out, and so
+    is one whose key cannot be encoded, as no reader uses such a key.
 
     :param entries: objects with ``key``, ``value`` in base64 and ``revision``
     :param is_deleted: returns whether an entry is that of a deleted key
-    :raises UnreadableError: it is no list of items
+    :raises UnreadableError: it is no list
     """
-    items = [_decode_item(entry, is_deleted) for entry in require_list(entries)]
-    return tuple(item for item in items if _can_be_encoded(item.key))
+    items, left_out = [], []
+    for entry in require_list(entries):
+        try:
+            with decoding('item'):
+                item = _decode_item(entry, is_deleted)
+        except UnreadableError as exc:
+            left_out.append(LeftOutItem(_show_key(entry), exc.message, True))
+            continue
+        if _can_be_encoded(item.key):
+            items.append(item)
+        else:
+            name = _show_key(entry)
+            left_out.append(LeftOutItem(name, 'the key cannot be encoded', False))
+    return DecodedItems(tuple(items), tuple(left_out))
+
+
+def _show_key(entry: Any) -> str:
+    key = entry.get('key') if isinstance(entry, dict) else None
+    return ascii(key) if isinstance(key, str) else 'no key'
 
 
 def _decode_item(entry: Any, is_deleted: Callable[[dict[str, Any]], bool]) -> Item:
@@ -128,6 +164,7 @@
     items: tuple[Item, ...]
     position: StorePosition
     freshness: Freshness | None = None
+    left_out: tuple[LeftOutItem, ...] = ()
 
 
 class Changes(NamedTuple):
@@ -136,6 +173,7 @@
     items: tuple[Item, ...]
     position: StorePosition
     freshness: Freshness | None = None
+    left_out: tuple[LeftOutItem, ...] = ()
 
 
 class KeyState(NamedTuple):
@@ -184,7 +222,8 @@
         :param prefix: prefix of the keys
         :param after: the position up to which changes are known
         :param wait_s: seconds for which the store holds the call when nothing changes
-        :raises HistoryLostError: the store has dropped the changes since then
+        :raises HistoryLostError: the store has dropped the changes since then, or one
+            of them names no key
         :raises EraChangedError: the store was restored since then
         :raises PlatformError: the store did not answer, or refused
         """
--- a/packages/router/src/rosemaryseam/router/feed.py
+++ b/packages/router/src/rosemaryseam/router/feed.py
@@ -24,6 +24,7 @@
     from rosemaryseam.common.rangestore import (
         Freshness,
         Item,
+        LeftOutItem,
         RangeStore,
         Snapshot,
         StorePosition,
@@ -215,6 +216,7 @@
     def _load(self, started: float) -> None:
         snapshot = self._store.read_range(self._codec.root)
         restored = self._check_era(snapshot)
+        self._report_left_out(snapshot.left_out)
         entries: dict[str, Registration] = {}
         others = []
         for item in snapshot.items:
@@ -266,6 +268,7 @@
         wait_s = self._watch_timeout_s()
         changes = self._store.watch_range(self._codec.root, position, wait_s)
         now = self._clock.monotonic()
+        self._report_left_out(changes.left_out)
         others = [item for item in changes.items if self._apply_item(item, now)]
         if any(map(self._is_in_force, changes.items)):
             self.settle('the operator wrote again')
@@ -370,6 +373,11 @@
                 revision=item.revision,
             )
 
+    def _report_left_out(self, left_out: Iterable[LeftOutItem]) -> None:
+        for one in left_out:
+            exc = UnreadableError(one.reason)
+            self._skipped.skip('item', one.name, one.reason.encode(), exc)
+
     def _decode_registration(self, item: Item) -> Registration | None:
         upstream_id = self._codec.upstream_id(item.key)
         if upstream_id is None:
--- a/packages/router/src/rosemaryseam/router/mirror.py
+++ b/packages/router/src/rosemaryseam/router/mirror.py
@@ -264,11 +264,13 @@
     try:
         with decoding(f'mirror at {address}'):
             data = require_object(decode_json(_decompress(body)))
-            items = decode_items(data['items'], _is_deleted)
+            items, left_out = decode_items(data['items'], _is_deleted)
+            if any(one.is_unknown for one in left_out):
+                raise UnreadableError('an item has no key or no revision')
             position = StorePosition(
                 require_count(data['era']), require_count(data['revision'])
             )
-            return kind(items, position, _decode_freshness(data))
+            return kind(items, position, _decode_freshness(data), left_out)
     except UnreadableError as exc:
         raise PlatformError(exc.message) from exc
 
--- a/tests/test_platform/test_odd_store_answers.py
+++ b/tests/test_platform/test_odd_store_answers.py
@@ -106,6 +106,53 @@
     assert answer.position == StorePosition(0, 9)
 
 
+# Items of which not even the key or the revision can be read.
+UNKNOWN_ITEMS = [
+    ('no object', '7'),
+    ('no key', '{"value": "eA==", "revision": 3}'),
+    ('key as a number', '{"key": 7, "value": "eA==", "revision": 3}'),
+    ('no revision', '{"key": "a/2", "value": "eA=="}'),
+    ('huge revision', json.dumps({**ONE, 'revision': HUGE})),
+    ('infinite revision', '{"key": "a/2", "value": "eA==", "revision": 1e400}'),
+]
+by_unknown_item = pytest.mark.parametrize(
+    ('item', 'unknown'), UNKNOWN_ITEMS, ids=[row[0] for row in UNKNOWN_ITEMS]
+)
+
+
+# Guards against first reads that fail as a whole, again and again, for one item.
+@by_unknown_item
+def test_an_unknown_item_is_left_out_of_a_read(
+    item: str, unknown: str, server: RawServer
+) -> None:
+    server.body = body('read of the store', json.dumps(ONE), unknown, json.dumps(TWO))
+    answer = read_store(server)
+    assert [one.value for one in answer.items] == [b'one', b'two']
+    assert [one.is_unknown for one in answer.left_out] == [True]
+
+
+# Guards against watches that fail at the same change without an end, and against a
+# missed change: a change of an unknown key may be any change.
+@by_unknown_item
+def test_a_change_of_an_unknown_key_needs_a_new_read(
+    item: str, unknown: str, server: RawServer
+) -> None:
+    server.body = body('watch of the store', json.dumps(ONE), unknown, json.dumps(TWO))
+    with pytest.raises(HistoryLostError):
+        watch_store(server)
+
+
+# Guards against use of a copy that lacks items; the host reads elsewhere.
+@pytest.mark.parametrize('read', [read_host, watch_host])
+@by_unknown_item
+def test_a_copy_with_an_unknown_item_is_a_failure_of_the_call(
+    item: str, unknown: str, read: Callable[[RawServer], Any], server: RawServer
+) -> None:
+    server.body = body('read of a host', json.dumps(ONE), unknown, json.dumps(TWO))
+    with pytest.raises(PlatformError):
+        read(server)
+
+
 ODD_ANSWERS = [
     *BYTES,
     OddValue('an item without a key', b'{"items": [{}], "events": [{}], "asOf": 1}'),
--- a/tests/test_router/test_feed.py
+++ b/tests/test_router/test_feed.py
@@ -17,10 +17,12 @@
     Item,
     KeyState,
     Lease,
+    LeftOutItem,
     RangeStore,
     Snapshot,
     StorePosition,
 )
+from rosemaryseam.common.skippedvalues import SkippedValues
 from rosemaryseam.router.documentcodec import (
     CONFIGURATION_KEY,
     UPSTREAM_PREFIX,
@@ -96,7 +98,9 @@
 
 
 def build_feed(
-    answers: list[tuple[float, Any]], monkeypatch: pytest.MonkeyPatch
+    answers: list[tuple[float, Any]],
+    monkeypatch: pytest.MonkeyPatch,
+    skipped: SkippedValues | None = None,
 ) -> tuple[StateFeed, Registry, ManualClock]:
     """Return a feed that has made one call for each answer."""
     clock = ManualClock()
@@ -111,12 +115,36 @@
         random.Random(1),
         lambda _: None,
         lambda _: None,
+        skipped=skipped,
     )
     for _ in range(len(answers)):
         feed.step()
     return feed, registry, clock
 
 
+# Guards against items that are left out of a read without a trace.
+def test_items_that_were_left_out_are_counted_once_and_shown(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    left_out = (
+        LeftOutItem("'servers/\\ud800'", 'the key cannot be encoded', False),
+        LeftOutItem('no key', 'the key is no text', True),
+    )
+    snapshot = Snapshot((configuration_item(1, 1),), at(2), left_out=left_out)
+    changes = Changes((), at(3), left_out=left_out[:1])
+    metrics = Metrics()
+    skipped = SkippedValues(metrics)
+    answers = [
+        (0.1, snapshot),
+        (0.1, changes),
+        (0.1, HistoryLostError('')),
+        (0, snapshot),
+    ]
+    build_feed(answers, monkeypatch, skipped)
+    assert skipped.dump() == {one.name: f'item: {one.reason}' for one in left_out}
+    assert metrics.value('values_skipped', kind='item') == 2
+
+
 FAILURE = PlatformError('no answer')
 INITIAL_SNAPSHOT = (0.01, Snapshot((configuration_item(1, 1), upstream_item(2)), at(2)))
 
