Skip a record of usage whose windows cannot have ended

Operators saw no usage reported any more, without a line: a record with a last window far in the future, left by another writer, made every holder wait for that window. Counts of a window after the last one were kept and would have been reported.

--- a/packages/router/src/rosemaryseam/router/usagereporter.py
+++ b/packages/router/src/rosemaryseam/router/usagereporter.py
@@ -51,6 +51,7 @@
 TIME_VOTE_S = 1.0  # as a holder of few hosts, until this host's time counts
 MISSING_VOTES_S = 4.0  # the same if enough hosts for a vote are known
 MAX_WINDOWS_AHEAD = 2  # beyond the present one; the sender's time is wrong then
+MAX_CLOCK_ERROR_S = 86_400.0  # a record that is farther ahead is no host's
 
 
 def is_usage_record(key: str) -> bool:
@@ -223,12 +224,22 @@
         value = item.value or b''
         try:
             record = _decode(value)
+            self._check_time(record)
         except UnreadableError as exc:
             self._skipped.skip('usage record', item.key, value, exc)
             return None
         self._skipped.forget(item.key)
         return record
 
+    def _check_time(self, record: UsageRecord) -> None:
+        """Check that the last window can have ended, as all others wait for it.
+
+        :raises UnreadableError: it is too far in the future
+        """
+        latest = self._time.now() + MAX_CLOCK_ERROR_S
+        if record.last > window_at(latest, self._window_s):
+            raise UnreadableError('usage record: the last window is in the future')
+
     def _record_final(self, now: float) -> None:
         """Write the counts of the windows that are final to the store."""
         condition, era = self._holder.claim_condition(), self._holder.era_of_claim()
@@ -345,7 +356,10 @@
             require_count(int(window)): _decode_counts(counts)
             for window, counts in data['unreported'].items()
         }
-        return UsageRecord(require_count(data['era']), int(data['last']), unreported)
+        last = require_count(data['last'])
+        if any(window > last for window in unreported):
+            raise UnreadableError('it has counts of a window after the last one')
+        return UsageRecord(require_count(data['era']), last, unreported)
 
 
 def _decode_counts(counts: dict[str, Any]) -> dict[str, int]:
--- a/tests/test_router/test_usage_fleet.py
+++ b/tests/test_router/test_usage_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import time
 from collections import Counter
 from typing import TYPE_CHECKING
@@ -122,12 +123,31 @@
     exchange.answer(200, b'done')
 
 
+def far_record(last: int, window: int) -> bytes:
+    """Return a record with a last window and the counts of another one."""
+    unreported = {str(window): {'north': 1}}
+    return json.dumps({'era': 0, 'last': last, 'unreported': unreported}).encode()
+
+
+FAR_RECORDS = [
+    OddValue('record of a far last window', far_record(10**14, 1)),
+    OddValue('record with counts of a far window', far_record(1, 10**14)),
+    OddValue('record before the first window', far_record(-(10**14), 1)),
+]
+
+
 # Guards against usage that is not reported any more, or not shown to be in doubt, as
 # another writer left a value under a key of the duty (issue 42).
-@pytest.mark.parametrize('key', [DUTIES_PREFIX + 'usage', USAGE_KEY])
-@pytest.mark.parametrize('odd', BYTES[::5], ids=lambda odd: odd.name)
+@pytest.mark.parametrize(
+    ('key', 'odd'),
+    [
+        *[(DUTIES_PREFIX + 'usage', odd) for odd in BYTES[::5]],
+        *[(USAGE_KEY, odd) for odd in [*BYTES[::5], *FAR_RECORDS]],
+    ],
+    ids=lambda part: getattr(part, 'name', part),
+)
 def test_an_odd_value_under_a_key_of_the_duty_costs_no_report(
-    odd: OddValue, key: str, fleet: UsageFleet
+    key: str, odd: OddValue, fleet: UsageFleet
 ) -> None:
     fleet.store.put(key, odd.value)
     fleet.add('one', answer)
