--- a/packages/router/src/rosemaryseam/router/hostlink.py
+++ b/packages/router/src/rosemaryseam/router/hostlink.py
@@ -8,11 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from rosemaryseam.router.datagrams import (
-        DispatchRequest,
-        EndedRequest,
-        Incarnation,
-    )
+    from rosemaryseam.router.datagrams import DispatchRequest, EndedRequest, Incarnation
     from rosemaryseam.router.origins import StreamOrigin
     from rosemaryseam.router.queries import InFlightReport, PlacedPrompt
     from rosemaryseam.router.requestlimits import LimitReport
--- a/packages/router/src/rosemaryseam/router/peers.py
+++ b/packages/router/src/rosemaryseam/router/peers.py
@@ -17,13 +17,8 @@
 from rosemaryseam.common.rangestore import EraChangedError, Write
 from rosemaryseam.common.skippedvalues import SkippedValues
 from rosemaryseam.common.workfailures import describe_error
-from rosemaryseam.router.datagrams import (
-    MAX_DATAGRAM_BYTES,
-    Datagram,
-    PartMessage,
-    decode,
-    encode,
-)
+from rosemaryseam.router.datagramcodec import MAX_DATAGRAM_BYTES, decode, encode
+from rosemaryseam.router.datagrams import Datagram, PartMessage
 from rosemaryseam.router.hostentries import (
     HOSTS_PREFIX,
     decode_host_entry,
@@ -42,11 +37,7 @@
     from rosemaryseam.common.errors import RosemaryseamError
     from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.common.rangestore import Lease, RangeStore
-    from rosemaryseam.router.datagrams import (
-        DispatchRequest,
-        EndedRequest,
-        Incarnation,
-    )
+    from rosemaryseam.router.datagrams import DispatchRequest, EndedRequest, Incarnation
     from rosemaryseam.router.dispatch import DispatchPlacer
     from rosemaryseam.router.dispatcher import Dispatcher
     from rosemaryseam.router.feed import OtherItems
--- a/tests/test_platform/test_decoder_fuzz.py
+++ b/tests/test_platform/test_decoder_fuzz.py
@@ -18,7 +18,8 @@
 from rosemaryseam.platform.state import PlatformStateCodec
 from rosemaryseam.router import originlog, usagereporter
 from rosemaryseam.router.brittlereports import read_report
-from rosemaryseam.router.datagrams import Datagram, Incarnation, decode, encode
+from rosemaryseam.router.datagramcodec import decode, encode
+from rosemaryseam.router.datagrams import Datagram, Incarnation
 from rosemaryseam.router.dutyclaim import read_owner
 from rosemaryseam.router.headercodec import open_header_codec
 from rosemaryseam.router.hostentries import decode_host_entry
--- a/tests/test_router/test_crashes.py
+++ b/tests/test_router/test_crashes.py
@@ -18,7 +18,8 @@
     QuarantinedPart,
     SuspectPart,
 )
-from rosemaryseam.router.datagrams import MAX_DATAGRAM_BYTES, Datagram, decode, encode
+from rosemaryseam.router.datagramcodec import MAX_DATAGRAM_BYTES, decode, encode
+from rosemaryseam.router.datagrams import Datagram
 from rosemaryseam.router.placement import NoUpstreamError
 from rosemaryseam.router.queries import Query
 from rosemaryseam.router.upstreams import Upstream
--- a/tests/test_router/test_datagrams.py
+++ b/tests/test_router/test_datagrams.py
@@ -10,6 +10,7 @@
 import pytest
 
 from rosemaryseam.common.errors import PeerError
+from rosemaryseam.router.datagramcodec import decode, encode
 from rosemaryseam.router.datagrams import (
     Datagram,
     DispatchRequest,
@@ -17,8 +18,6 @@
     Incarnation,
     PartMessage,
     Reply,
-    decode,
-    encode,
 )
 from rosemaryseam.router.origins import Software, StreamOrigin
 from rosemaryseam.router.queries import InFlightReport, PlacedPrompt, Placement, Query
@@ -147,7 +146,7 @@
 import random, sys, zlib
 from test_datagrams import DATAGRAMS
 from rosemaryseam.common.errors import PeerError
-from rosemaryseam.router.datagrams import decode, encode
+from rosemaryseam.router.datagramcodec import decode, encode
 
 rng = random.Random(int(sys.argv[1]))
 samples = [encode(datagram) for datagram in DATAGRAMS]
--- a/tests/test_router/test_dispatch.py
+++ b/tests/test_router/test_dispatch.py
@@ -14,14 +14,8 @@
 from rosemaryseam.common.clock import ManualClock
 from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.policy.slots import UPSTREAMS_PER_SLOT, SlotPlan
-from rosemaryseam.router.datagrams import (
-    Datagram,
-    DispatchRequest,
-    EndedRequest,
-    Reply,
-    decode,
-    encode,
-)
+from rosemaryseam.router.datagramcodec import decode, encode
+from rosemaryseam.router.datagrams import Datagram, DispatchRequest, EndedRequest, Reply
 from rosemaryseam.router.dispatch import DispatchPlacer
 from rosemaryseam.router.dispatcher import Dispatcher
 from rosemaryseam.router.queries import (
--- a/tests/test_router/test_odd_messages.py
+++ b/tests/test_router/test_odd_messages.py
@@ -9,7 +9,8 @@
 import pytest
 from routers import RunningFleet
 
-from rosemaryseam.router.datagrams import Datagram, PartMessage, encode
+from rosemaryseam.router.datagramcodec import encode
+from rosemaryseam.router.datagrams import Datagram, PartMessage
 from rosemaryseam.router.statedload import _decode_learned, _decode_report
 
 if TYPE_CHECKING:
--- a/tools/routerslopes.py
+++ b/tools/routerslopes.py
@@ -13,13 +13,8 @@
 from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.experiments.simulatedclock import SimulatedClock
 from rosemaryseam.policy.slots import UPSTREAMS_PER_SLOT, SlotPlan
-from rosemaryseam.router.datagrams import (
-    Datagram,
-    DispatchRequest,
-    EndedRequest,
-    decode,
-    encode,
-)
+from rosemaryseam.router.datagramcodec import decode, encode
+from rosemaryseam.router.datagrams import Datagram, DispatchRequest, EndedRequest
 from rosemaryseam.router.dispatch import DispatchPlacer
 from rosemaryseam.router.dispatcher import Dispatcher
 from rosemaryseam.router.hostlink import HostLink
