Split the configuration in force from the feed of the store

ConfigurationInForce decides whether a configuration is taken, logs what is rejected or not newer, and gives the mirror the content that is in force. The feed reads the store. Nothing else changes.

--- a/packages/router/src/rosemaryseam/router/feed.py
+++ b/packages/router/src/rosemaryseam/router/feed.py
@@ -13,6 +13,7 @@
 from rosemaryseam.common.fairness import run_repeatedly
 from rosemaryseam.common.rangestore import Changes, EraChangedError, HistoryLostError
 from rosemaryseam.common.skippedvalues import SkippedValues
+from rosemaryseam.router.configurationinforce import ConfigurationInForce
 from rosemaryseam.router.mirror import Mirror
 
 if TYPE_CHECKING:
@@ -115,9 +116,7 @@
         self.position: StorePosition | None = None
         self._era: int | None = None
         self._restored_at = -math.inf
-        self._configuration: Item | None = None  # the one in force
-        self._not_newer: bytes | None = None  # logged once
-        self.table: RoutingTable | None = None
+        self.configuration = ConfigurationInForce(codec, metrics, self._skipped)
         # Set while the store may lack a newer configuration that hosts had in force.
         self.uncertain = Event()
         self._uncertain_since = -math.inf
@@ -125,6 +124,11 @@
         self.last_contact_at = -math.inf
         self.status = StoreStatus(float('-inf'), None, 0)
 
+    @property
+    def table(self) -> RoutingTable | None:
+        """The configuration in force, ``None`` before one was read."""
+        return self.configuration.table
+
     def staleness_s(self) -> float:
         """Return the seconds since the table was last known to be the newest."""
         return self._clock.monotonic() - self.status.confirmed_at
@@ -156,7 +160,7 @@
         :param host: address of that host
         """
         log_event('configuration_told', peer=host, revision=item.revision)
-        self._apply_configuration(item)
+        self.configuration.apply(item)
 
     def settle(self, reason: str) -> None:
         """Trust the store again, as no newer configuration can be learned.
@@ -220,7 +224,7 @@
         entries: dict[str, Registration] = {}
         others = []
         for item in snapshot.items:
-            self._apply_configuration(item)
+            self.configuration.apply(item)
             entry = self._decode_registration(item)
             if entry is not None:
                 entries[entry.upstream.id] = entry
@@ -235,7 +239,9 @@
         self._publish(changes)
         self._on_other_items(OtherItems(tuple(others), True, restored))
         self.position = snapshot.position
-        self._mirror.load(snapshot._replace(items=self._mirrored(snapshot.items)))
+        self._mirror.load(
+            snapshot._replace(items=self.configuration.substitute(snapshot.items))
+        )
         if self.table is None and any(map(self.is_configuration, snapshot.items)):
             self.uncertain.set()  # it is unreadable, and others may have one in force
         self._record_answer(
@@ -270,12 +276,14 @@
         now = self._clock.monotonic()
         self._report_left_out(changes.left_out)
         others = [item for item in changes.items if self._apply_item(item, now)]
-        if any(map(self._is_in_force, changes.items)):
+        if any(map(self.configuration.is_content_of, changes.items)):
             self.settle('the operator wrote again')
         if others:
             self._on_other_items(OtherItems(tuple(others)))
         self.position = changes.position
-        self._mirror.extend(Changes(self._mirrored(changes.items), changes.position))
+        self._mirror.extend(
+            Changes(self.configuration.substitute(changes.items), changes.position)
+        )
         confirmed = _confirmed_at(started, changes.freshness)
         if changes.freshness is None and not changes.items:
             confirmed = min(now, started + wait_s)
@@ -288,23 +296,9 @@
         """
         return min(WATCH_S, max(MIN_WATCH_S, TARGET_STALENESS_S - self.staleness_s()))
 
-    def _mirrored(self, items: tuple[Item, ...]) -> tuple[Item, ...]:
-        """Return items for the mirror, with the configuration that is in force.
-
-        A store that was restored has an older one until the operator writes again.
-        """
-        if self._configuration is None:
-            return items
-        return tuple(
-            item._replace(value=self._configuration.value)
-            if self._codec.is_configuration(item.key)
-            else item
-            for item in items
-        )
-
     def _apply_item(self, item: Item, now: float) -> bool:
         """Apply a change; return whether it is of a kind that the feed doesn't know."""
-        self._apply_configuration(item)
+        self.configuration.apply(item)
         upstream_id = self._codec.upstream_id(item.key)
         if upstream_id is None:
             return not self._is_known_kind(item.key)
@@ -323,56 +317,6 @@
             return True
         return self._codec.upstream_id(key) is not None
 
-    def _apply_configuration(self, item: Item) -> None:
-        if item.value is None or not self._codec.is_configuration(item.key):
-            return
-        try:
-            table = self._codec.decode_configuration(item.value)
-        except UnreadableError as exc:
-            if self._skipped.skip('configuration', item.key, item.value, exc):
-                log_warning(
-                    'configuration_rejected', revision=item.revision, reason=exc.message
-                )
-                self._metrics.count('configurations_rejected')
-            return
-        self._skipped.forget(item.key)
-        if self.table is not None and table.version <= self.table.version:
-            self._report_not_newer(item, table)
-            return
-        log_event(
-            'configuration_in_force',
-            version=table.version,
-            previous=self.table.version if self.table else None,
-            revision=item.revision,
-            routes=len(table.routes),
-        )
-        self.table = table
-        self._configuration = item
-
-    def _is_in_force(self, item: Item) -> bool:
-        """Return whether an item has the content of the configuration in force."""
-        current = self._configuration
-        return (
-            current is not None
-            and self.is_configuration(item)
-            and item.value == current.value
-        )
-
-    def _report_not_newer(self, item: Item, table: RoutingTable) -> None:
-        """Log a changed configuration that does not replace the one in force."""
-        current = self._configuration
-        if current is None or self._not_newer == item.value or self.table is None:
-            return
-        self._not_newer = item.value
-        if item.value != current.value:
-            self._metrics.count('configurations_not_newer')
-            log_warning(
-                'configuration_not_newer',
-                version=table.version,
-                current=self.table.version,
-                revision=item.revision,
-            )
-
     def _report_left_out(self, left_out: Iterable[LeftOutItem]) -> None:
         for one in left_out:
             exc = UnreadableError(one.reason)
--- a/tests/test_router/test_restored_table.py
+++ b/tests/test_router/test_restored_table.py
@@ -75,7 +75,7 @@
 def test_a_host_that_missed_a_change_learns_of_it_after_a_restore(
     fleet: RunningFleet,
 ) -> None:
-    late = fleet.hosts[0].router.feed
+    late = fleet.hosts[0].router.feed.configuration
     copy = fleet.store.copy()
     fleet.store.put(CONFIGURATION_KEY, REVOKED)
     for host in fleet.hosts:
