Keep the origins of streams beside a caller's odd id

Callers whose streams were taken up after all hosts had restarted were refused, or cut off from the version that began them, as an origin was lost: another caller had sent an id with a character that is not printable, or of over 1000 characters. Hosts write the origins of many streams in one entry; each reader rejected an entry with such an id as a whole, though the writer was a host of our own. Long ids also filled the datagrams that carry the words of other streams.

Streams now have a short printable name, which is a digest where an id is not one, in messages and in the store. A reader leaves out the unreadable ids of an entry alone, and takes ids as older software wrote them.

Before: the six new tests of test_origins failed. Now: they pass, and 129 of origins, versions of streams, take-ups out of step and odd values in the store.

--- a/packages/router/src/rosemaryseam/router/originlog.py
+++ b/packages/router/src/rosemaryseam/router/originlog.py
@@ -15,8 +15,10 @@
 from rosemaryseam.common.decoding import (
     decode_json,
     decoding,
+    readable,
     require_count,
     require_list,
+    require_object,
     require_optional_text,
     require_text,
 )
@@ -199,12 +201,16 @@
             self._own_keys.discard(item.key)
             self._skipped.forget(item.key)
             return
+        unreadable: list[UnreadableError] = []
         try:
-            number, origins = _decode(item.value)
+            number, origins = _decode(item.value, unreadable.append)
         except UnreadableError as exc:
             self._skipped.skip('stream origins', item.key, item.value, exc)
             return
-        self._skipped.forget(item.key)
+        if unreadable:
+            self._skipped.skip('stream origin', item.key, item.value, unreadable[0])
+        else:
+            self._skipped.forget(item.key)
         if own:
             self._own_keys.add(item.key)
             self._last_number = max(self._last_number, number)
@@ -228,16 +234,25 @@
     return {'number': number, 'streams': streams}
 
 
-def _decode(value: bytes) -> tuple[int, list[StreamOrigin]]:
+def _decode(
+    value: bytes, on_unreadable: Callable[[UnreadableError], None]
+) -> tuple[int, list[StreamOrigin]]:
+    """Return the number of an entry, and its origins without those unreadable."""
     with decoding('stream origins'):
         entry = decode_json(value)
-        origins = [
-            StreamOrigin(
-                require_text(request_id),
-                Software(require_text(service), require_optional_text(version)),
-            )
-            for service, by_version in entry['streams'].items()
-            for version, request_ids in by_version.items()
+        streams = (
+            (service, version, request_id)
+            for service, by_version in require_object(entry['streams']).items()
+            for version, request_ids in require_object(by_version).items()
             for request_id in require_list(request_ids)
-        ]
+        )
+        origins = list(readable(streams, _decode_origin, on_unreadable))
         return require_count(entry['number']), origins
+
+
+def _decode_origin(stream: tuple[str, str, Any]) -> StreamOrigin:
+    service, version, request_id = stream
+    if not isinstance(request_id, str):
+        raise UnreadableError('the id of a request is no text')
+    software = Software(require_text(service), require_optional_text(version))
+    return StreamOrigin(request_id, software)
--- a/packages/router/src/rosemaryseam/router/origins.py
+++ b/packages/router/src/rosemaryseam/router/origins.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 import gevent
+import xxhash
 from gevent.event import Event
 
 from rosemaryseam.common.decisionlog import log_event
@@ -24,6 +25,21 @@
 RESEND_DELAY_S = 0.02  # hosts answer in 1 to 5 ms unless a datagram is lost
 LOOKUP_TIMEOUT_S = 0.1
 MAX_OTHERS_ASKED = 32  # hosts besides the homes of an origin
+MAX_NAME_CHARS = 200  # of a stream
+
+
+def stream_name(request_id: str) -> str:
+    """Return the name by which hosts know a stream.
+
+    It is the id of the request that began the stream, or a digest of an id that is long
+    or not made of printable ASCII characters. The name of a name is the name itself.
+
+    :param request_id: id as the caller sent it
+    """
+    is_plain = request_id.isascii() and request_id.isprintable()
+    if is_plain and len(request_id) <= MAX_NAME_CHARS and ' ' not in request_id:
+        return request_id
+    return f'id-{xxhash.xxh3_128_hexdigest(request_id.encode(errors="replace"))}'
 
 
 class Software(NamedTuple):
@@ -36,7 +52,8 @@
 class StreamOrigin(NamedTuple):
     """The software that began a stream; ``None`` if the sender does not know it.
 
-    ``request_id`` is the id of the caller's request that brought the first event.
+    ``request_id`` is the id of the caller's request that brought the first event, as
+    :func:`stream_name` returns it.
     """
 
     request_id: str
@@ -109,7 +126,8 @@
         :param origin: origin with its software
         """
         if origin.software is not None:
-            self._keep(origin.request_id, origin.software)
+            # Older software writes ids as callers sent them.
+            self._keep(stream_name(origin.request_id), origin.software)
 
     def record(self, request_id: str, software: Software) -> None:
         """Record that the first event of a stream was delivered, and share it.
@@ -117,8 +135,9 @@
         :param request_id: id of the caller's request
         :param software: software of the upstream
         """
-        self._keep(request_id, software)
-        origin = StreamOrigin(request_id, software)
+        name = stream_name(request_id)
+        self._keep(name, software)
+        origin = StreamOrigin(name, software)
         self._own.append((self._clock.monotonic(), origin))
         self._unshared.append(origin)
         self._has_unshared.set()
@@ -130,19 +149,20 @@
 
         :param request_id: id of the request that brought the first event
         """
-        software = self.get(request_id)
+        name = stream_name(request_id)
+        software = self.get(name)
         if software is not None:
             return software
         if self._link is None:
             return None
-        homes = [host for host in self._homes(request_id) if host != self._host]
+        homes = [host for host in self._homes(name) if host != self._host]
         others = [host for host in self._link.known_hosts() if host not in homes]
-        software = self._ask(request_id, homes) if homes else None
+        software = self._ask(name, homes) if homes else None
         if software is None and 0 < len(others) <= MAX_OTHERS_ASKED:
             # One of them may have relayed the beginning, of which the homes lost word.
-            software = self._ask(request_id, others)
+            software = self._ask(name, others)
             homes += others
-        log_event('stream_origin', id=request_id, software=software, asked=homes)
+        log_event('stream_origin', id=name, software=software, asked=homes)
         return software
 
     def size(self) -> int:
@@ -248,5 +268,5 @@
 
         :param request_id: id of the request that brought the first event
         """
-        software, at = self._kept.get(request_id, (None, 0.0))
+        software, at = self._kept.get(stream_name(request_id), (None, 0.0))
         return software if at > self._clock.monotonic() - self._kept_s() else None
--- a/tests/test_router/test_origins.py
+++ b/tests/test_router/test_origins.py
@@ -16,7 +16,12 @@
 from rosemaryseam.router.documentcodec import DocumentStateCodec
 from rosemaryseam.router.feed import OtherItems
 from rosemaryseam.router.originlog import ORIGINS_PREFIX, OriginLog
-from rosemaryseam.router.origins import Software, StreamOrigin, StreamOrigins
+from rosemaryseam.router.origins import (
+    Software,
+    StreamOrigin,
+    StreamOrigins,
+    stream_name,
+)
 from rosemaryseam.router.softwarehistory import SOFTWARE_PREFIX, SoftwareHistory
 from rosemaryseam.router.upstreams import Registry
 from rosemaryseam.standins.rangestore import MemoryRangeStore
@@ -180,6 +185,44 @@
     assert writer.read == {'a': FIRST}
 
 
+# Ids that callers may send, and that older software wrote as they were.
+ODD_IDS = [
+    ('no-break space', 'id\xa0'),
+    ('control character', 'id\x85'),
+    ('long', 'x' * 5000),
+    ('spaces', ' id '),
+]
+
+
+# Guards against an id of one caller that hides the origins of other streams.
+@pytest.mark.parametrize(
+    ('name', 'odd'), ODD_IDS, ids=[row[0].replace(' ', '-') for row in ODD_IDS]
+)
+def test_an_odd_id_hides_no_other_origin(name: str, odd: str, writer: Writer) -> None:
+    writer.write('a', odd, 'b')
+    reader = StreamOrigins('10.0.0.2', writer.clock, kept_s)
+    log = OriginLog('k', 1.0, writer.store, kept_s, writer.clock, reader.adopt)
+    items = writer.store.read_range(ORIGINS_PREFIX).items
+    log.apply_items(OtherItems(items, complete=True))
+    assert [reader.find(one) for one in ('a', odd, 'b')] == [FIRST] * 3
+
+
+# Guards against long ids that fill the datagrams of others.
+def test_the_name_of_a_stream_is_short_text() -> None:
+    names = {stream_name(odd) for _, odd in ODD_IDS}
+    assert len(names) == len(ODD_IDS)
+    assert all(name.isascii() and len(name) < 50 for name in names)
+    assert all(stream_name(name) == name for name in [*names, 'request-1'])
+
+
+# Guards against an entry that costs the other origins of its writer.
+def test_an_unreadable_id_costs_that_id_alone(writer: Writer) -> None:
+    value = {'number': 1, 'streams': {'work': {'1': ['a', 7, None, 'b']}}}
+    writer.store.put(ORIGINS_PREFIX + 'other/1', json.dumps(value).encode())
+    writer.start()
+    assert writer.read == {'a': FIRST, 'b': FIRST}
+
+
 # Versions in the store.
 
 
