Bound the number of an entry of origins so that later ones stay readable

Streams of a host were refused when they were taken up after all hosts had restarted: an entry of another writer under the host's own prefix had the largest number that a reader accepts. The host counted on from it, and every reader rejected each of its entries.

Readers take numbers up to half of the largest one, which no host reaches by counting. Before: the new test failed, as nothing was read. Now it passes.

--- a/packages/router/src/rosemaryseam/router/originlog.py
+++ b/packages/router/src/rosemaryseam/router/originlog.py
@@ -13,6 +13,7 @@
 
 from rosemaryseam.common.decisionlog import log_event, log_warning
 from rosemaryseam.common.decoding import (
+    MAX_COUNT,
     decode_json,
     decoding,
     readable,
@@ -45,6 +46,7 @@
 MAX_UNWRITTEN = 5000  # older origins are dropped while the store is away
 MAX_REMOVALS = 32  # per call to the store
 HOSTS_PER_WRITER = 200
+MAX_NUMBER = MAX_COUNT // 2  # of an entry; a host that counts on stays readable
 
 
 def is_origin_entry(key: str) -> bool:
@@ -247,7 +249,7 @@
             for request_id in require_list(request_ids)
         )
         origins = list(readable(streams, _decode_origin, on_unreadable))
-        return require_count(entry['number']), origins
+        return require_count(entry['number'], most=MAX_NUMBER), origins
 
 
 def _decode_origin(stream: tuple[str, str, Any]) -> StreamOrigin:
--- a/tests/test_router/test_origins.py
+++ b/tests/test_router/test_origins.py
@@ -223,6 +223,17 @@
     assert writer.read == {'a': FIRST, 'b': FIRST}
 
 
+# Guards against a host whose entries no other host reads any more, as another writer
+# left a huge number under its key.
+def test_a_huge_number_makes_no_later_entry_unreadable(writer: Writer) -> None:
+    value = {'number': 2**53, 'streams': {}}
+    writer.store.put(ORIGINS_PREFIX + 'h/1', json.dumps(value).encode())
+    writer.log = writer.start()
+    writer.write('a')
+    writer.start()
+    assert writer.read == {'a': FIRST}
+
+
 # Versions in the store.
 
 
