Write a software version again whose entry became unreadable

A stream could go on at a version that had not begun it (ORDER) after all hosts had restarted: another writer had changed the entry of a version, and the hosts that knew it kept their copy, so that no host wrote the entry again.

An unreadable change of an entry now counts as its removal, and the writer of the versions writes it anew. Before: the new test failed, as the store kept the odd value. Now it passes.

--- a/packages/router/src/rosemaryseam/router/softwarehistory.py
+++ b/packages/router/src/rosemaryseam/router/softwarehistory.py
@@ -163,6 +163,7 @@
             software = _decode(item.value)
         except UnreadableError as exc:
             self._skipped.skip('software version', item.key, item.value, exc)
+            self._stored.pop(item.key, None)  # written again if it served lately
             return
         self._skipped.forget(item.key)
         self._stored[item.key] = software
--- a/tests/test_router/test_origins.py
+++ b/tests/test_router/test_origins.py
@@ -355,3 +355,17 @@
     history.history.apply_items(OtherItems((item,)))
     history.step()
     assert history.history.versions('work') == {'1'}
+
+
+# Guards against a version that is lost with all hosts, as another writer changed its
+# entry.
+def test_an_entry_that_became_unreadable_is_written_again(history: History) -> None:
+    history.register('1')
+    history.step()
+    (item,) = history.store.read_range(SOFTWARE_PREFIX).items
+    history.store.put(item.key, b'{')
+    odd = history.store.read_range(SOFTWARE_PREFIX).items
+    history.history.apply_items(OtherItems(odd))
+    history.step()
+    (written,) = history.store.read_range(SOFTWARE_PREFIX).items
+    assert written.value == item.value
