Register a host again when its entry was changed

A host stayed unknown to hosts that started later, which then chose other dispatchers than the rest: another writer had changed its entry. The host looked only for the removal of its entry, and renewed a lease to which the key no longer belonged.

A host registers again when its entry has another content than its own.

--- a/packages/router/src/rosemaryseam/router/peers.py
+++ b/packages/router/src/rosemaryseam/router/peers.py
@@ -210,8 +210,9 @@
         if others.complete:
             self._note_missing_hosts(values.keys(), restored=others.restored)
         # A complete list shows a lost entry by its absence, a change by its removal.
-        own = values.pop(self._address.ip, None if others.complete else b'')
-        if own is None and self._lease is not None:
+        entry = encode_host_entry(self._address.port, self._capacity)
+        own = values.pop(self._address.ip, None if others.complete else entry)
+        if own != entry and self._lease is not None:
             log_warning('own_entry_lost', lease=self._lease.id)
             self.renew_registration()
         for host, value in values.items():
--- a/tests/test_router/test_odd_store_values.py
+++ b/tests/test_router/test_odd_store_values.py
@@ -10,6 +10,7 @@
 from routers import RunningRouter, configuration
 
 from rosemaryseam.router.documentcodec import CONFIGURATION_KEY, UPSTREAM_PREFIX
+from rosemaryseam.router.hostentries import host_key
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -108,3 +109,20 @@
     failing = router.router.metrics.work_failures.failing()
     assert {'host_entries', 'retain_paths'} <= failing.keys()
     assert router.router.feed.staleness_s() < 1.0
+
+
+# Guards against a host that stays unknown to hosts that start later, as another writer
+# changed its entry.
+@pytest.mark.parametrize('value', [b'', b'{"capacity": 1e400}', b'{"capacity": 7}'])
+def test_a_host_registers_again_when_its_entry_was_changed(
+    value: bytes, router: RunningRouter
+) -> None:
+    key = host_key(router.cfg.ip)
+    router.wait(lambda: router.router.peers.lease() is not None)
+    registered = router.store.read_key(key)
+    router.store.put(key, value)
+    router.wait(lambda: router.store.read_key(key).item.value != value)
+    state = router.store.read_key(key)
+    assert state.item.value == registered.item.value
+    assert state.lease != 0
+    assert router.router.metrics.value('internal_errors') == 0
