Drop a host whose entry became unreadable

Requests waited for a dispatcher that had ended: another writer had changed the entry of a host, which then had no lease and outlived it, and running hosts kept what they had read before. A host that started later did not know it.

A change that cannot be read now counts as a removal, as it does in a first read and for upstreams. A live host registers again at once. Before: the new test failed. Now: it passes, with the tests of odd values and restored stores.

--- a/packages/router/src/rosemaryseam/router/peers.py
+++ b/packages/router/src/rosemaryseam/router/peers.py
@@ -252,6 +252,7 @@
             capacity = decode_host_entry(host, value)
         except UnreadableError as exc:
             self._skipped.skip('host', key, value, exc)
+            self._drop_host(host)  # as in a first read; a live one registers again
             return
         self._skipped.forget(key)
         was_leaving = host in self._leaving
--- a/tests/test_router/test_odd_store_values.py
+++ b/tests/test_router/test_odd_store_values.py
@@ -10,7 +10,7 @@
 from routers import RunningRouter, configuration
 
 from rosemaryseam.router.documentcodec import CONFIGURATION_KEY, UPSTREAM_PREFIX
-from rosemaryseam.router.hostentries import host_key
+from rosemaryseam.router.hostentries import encode_host_entry, host_key
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -126,3 +126,15 @@
     assert state.item.value == registered.item.value
     assert state.lease != 0
     assert router.router.metrics.value('internal_errors') == 0
+
+
+# Guards against a host that is counted on after its end, as another writer changed its
+# entry, which then outlives it.
+def test_a_host_whose_entry_became_unreadable_is_dropped(
+    router: RunningRouter,
+) -> None:
+    key = host_key('127.0.9.1')
+    router.store.put(key, encode_host_entry(1, 1.0))
+    router.wait(lambda: router.router.peers.host_count() == 2)
+    router.store.put(key, b'{')
+    router.wait(lambda: router.router.peers.host_count() == 1)
