Overwrite entries that hosts keep in the soak, and fuzz the ids of streams

Cause: the soak left odd values under keys that no host keeps. It now also overwrites the entries of hosts and of software versions, which hosts must write again. The fuzz test of origins passes the handler of unreadable ids.

--- a/tests/soak/oddities.py
+++ b/tests/soak/oddities.py
@@ -20,6 +20,7 @@
 MAX_CONFIGURATION_STAY_S = 0.5  # the operator writes a valid one again
 ENTRY_RETURN_S = 0.5  # until an upstream writes its entry again
 RECOVERY_S = 4.0
+KEPT_PREFIXES = ('rosemaryseam/hosts/', 'rosemaryseam/software/')
 KEYS = (
     f'{REGISTRY_PREFIX}another-writer',
     f'{REGISTRY_PREFIX}~',
@@ -43,7 +44,9 @@
     deadline = time.monotonic() + seconds
     while time.monotonic() < deadline:
         gevent.sleep(rng.expovariate(1 / MEAN_INTERVAL_S))
-        action = rng.choice([_write_key, _write_key, _overwrite, _write_configuration])
+        action = rng.choice(
+            [_write_key, _write_key, _overwrite, _overwrite_own, _write_configuration]
+        )
         gevent.spawn(action, env, rng)
 
 
@@ -69,6 +72,18 @@
         env.register(name)
 
 
+def _overwrite_own(env: SoakEnvironment, rng: random.Random) -> None:
+    """Overwrite an entry that the hosts keep, and write again when it is odd."""
+    store = env.store_server.store
+    kept = [item.key for item in store.read_range('').items if _is_kept(item.key)]
+    if kept:
+        store.put(rng.choice(kept), rng.choice(ODD_ENTRIES).value)
+
+
+def _is_kept(key: str) -> bool:
+    return key.startswith(KEPT_PREFIXES) and key not in KEYS
+
+
 def _write_configuration(env: SoakEnvironment, rng: random.Random) -> None:
     """Write an invalid configuration, which the operator then corrects."""
     odd = rng.choice(ODD_CONFIGURATIONS).value
--- a/tests/test_platform/test_decoder_fuzz.py
+++ b/tests/test_platform/test_decoder_fuzz.py
@@ -137,7 +137,7 @@
     ('software', decode_software, {'service': 'desk', 'version': 'v1'}),
     (
         'origins',
-        originlog._decode,
+        lambda data: originlog._decode(data, lambda _: None),
         {'number': 1, 'streams': {'desk': {'v1': ['r1', 'r2']}}},
     ),
     (
