Log the skipped values of one key once for each reason

Operators found a line a second and host in the log for a single writer: its entry is odd and changes with each heartbeat, and each change was logged as a new value.

Each new value is still counted; a line is written when the reason or the kind changes. Before: the new test failed, with a line for each value. Now it passes.

--- a/packages/common/src/rosemaryseam/common/skippedvalues.py
+++ b/packages/common/src/rosemaryseam/common/skippedvalues.py
@@ -37,6 +37,8 @@
     def skip(self, kind: str, key: str, value: bytes, exc: UnreadableError) -> bool:
         """Record a value that is skipped; return whether it is a new one.
 
+        A key whose values change often is logged once for each reason.
+
         :param kind: what the value should be
         :param key: where it was found
         :param value: the value itself
@@ -44,16 +46,22 @@
         """
         key = key[:MAX_KEY_CHARS]
         skipped = SkippedValue(kind, exc.message, hash(value))
-        if self._values.get(key) == skipped:
+        known = self._values.get(key)
+        if known == skipped:
             return False
         self._values[key] = skipped
         self._values.move_to_end(key)
         if len(self._values) > MAX_KEPT:
             self._values.popitem(last=False)
         self._metrics.count('values_skipped', kind=kind)
-        log_warning(
-            'value_skipped', kind=kind, key=key, reason=exc.message, bytes=len(value)
-        )
+        if known is None or known[:2] != skipped[:2]:
+            log_warning(
+                'value_skipped',
+                kind=kind,
+                key=key,
+                reason=exc.message,
+                bytes=len(value),
+            )
         return True
 
     def forget(self, key: str) -> None:
