Drop the few work times that were learned before the service's median

Callers were sent to one upstream of two for seconds, though both worked alike: when a dispatcher knows nothing of a service yet, an upstream's first answers have no usual time against which they are bounded. One slow answer of an upstream that gets few requests, as it states a limit, kept it out for more than five seconds, but for a probe each two.

When the median of a service becomes known, an upstream with too few answers to be known itself drops them and counts as the median until it has more.

--- a/packages/policy/src/rosemaryseam/policy/workspeed.py
+++ b/packages/policy/src/rosemaryseam/policy/workspeed.py
@@ -32,7 +32,7 @@
     """
 
     def __init__(self) -> None:
-        self.prior_s = DEFAULT_WORK_S
+        self._prior_s: float | None = None
         self.stated = StatedWork()
         self._lasting = DecayingMean(LASTING_S)
         self._recent = DecayingMean(RECENT_S)
@@ -45,6 +45,20 @@
         self.last_placed_at = -math.inf
         self.skipped = 0  # requests that other upstreams got since
 
+    def set_prior(self, prior_s: float | None, now: float) -> None:
+        """Set the work time that counts until enough answers were seen.
+
+        Answers before the first one had nothing to be compared with. A few of them are
+        dropped, as a single slow one would keep other requests away for long.
+
+        :param prior_s: median of the service in seconds, ``None`` if it is not known
+        :param now: seconds on the monotonic clock
+        """
+        if self._prior_s is None and prior_s is not None and not self.is_known(now):
+            self._lasting = DecayingMean(LASTING_S)
+            self._recent = DecayingMean(RECENT_S)
+        self._prior_s = prior_s
+
     def record_placement(
         self, key: Hashable, ahead: int, slots: int, now: float
     ) -> None:
@@ -125,8 +139,8 @@
         :param now: seconds on the monotonic clock
         """
         is_adopted = now - self._adopted_at < LASTING_S
-        prior_s = self._adopted_s if is_adopted else self.prior_s
-        return self._lasting.mean(now, prior_s, LASTING_PRIOR)
+        prior_s = self._adopted_s if is_adopted else self._prior_s
+        return self._lasting.mean(now, prior_s or DEFAULT_WORK_S, LASTING_PRIOR)
 
     def work_s(self, now: float) -> float:
         """Return the present work time in seconds.
--- a/packages/router/src/rosemaryseam/router/learnedcapacity.py
+++ b/packages/router/src/rosemaryseam/router/learnedcapacity.py
@@ -8,7 +8,7 @@
 
 from rosemaryseam.policy.enginespeed import EnginePerformance, EngineSpeed
 from rosemaryseam.policy.prefillchunks import PrefillChunks
-from rosemaryseam.policy.workspeed import DEFAULT_WORK_S, WorkSpeed
+from rosemaryseam.policy.workspeed import WorkSpeed
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Sequence
@@ -155,9 +155,8 @@
             others = [value for key, value in figures.items() if key != entry.engine]
             entry.engine.set_prior(_median_performance(others), now)
             work_times = [value for key, value in times.items() if key != entry.work]
-            entry.work.prior_s = (
-                statistics.median(work_times) if work_times else DEFAULT_WORK_S
-            )
+            prior_s = statistics.median(work_times) if work_times else None
+            entry.work.set_prior(prior_s, now)
 
     def names_beside(self, upstream: Incarnation) -> list[str]:
         """Return the ids of the known upstreams of the service of an upstream.
--- a/tests/test_router/test_request_limits.py
+++ b/tests/test_router/test_request_limits.py
@@ -195,6 +195,36 @@
     assert len(limited.requests) - before == len(load.responses)
 
 
+class SlowAtFirst(Limited):
+    """A limited upstream whose first answer is slow."""
+
+    def __init__(self, limit: str | None) -> None:
+        super().__init__(limit)
+        self._answered = False
+
+    def __call__(self, exchange: ScriptedExchange) -> None:
+        """Answer, at first after a while."""
+        gevent.sleep(0.0 if self._answered else 0.03)
+        self._answered = True
+        super().__call__(exchange)
+
+
+# Guards against an upstream that is left out for seconds for one slow answer, when few
+# others are known of it.
+def test_a_slow_first_answer_costs_no_share_of_later_requests(
+    fleet: RunningFleet,
+) -> None:
+    script = SlowAtFirst('1')
+    limited = fleet.add('one', script)
+    fleet.add('two', Limited(None))
+    run_load(fleet.hosts, 'safe', 2.0)
+    script.limit = None
+    run_load(fleet.hosts, 'safe', 3.0)
+    before = len(limited.requests)
+    load = run_load(fleet.hosts, 'safe', 2.0)
+    assert len(limited.requests) - before >= 0.2 * len(load.responses)
+
+
 class Answer(NamedTuple):
     """An answer that states a limit, with its times in seconds."""
 
