Log which crashes are evidence against which prompts

Which crash was no evidence, and on which host, could not be told from the logs: only the host that saw a crash wrote a line. Each host now logs each crash that it records with the suspects, a crash that is reported to a dispatcher which does not know the request, and an outcome that is withheld while the host may be cut off. A quarantine is logged with the evidence for it.

--- a/packages/policy/src/rosemaryseam/policy/quarantine.py
+++ b/packages/policy/src/rosemaryseam/policy/quarantine.py
@@ -84,6 +84,21 @@
     crashes: list[_Crash]
 
 
+class Evidence(NamedTuple):
+    """Why a part was quarantined.
+
+    ``crashes`` is the number of crashes charged to it, ``requests`` that of its
+    requests which they broke off, and ``suspects`` that of the parts with enough
+    crashes for a quarantine. ``is_tie`` tells that nothing else set it apart from
+    another one of them.
+    """
+
+    crashes: int
+    requests: int
+    suspects: int
+    is_tie: bool
+
+
 class _LastTimes:
     """Keeps the last time of something by part, for the parts that had it last."""
 
@@ -112,11 +127,13 @@
     parts are shared by more requests. A crash with a quarantined part is no evidence
     against the other parts of its prompts.
 
-    :param on_quarantine: called with each part that this object quarantines itself
+    :param on_quarantine: called with each part that this object quarantines itself, and
+        with the evidence against it
     """
 
     def __init__(
-        self, on_quarantine: Callable[[Quarantine], None] = lambda _: None
+        self,
+        on_quarantine: Callable[[Quarantine, Evidence], None] = lambda *_: None,
     ) -> None:
         self._on_quarantine = on_quarantine
         self._crashes: OrderedDict[object, _Crash] = OrderedDict()
@@ -241,7 +258,8 @@
         settled_at = now - SETTLE_S
         unsettled = any(crash.at > settled_at for crash in self._crashes.values())
         self._decides_at = now + SETTLE_S if unsettled else None
-        while (digest := self._worst_suspect(settled_at)) is not None:
+        while (found := self._worst_suspect(settled_at)) is not None:
+            digest, evidence = found
             known = self._quarantines.get(digest)
             duration_s = FIRST_QUARANTINE_S
             if known is not None:
@@ -249,7 +267,7 @@
             quarantine = Quarantine(digest, now + duration_s, duration_s)
             self._put(quarantine)
             self._mark_explained(now)
-            self._on_quarantine(quarantine)
+            self._on_quarantine(quarantine, evidence)
 
     def _put(self, quarantine: Quarantine) -> None:
         self._quarantines[quarantine.digest] = quarantine
@@ -265,8 +283,8 @@
             if crash.at < now - EVIDENCE_TTL_S:
                 del self._crashes[engine]
 
-    def _worst_suspect(self, settled_at: float) -> int | None:
-        """Return the part to quarantine by the crashes up to a time, if any.
+    def _worst_suspect(self, settled_at: float) -> tuple[int, Evidence] | None:
+        """Return the part to quarantine by the crashes up to a time, if any, and why.
 
         Suspects that nothing tells apart get some more time to be answered.
         """
@@ -284,7 +302,11 @@
             for charge in charges
             if charge is not worst
         )
-        return None if is_tie and worst.rank[0] < TIE_CRASHES else worst.digest
+        if is_tie and worst.rank[0] < TIE_CRASHES:
+            return None
+        requests = sum(crash.suspects[worst.digest].requests for crash in worst.crashes)
+        evidence = Evidence(len(worst.crashes), requests, len(charges), is_tie)
+        return worst.digest, evidence
 
     def _charges(self, unexplained: Sequence[_Crash]) -> list[_Charge]:
         """Return what there is against each part that crashes enough engines."""
--- a/packages/router/src/rosemaryseam/router/crashes.py
+++ b/packages/router/src/rosemaryseam/router/crashes.py
@@ -7,11 +7,16 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from rosemaryseam.common.decisionlog import log_event
-from rosemaryseam.policy.quarantine import PromptQuarantine, Quarantine, Suspect
+from rosemaryseam.policy.quarantine import (
+    Evidence,
+    PromptQuarantine,
+    Quarantine,
+    Suspect,
+)
 from rosemaryseam.router.placement import NoUpstreamError
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable, Mapping, Sequence
 
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.router.queries import Query
@@ -19,6 +24,7 @@
 
 REPORT_DELAY_S = 0.05  # within which the requests that a crash broke off are reported
 MAX_REPORTED_PARTS = 256  # per crash
+MAX_LOGGED_SUSPECTS = 20  # per crash
 
 RequestId = tuple[str, int]  # address of the host and its number of the request
 
@@ -139,6 +145,8 @@
         """
         sent = self._sent.pop((host, number), None)
         if sent is None:
+            if outcome == 'crashed':
+                log_event('crash_without_request', asked_by=host, number=number)
             return
         now = self._clock.monotonic()
         if outcome == 'done':
@@ -181,6 +189,7 @@
             part.digest: Suspect(part.position, part.requests) for part in report.parts
         }
         engine = (report.upstream, report.born)
+        _log_crash(engine, suspects, report.age_s, 'report')
         self._quarantine.record_crash(engine, suspects, now - report.age_s)
 
     def quarantined(self) -> tuple[QuarantinedPart, ...]:
@@ -241,6 +250,7 @@
             )
             for digest, suspect in pending.suspects.items()
         ]
+        _log_crash(engine, pending.suspects, now - pending.at, 'dispatched')
         return CrashReport(*engine, now - pending.at, tuple(parts[:MAX_REPORTED_PARTS]))
 
 
@@ -250,15 +260,36 @@
     return (*parts, query.fingerprint) if query.fingerprint else parts
 
 
-def _log_decision(quarantine: Quarantine) -> None:
-    _log_quarantine(quarantine, None)
+def _log_crash(
+    engine: tuple[str, int], suspects: Mapping[int, Suspect], age_s: float, source: str
+) -> None:
+    """Log a crash and what it may be due to, the parts with most requests first."""
+    order = sorted(suspects, key=lambda digest: -suspects[digest].requests)
+    log_event(
+        'crash_recorded',
+        upstream=engine[0],
+        born=engine[1],
+        age_ms=int(age_s * 1000),
+        source=source,
+        suspects={
+            f'{digest:016x}': suspects[digest].requests
+            for digest in order[:MAX_LOGGED_SUSPECTS]
+        },
+    )
+
+
+def _log_decision(quarantine: Quarantine, evidence: Evidence) -> None:
+    _log_quarantine(quarantine, None, **evidence._asdict())
 
 
-def _log_quarantine(quarantine: Quarantine, source: str | None) -> None:
+def _log_quarantine(
+    quarantine: Quarantine, source: str | None, **evidence: object
+) -> None:
     """Log a quarantine; the source is the host that told of it, if another one did."""
     log_event(
         'prompt_part_quarantined',
         part=f'{quarantine.digest:016x}',
         seconds=quarantine.duration_s,
         source=source,
+        **evidence,
     )
--- a/packages/router/src/rosemaryseam/router/outcomereports.py
+++ b/packages/router/src/rosemaryseam/router/outcomereports.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from rosemaryseam.common.decisionlog import log_event
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -76,8 +78,11 @@
             or (outcome in DELAYED_OUTCOMES and not self._is_suspect())
         ):
             self._delayed.append(_DelayedReport(name, outcome, now, send))
+        elif self._is_suspect():
+            _log_withheld(upstream.incarnation, outcome)
+            send('cancelled')
         else:
-            send('cancelled' if self._is_suspect() else outcome)
+            send(outcome)
 
     def settle(self) -> None:
         """Send the delayed reports for which it is known who is at fault."""
@@ -89,8 +94,10 @@
             outcome = self._decide(report, now)
             if outcome is None:
                 self._delayed.append(report)
-            else:
-                report.send(outcome)
+                continue
+            if outcome != report.outcome:
+                _log_withheld(report.upstream, report.outcome)
+            report.send(outcome)
 
     def _decide(self, report: _DelayedReport, now: float) -> str | None:
         """Return the outcome to report now, or ``None`` to wait."""
@@ -103,3 +110,10 @@
         if now - report.at <= REPORT_DELAY_S:
             return None
         return 'cancelled' if self._is_suspect() else report.outcome
+
+
+def _log_withheld(upstream: Incarnation, outcome: str) -> None:
+    """Log an outcome that is reported as cancelled, as this host may be cut off."""
+    log_event(
+        'outcome_withheld', upstream=upstream[0], born=upstream[1], outcome=outcome
+    )
