Suspect a part rather than a request that explains fewer crashes

On such a tie the suspect with fewer requests is convicted, which a request always is. Its quarantine then explained four crashes, two were left against the part, and two more engines crashed 4 s later.

A part that explains all crashes of a request and more is now quarantined rather than the request. A crash with a quarantined request stays evidence against parts that have two further crashes.

--- a/packages/policy/src/rosemaryseam/policy/quarantine.py
+++ b/packages/policy/src/rosemaryseam/policy/quarantine.py
@@ -15,6 +15,7 @@
 RANKING_INTERVAL_S = 0.1  # between two crashes that count, to compare suspects
 TIE_CRASHES = 8  # after which one of several equal suspects is quarantined
 SETTLE_S = 0.1  # until all requests that a crash broke off are reported
+MIN_OTHER_CRASHES = 2  # of a part, beside those that a quarantined request explains
 EVIDENCE_TTL_S = 600.0  # age up to which a crash counts
 MAX_CRASHES = 64  # kept at the same time
 MAX_ANSWERED_PARTS = 4096  # kept with the times of their last answer and begin
@@ -43,17 +44,20 @@
     """A part of the prompts that a crash broke off.
 
     ``position`` is its place in its prompts, 0 first, and ``requests`` the number of
-    requests with the part that were broken off.
+    requests with the part that were broken off. ``is_request`` tells that it is not a
+    part but a whole request, which may have been sent more than once.
     """
 
     position: int
     requests: int
+    is_request: bool = False
 
 
 class _Crash:
     """A crash of an engine with the parts of the prompts that it broke off.
 
-    It is explained once one of the parts is quarantined.
+    It is explained once one of the parts is quarantined, and explained by a request
+    once one of the requests is.
 
     :param at: time of the crash
     """
@@ -62,6 +66,7 @@
         self.at = at
         self.suspects: dict[int, Suspect] = {}
         self.explained = False
+        self.explained_by_request = False
 
     def add(self, suspects: Mapping[int, Suspect]) -> None:
         """Add the parts of further requests that this crash broke off."""
@@ -80,9 +85,16 @@
     """
 
     digest: int
+    is_request: bool
     rank: tuple[float, ...]
     crashes: list[_Crash]
 
+    def explains_more_than(self, request: _Charge) -> bool:
+        """Return whether a part may have caused all crashes of a request and more."""
+        if self.is_request or len(self.crashes) <= len(request.crashes):
+            return False
+        return all(crash in self.crashes for crash in request.crashes)
+
 
 class Evidence(NamedTuple):
     """Why a part was quarantined.
@@ -127,6 +139,11 @@
     parts are shared by more requests. A crash with a quarantined part is no evidence
     against the other parts of its prompts.
 
+    Whole requests are suspects like parts. As a request has at most as many crashes as
+    each part of its prompt, a part that explains all of them and more is quarantined
+    rather than the request. A crash with a quarantined request stays evidence against
+    parts that have further crashes.
+
     :param on_quarantine: called with each part that this object quarantines itself, and
         with the evidence against it
     """
@@ -278,8 +295,13 @@
     def _mark_explained(self, now: float) -> None:
         """Mark the crashes with a quarantined part and drop those that are too old."""
         for engine, crash in list(self._crashes.items()):
-            if any(self._in_force(one, now) for one in crash.suspects):
-                crash.explained = True
+            for digest, suspect in crash.suspects.items():
+                if self._in_force(digest, now) is None:
+                    continue
+                if suspect.is_request:
+                    crash.explained_by_request = True
+                else:
+                    crash.explained = True
             if crash.at < now - EVIDENCE_TTL_S:
                 del self._crashes[engine]
 
@@ -294,9 +316,12 @@
             if crash.at <= settled_at and not crash.explained
         ]
         charges = self._charges(unexplained)
-        worst = max(charges, key=lambda charge: charge.rank, default=None)
+        worst = max(charges, key=_rank, default=None)
         if worst is None:
             return None
+        if worst.is_request:
+            wider = [charge for charge in charges if charge.explains_more_than(worst)]
+            worst = max(wider, key=_rank, default=worst)
         is_tie = any(
             charge.rank == worst.rank and charge.crashes == worst.crashes
             for charge in charges
@@ -318,6 +343,10 @@
                 for crash in unexplained
                 if digest in crash.suspects and crash.at > answered_at
             ]
+            is_request = any(crash.suspects[digest].is_request for crash in crashes)
+            others = [crash for crash in crashes if not crash.explained_by_request]
+            if is_request or len(others) < MIN_OTHER_CRASHES:
+                crashes = others
             times = [crash.at for crash in crashes]
             # A part that was quarantined before needs no further proof.
             if not _is_proof(times) and not (times and digest in self._quarantines):
@@ -330,10 +359,14 @@
                 -sum(suspect.requests for suspect in suspects),
                 max(suspect.position for suspect in suspects),
             )
-            charges.append(_Charge(digest, rank, crashes))
+            charges.append(_Charge(digest, is_request, rank, crashes))
         return charges
 
 
+def _rank(charge: _Charge) -> tuple[float, ...]:
+    return charge.rank
+
+
 def _is_proof(times: Sequence[float]) -> bool:
     return any(_count_apart(times, apart_s) >= count for count, apart_s in PROOFS)
 
--- a/packages/router/src/rosemaryseam/router/crashcodec.py
+++ b/packages/router/src/rosemaryseam/router/crashcodec.py
@@ -25,6 +25,7 @@
                 'requests': part.requests,
                 'answeredMs': _to_ms(part.answered_s),
                 'begunMs': _to_ms(part.begun_s),
+                'isRequest': part.is_request,
             }
             for part in entry.parts
         ],
@@ -43,6 +44,7 @@
             part.requests,
             _to_seconds(part.answeredMs),
             _to_seconds(part.begunMs),
+            part.isRequest,
         )
         for part in entry.parts
     )
--- a/packages/router/src/rosemaryseam/router/crashes.py
+++ b/packages/router/src/rosemaryseam/router/crashes.py
@@ -34,6 +34,7 @@
 
     ``position`` is its place in its prompts, 0 first; a fingerprint stands behind all
     parts. ``requests`` is the number of requests with it that were broken off.
+    ``is_request`` tells that it is a fingerprint.
     ``answered_s`` and ``begun_s`` tell how long ago a request with it was last answered
     and an answer last began, infinite if that is not known.
     """
@@ -43,6 +44,7 @@
     requests: int
     answered_s: float
     begun_s: float
+    is_request: bool = False
 
 
 class CrashReport(NamedTuple):
@@ -186,7 +188,8 @@
             if part.begun_s < math.inf:
                 self._quarantine.record_begin((part.digest,), now - part.begun_s)
         suspects = {
-            part.digest: Suspect(part.position, part.requests) for part in report.parts
+            part.digest: Suspect(part.position, part.requests, part.is_request)
+            for part in report.parts
         }
         engine = (report.upstream, report.born)
         _log_crash(engine, suspects, report.age_s, 'report')
@@ -229,7 +232,8 @@
 
     def _record_crash(self, sent: _Sent, now: float) -> None:
         suspects = {
-            digest: Suspect(position, 1) for position, digest in enumerate(sent.digests)
+            digest: Suspect(position, 1, digest == sent.fingerprint)
+            for position, digest in enumerate(sent.digests)
         }
         self._quarantine.record_crash(sent.upstream, suspects, now)
         pending = self._pending.setdefault(sent.upstream, _Pending(now, {})).suspects
@@ -247,6 +251,7 @@
                 suspect.requests,
                 now - self._quarantine.last_answered_at(digest),
                 now - self._quarantine.last_begun_at(digest),
+                suspect.is_request,
             )
             for digest, suspect in pending.suspects.items()
         ]
--- a/packages/router/src/rosemaryseam/router/peerwire.capnp
+++ b/packages/router/src/rosemaryseam/router/peerwire.capnp
@@ -83,6 +83,7 @@
   requests @2 :UInt16;
   answeredMs @3 :Int64;
   begunMs @4 :Int64;
+  isRequest @5 :Bool;
 }
 
 struct Crash {
--- a/tests/test_policy/test_quarantine.py
+++ b/tests/test_policy/test_quarantine.py
@@ -17,10 +17,12 @@
 )
 
 FIRST, DEADLY, OTHER, RARE = 1, 2, 3, 4
+AGAIN, NEW, NEXT = 11, 12, 13  # requests, of which the first one is repeated
 SETTLED_S = 2 * SETTLE_S
 
 # What engines did: ('crash', time, prompts that it broke off), ('answer', time, parts)
-# or ('begin', time, parts). Prompts are without their last part.
+# or ('begin', time, parts). Prompts are without their last part, and may end with the
+# digest of the request. At ('judge', time, None) the evidence so far is judged.
 History = list[tuple[str, float, object]]
 
 
@@ -28,13 +30,18 @@
     """Return a quarantine that has seen a history."""
     quarantine = PromptQuarantine()
     for number, (kind, at, what) in enumerate(history):
-        if kind == 'answer':
+        if kind == 'judge':
+            quarantine.in_force(at)
+        elif kind == 'answer':
             quarantine.record_answer(what, at)
         elif kind == 'begin':
             quarantine.record_begin(what, at)
         else:
             for prompt in what:
-                suspects = {part: Suspect(i, 1) for i, part in enumerate(prompt)}
+                suspects = {
+                    part: Suspect(i, 1, is_request=part >= AGAIN)
+                    for i, part in enumerate(prompt)
+                }
                 quarantine.record_crash(('engine', number), suspects, at)
     return quarantine
 
@@ -126,6 +133,41 @@
         + [('begin', 11.25, (FIRST, OTHER))],
         [DEADLY],
     ),
+    (
+        'a repeated request with the part in some of the crashes',
+        crashes([10.0, 10.27], (FIRST, DEADLY, AGAIN))
+        + crashes([10.22, 10.7], (FIRST, DEADLY, NEW))
+        + crashes([10.78], (FIRST, DEADLY, AGAIN), (FIRST, DEADLY, NEW))
+        + crashes([11.22], (FIRST, DEADLY, AGAIN)),
+        [DEADLY],
+    ),
+    (
+        'a repeated request without the part in some of the crashes',
+        crashes([10.0, 10.6, 11.2], (FIRST, DEADLY), (FIRST, AGAIN))
+        + crashes([11.25], (FIRST, DEADLY)),
+        [DEADLY],
+    ),
+    (
+        'one request alone',
+        crashes([10.0, 10.6, 11.2], (FIRST, DEADLY, AGAIN)),
+        [AGAIN],
+    ),
+    (
+        'one request and later others with its part',
+        crashes([10.0, 10.6, 11.2], (FIRST, DEADLY, AGAIN))
+        + [('judge', 11.5, None)]
+        + crashes([12.0], (FIRST, DEADLY, NEW))
+        + [('answer', 12.1, (FIRST,))]
+        + crashes([12.6], (FIRST, DEADLY, NEXT)),
+        [AGAIN, DEADLY],
+    ),
+    (
+        'one request and later a single crash of another cause',
+        crashes([10.0, 10.6, 11.2], (FIRST, AGAIN))
+        + [('judge', 11.5, None)]
+        + crashes([12.0], (FIRST, NEW)),
+        [AGAIN],
+    ),
     ('crashes long ago', crashes([0.0, 5.0, 11.0 + EVIDENCE_TTL_S], (DEADLY,)), []),
 ]
 
