Keep quarantines in the store, for hosts that start later

Cause: quarantines were in the memory of the processes alone. A host that starts is told of them by others, but it places requests before it hears them.

One host writes the quarantines in force to the store; others do if it does not. A host reads them with the configuration, before it accepts callers. Entries are removed when they end or when an answer disproves them, which ends the quarantine at all hosts; before, only the dispatcher that knew the answer served the part again.

--- a/packages/policy/src/rosemaryseam/policy/quarantine.py
+++ b/packages/policy/src/rosemaryseam/policy/quarantine.py
@@ -263,6 +263,28 @@
         self._mark_explained(now)
         return True
 
+    def is_in_force(self, digest: int, now: float) -> bool:
+        """Return whether a part is quarantined.
+
+        :param digest: digest of the part
+        :param now: seconds on the monotonic clock
+        """
+        return self._in_force(digest, now) is not None
+
+    def release(self, digest: int, now: float) -> bool:
+        """End a quarantine that another host knows to be disproved.
+
+        :param digest: digest of the part
+        :param now: seconds on the monotonic clock
+        :return: whether it was in force
+        """
+        if not self.is_in_force(digest, now):
+            return False
+        del self._quarantines[digest]
+        # Its crashes have another cause, as if the part had been answered.
+        self._answered.record((digest,), now)
+        return True
+
     def _in_force(self, digest: int, now: float) -> Quarantine | None:
         entry = self._quarantines.get(digest)
         return entry if entry is not None and entry.until > now else None
@@ -296,7 +318,7 @@
         """Mark the crashes with a quarantined part and drop those that are too old."""
         for engine, crash in list(self._crashes.items()):
             for digest, suspect in crash.suspects.items():
-                if self._in_force(digest, now) is None:
+                if not self.is_in_force(digest, now):
                     continue
                 if suspect.is_request:
                     crash.explained_by_request = True
--- a/packages/router/src/rosemaryseam/router/crashes.py
+++ b/packages/router/src/rosemaryseam/router/crashes.py
@@ -10,6 +10,7 @@
 
 from rosemaryseam.common.decisionlog import log_event
 from rosemaryseam.policy.quarantine import (
+    MAX_QUARANTINES,
     Evidence,
     PromptQuarantine,
     Quarantine,
@@ -99,6 +100,7 @@
         self._sent: dict[RequestId, _Sent] = {}
         self._pending: OrderedDict[tuple[str, int], _Pending] = OrderedDict()
         self._has_pending = Event()
+        self._released: OrderedDict[int, None] = OrderedDict()  # disproved here
 
     def check(self, query: Query) -> None:
         """Check that neither a request nor a part of its prompt is quarantined.
@@ -251,6 +253,33 @@
             if self._quarantine.adopt(entry, now):
                 _log_quarantine(entry, host)
 
+    # Quarantines that the store holds.
+
+    def adopt_stored(self, quarantine: Quarantine) -> None:
+        """Apply a quarantine that the store holds.
+
+        :param quarantine: its ``until`` is a time on this host's clock
+        """
+        if self._quarantine.adopt(quarantine, self._clock.monotonic()):
+            _log_quarantine(quarantine, 'store')
+
+    def is_released(self, digest: int) -> bool:
+        """Return whether an answer at this host has disproved a quarantine.
+
+        :param digest: digest of the part
+        """
+        if self._quarantine.is_in_force(digest, self._clock.monotonic()):
+            self._released.pop(digest, None)
+        return digest in self._released
+
+    def release(self, digest: int) -> None:
+        """End a quarantine that another host knows to be disproved.
+
+        :param digest: digest of the part
+        """
+        if self._quarantine.release(digest, self._clock.monotonic()):
+            log_event('prompt_part_released', part=f'{digest:016x}')
+
     def _informative(self, sent: _Sent) -> list[int]:
         """Return the digests of which an answer tells something.
 
@@ -264,6 +293,9 @@
 
     def _record_answer(self, digests: Sequence[int], at: float) -> None:
         for digest in self._quarantine.record_answer(digests, at):
+            self._released[digest] = None
+            if len(self._released) > MAX_QUARANTINES:
+                self._released.popitem(last=False)
             log_event('prompt_part_released', part=f'{digest:016x}')
 
     def _record_begin(self, sent: _Sent) -> None:
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -31,6 +31,7 @@
 from rosemaryseam.router.partition import open_paths
 from rosemaryseam.router.peers import PeerLink
 from rosemaryseam.router.pool import ConnectionPool
+from rosemaryseam.router.quarantinelog import QuarantineLog
 from rosemaryseam.router.relayedstore import RelayedStore, StoreProber
 from rosemaryseam.router.restoredtable import RestoredTable
 from rosemaryseam.router.resumption import StreamResumption
@@ -194,6 +195,16 @@
             _is_urgent,
             self._origin_log.apply_items,
         )
+        self._quarantine_log = QuarantineLog(
+            cfg.ip,
+            cfg.capacity,
+            store,
+            self.tracker.crashes,
+            clock,
+            self._rng,
+            self.skipped,
+        )
+        self._quarantine_log.connect(self.peers)
         self._restored_table = RestoredTable(
             self.feed, self.peers, cfg.peer_port, clock, self._rng
         )
@@ -302,6 +313,12 @@
                 lambda: self.store_prober.step(self.mirror),
                 self.metrics,
             ),
+            gevent.spawn(
+                run_repeatedly,
+                'quarantine_log',
+                self._quarantine_log.step,
+                self.metrics,
+            ),
             gevent.spawn(
                 run_repeatedly,
                 'crash_reports',
@@ -452,6 +469,7 @@
             ('host_entries', lambda: self.peers.apply_host_entries(others)),
             ('software_entries', lambda: self.software.apply_items(others)),
             ('origin_entries', lambda: self._origin_log.apply_items(others)),
+            ('quarantine_entries', lambda: self._quarantine_log.apply_items(others)),
             ('duty_entries', lambda: self.duties.apply_items(others)),
         )
 
--- a/tests/test_router/test_odd_store_values.py
+++ b/tests/test_router/test_odd_store_values.py
@@ -23,6 +23,8 @@
     'rosemaryseam/streams/127.0.0.1/1',
     'rosemaryseam/duties/usage',
     'rosemaryseam/usage',
+    'rosemaryseam/quarantines/00000000000012ab',
+    'rosemaryseam/quarantines/no digest',
     'rosemaryseam/upstreams/odd',
     'rosemaryseam/unknown/odd',
 ]
@@ -53,6 +55,12 @@
     OddValue('a huge number', b'{"number": %d, "streams": {}}' % HUGE),
     OddValue('a nested owner', f'{{"incarnation": {nested(900)}}}'.encode()),
     OddValue('windows as a list', b'{"era": 0, "last": 1, "unreported": []}'),
+    OddValue('an infinite quarantine', b'{"untilMs": 1e400, "seconds": 120}'),
+    OddValue('a huge quarantine', b'{"untilMs": 1, "seconds": %d}' % HUGE),
+    OddValue(
+        'a nested quarantine',
+        f'{{"untilMs": {nested(900)}, "seconds": 120}}'.encode(),
+    ),
     OddValue('infinite counts', b'{"era": 0, "last": 1e400, "unreported": {}}'),
 ]
 ODD = [*BYTES, *FIELDS]
