Let one more crash convict a part that was never answered

A part with which two requests crashed the same four engines, one of them repeated, lost the tie to that request. A part that was never answered now needs one crash beside those that a quarantined request explains; one that was answered before still needs two, as it is shared by sound requests.

The case 'one request and later another one with a part that was never answered' failed before.

--- a/packages/policy/src/rosemaryseam/policy/quarantine.py
+++ b/packages/policy/src/rosemaryseam/policy/quarantine.py
@@ -15,7 +15,10 @@
 RANKING_INTERVAL_S = 0.1  # between two crashes that count, to compare suspects
 TIE_CRASHES = 8  # after which one of several equal suspects is quarantined
 SETTLE_S = 0.1  # until all requests that a crash broke off are reported
-MIN_OTHER_CRASHES = 2  # of a part, beside those that a quarantined request explains
+# Crashes of a part beside those that a quarantined request explains, after which all
+# of them count: fewer for a part that was never answered.
+MIN_OTHER_CRASHES = 2
+MIN_OTHER_CRASHES_UNANSWERED = 1
 EVIDENCE_TTL_S = 600.0  # age up to which a crash counts
 MAX_CRASHES = 64  # kept at the same time
 MAX_ANSWERED_PARTS = 4096  # kept with the times of their last answer and begin
@@ -367,7 +370,7 @@
             ]
             is_request = any(crash.suspects[digest].is_request for crash in crashes)
             others = [crash for crash in crashes if not crash.explained_by_request]
-            if is_request or len(others) < MIN_OTHER_CRASHES:
+            if is_request or len(others) < _other_crashes_needed(answered_at):
                 crashes = others
             times = [crash.at for crash in crashes]
             # A part that was quarantined before needs no further proof.
@@ -385,6 +388,11 @@
         return charges
 
 
+def _other_crashes_needed(answered_at: float) -> int:
+    was_answered = answered_at > -math.inf
+    return MIN_OTHER_CRASHES if was_answered else MIN_OTHER_CRASHES_UNANSWERED
+
+
 def _rank(charge: _Charge) -> tuple[float, ...]:
     return charge.rank
 
