Write the origins of streams again after the store was restored

What callers saw: streams that they took up were refused with 503, after the store had come back from a copy and all hosts were killed within the half minute for which streams may be taken up.

Cause: a host writes an origin to the store once. A restore loses those written since the copy; the hosts go on knowing them, and lose them when they end. With several versions a stream of unknown origin is refused, so that nothing was joined, but nothing went on either (LOST).

A host that notices a restore has all origins of its own streams written again, as it registers itself again.

test_streams_are_taken_up_after_a_restore_and_the_kill_of_all_hosts failed before: 503 for all of 12 streams.

--- a/packages/router/src/rosemaryseam/router/origins.py
+++ b/packages/router/src/rosemaryseam/router/origins.py
@@ -120,6 +120,11 @@
         """Have it checked whose streams' origins are written to the store."""
         self._has_unshared.set()
 
+    def write_again(self) -> None:
+        """Have the origins of this host's streams written that the store may lack."""
+        self._written_services.clear()
+        self._has_unshared.set()
+
     def adopt(self, origin: StreamOrigin) -> None:
         """Keep an origin that is known elsewhere.
 
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -183,7 +183,7 @@
             self._on_upstream_changes,
             self._apply_other_items,
             self.mirror,
-            self.peers.renew_registration,
+            self._on_store_restored,
             self.skipped,
         )
         self._store_confirmer = StoreConfirmer(
@@ -473,6 +473,13 @@
             ('duty_entries', lambda: self.duties.apply_items(others)),
         )
 
+    def _on_store_restored(self) -> None:
+        """Write again what the store may have lost."""
+        self._attempt_all(
+            ('renew_registration', self.peers.renew_registration),
+            ('write_origins_again', self._origins.write_again),
+        )
+
     def _on_versions_changed(self) -> None:
         table = self.feed.table
         services = table.services if table is not None else ()
--- a/tests/test_router/test_stream_versions.py
+++ b/tests/test_router/test_stream_versions.py
@@ -304,6 +304,31 @@
         restarted.stop()
 
 
+# Guards against take-ups that are refused, as the store came back from a copy and lost
+# the origins of streams, before all hosts were killed.
+def test_streams_are_taken_up_after_a_restore_and_the_kill_of_all_hosts(
+    fleet: RunningFleet,
+) -> None:
+    add_breaking(fleet)
+    copy = fleet.store.copy()
+    begun = streams_of(fleet, STREAMS, fleet.hosts[1])
+    gevent.sleep(1.0)
+    fleet.store.restore(copy)
+    for host in fleet.hosts:
+        host.wait(lambda host=host: host.router.feed.era() == fleet.store.era)
+    gevent.sleep(1.5)
+    restarted = restart_all(fleet)
+    try:
+        for host in restarted.hosts:
+            host.wait(lambda host=host: host.router.not_ready() is None)
+        rest = [take_up(restarted.hosts[2], *stream) for stream in begun]
+        assert count_joined(begun, rest) == 0
+        assert all(response.complete for response in rest)
+        assert {response.status for response in rest} == {200}
+    finally:
+        restarted.stop()
+
+
 def test_streams_are_taken_up_after_all_hosts_were_killed_if_one_version_served(
     fleet: RunningFleet,
 ) -> None:
