Let a stream go on only with an answer of the kind that began it

Cause: a stream that is taken up was refused to statuses from 300 on alone. A signed 200 of another media type was copied into it, a 204 ended it in order. An upstream that is asked in place of a silent one may answer before the stream has begun at the silent one after all; its answer to the whole request was then written into the stream, or ended the request with an error of our own.

Once a stream has begun, an answer goes on with it only if its status and its media type are those of the first one, also if it was opened before.

--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -62,7 +62,6 @@
 MAX_RETURN_SPREAD = 1.25  # longest over shortest time at which refused callers return
 MIN_ATTEMPT_S = 0.02  # no retry with less time left
 MAX_PATH_FAILURES = 3  # for which the upstreams of a request are not excluded
-FIRST_UNSUCCESSFUL_STATUS = 300
 FIRST_SERVER_ERROR_STATUS = 500
 
 
@@ -586,8 +585,11 @@
         ):
             attempts.error_answer = (head, read_body(conn.chunks()))
             raise BrokenError(f'{upstream.id} answered {head.status}')
-        if relay.started and head.status >= FIRST_UNSUCCESSFUL_STATUS:
-            raise BrokenError(f'{upstream.id} does not go on: {head.status}')
+        if not relay.may_go_on_with(head):
+            media_type = _to_text(head.media_type)
+            raise BrokenError(
+                f'{upstream.id} does not go on: {head.status} {media_type}'
+            )
 
     def _relay_answer(
         self,
@@ -834,7 +836,10 @@
     The stream may have begun after the other upstream had been asked.
     """
     successor = watch.take_successor()
-    if successor is None or relay.version in (None, successor.ticket.upstream.version):
+    if successor is None:
+        return None
+    has_version = relay.version in (None, successor.ticket.upstream.version)
+    if has_version and relay.may_go_on_with(successor.head):
         return successor
     successor.close()
     return None
--- a/packages/router/src/rosemaryseam/router/relay.py
+++ b/packages/router/src/rosemaryseam/router/relay.py
@@ -95,6 +95,7 @@
         self._reply = reply
         self._on_begin = on_begin
         self.version: str | None = None  # of the software that began the stream
+        self._first_head: AnswerHead | None = None  # that the caller has
         self.last_event_id: bytes | None = None
         self.event_count = 0
         self.unfinished_bytes = 0  # after the last complete event, at the end
@@ -104,6 +105,16 @@
         """Whether the answer to the caller has begun."""
         return self._reply.started
 
+    def may_go_on_with(self, head: AnswerHead) -> bool:
+        """Return whether an answer is of the kind that the caller has begun to read.
+
+        :param head: head of the answer of another upstream
+        """
+        first = self._first_head
+        if first is None:
+            return True
+        return (head.status, head.media_type) == (first.status, first.media_type)
+
     def relay_stream(
         self, head: AnswerHead, chunks: Iterator[bytes], ticket: Ticket
     ) -> None:
@@ -141,6 +152,7 @@
         if not self._reply.started:
             if self.version is None:
                 self.version = ticket.upstream.version
+            self._first_head = head
             self._on_begin(ticket.upstream)
             # The length of one upstream's answer is not that of a resumed stream.
             headers = _without_length(end_to_end_headers(head))
