Look at descriptors above 1023, and at idle connections in one call

What callers saw: nothing yet.

Cause: select() takes no descriptor above 1023, and its error counted as 'not usable'.

Two cases of test_a_descriptor_above_1023_is_looked_at failed before.

--- a/packages/router/src/rosemaryseam/router/callers.py
+++ b/packages/router/src/rosemaryseam/router/callers.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import os
-import select
 import socket as std_socket
 import struct
 import traceback
@@ -22,6 +21,7 @@
 from rosemaryseam.common.fairness import FairReceiver
 from rosemaryseam.router.codec import RequestHead
 from rosemaryseam.router.earlylisten import LISTEN_BACKLOG
+from rosemaryseam.router.readability import readable_descriptors
 from rosemaryseam.router.reply import CallerGoneError, CutOffError, Reply
 
 if TYPE_CHECKING:
@@ -402,11 +402,7 @@
     def _is_readable(self) -> bool:
         """Return whether the caller sent bytes, or the end, that were not received."""
         descriptor = self._sock.fileno()
-        if descriptor < 0:
-            return False
-        poller = select.poll()
-        poller.register(descriptor, select.POLLIN)
-        return bool(poller.poll(0))
+        return descriptor >= 0 and descriptor in readable_descriptors([descriptor])
 
     def _receive(self, wait_s: float) -> None:
         self._sock.settimeout(wait_s)
--- a/packages/router/src/rosemaryseam/router/pool.py
+++ b/packages/router/src/rosemaryseam/router/pool.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from rosemaryseam.router.faults import NotSentError
+from rosemaryseam.router.readability import readable_descriptors
 from rosemaryseam.router.upstreamconnection import UpstreamConnection
 
 if TYPE_CHECKING:
@@ -92,8 +93,14 @@
 
     def close_expired(self) -> None:
         """Close idle connections that the upstream may have closed by now."""
+        idle = [conn for conns in self._idle.values() for conn in conns]
+        readable = readable_descriptors(conn.fileno() for conn in idle)
         for incarnation, conns in list(self._idle.items()):
-            usable = [conn for conn in conns if self._is_usable(conn)]
+            usable = [
+                conn
+                for conn in conns
+                if conn.fileno() not in readable and self._may_use(conn)
+            ]
             for conn in conns:
                 if conn not in usable:
                     conn.close()
@@ -134,6 +141,10 @@
         return None
 
     def _is_usable(self, conn: UpstreamConnection) -> bool:
-        if conn.is_expired() or conn.idle_s() > MAX_IDLE_S:
+        return self._may_use(conn) and conn.is_reusable()
+
+    def _may_use(self, conn: UpstreamConnection) -> bool:
+        """Return whether all but the state of its socket speaks for a connection."""
+        if conn.is_expired() or conn.idle_s() > MAX_IDLE_S or conn.has_trailing_data():
             return False
-        return self._paths.may_reuse(conn.path) and conn.is_reusable()
+        return self._paths.may_reuse(conn.path)
--- a/packages/router/src/rosemaryseam/router/upstreamconnection.py
+++ b/packages/router/src/rosemaryseam/router/upstreamconnection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import select
 import socket as std_socket
 from typing import TYPE_CHECKING, Any
 
@@ -18,6 +17,7 @@
     NotSentError,
     SilentError,
 )
+from rosemaryseam.router.readability import readable_descriptors
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -105,18 +105,27 @@
 
     def is_reusable(self) -> bool:
         """Return whether the upstream sent no unrequested bytes and has not closed."""
-        try:
-            readable, _, _ = select.select([self._sock.fileno()], [], [], 0)
-        except (OSError, ValueError):
-            return False
-        return not readable and not self._http.trailing_data[0]
+        descriptor = self.fileno()
+        return descriptor not in readable_descriptors([descriptor]) and (
+            not self.has_trailing_data()
+        )
+
+    def has_trailing_data(self) -> bool:
+        """Return whether bytes were read behind the last answer."""
+        return bool(self._http.trailing_data[0])
+
+    def fileno(self) -> int:
+        """Return the descriptor of the socket, a negative number once it is closed."""
+        return self._sock.fileno()
 
     def has_unread_bytes(self) -> bool:
         """Return whether the upstream sent bytes that were not read yet."""
+        descriptor = self.fileno()
+        if descriptor not in readable_descriptors([descriptor]):
+            return False
         try:
-            readable, _, _ = select.select([self._sock.fileno()], [], [], 0)
-            return bool(readable and self._sock.recv(1, std_socket.MSG_PEEK))
-        except (OSError, ValueError):
+            return bool(self._sock.recv(1, std_socket.MSG_PEEK))
+        except OSError:
             return False
 
     def idle_s(self) -> float:
