Start to refuse what a stop would cut within half of a short grace

What callers saw (another operator's report): requests that came late in a planned stop were passed on and cut at its end.

Cause: a host that stops refuses requests that may outlive it from 2.6 s on, by when the balancer has stopped sending connections. A grace of less than that had no such time.

Refusals begin after half of the time that is left, if that is sooner.

The new test restarts three hosts in series that overlap, while callers keep their connections.

--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -123,17 +124,19 @@
         self._budgets: dict[str, FleetRetryBudget] = {}
         self._quiet = QuietPeriods(clock)
         self._stops_at: float | None = None
-        self._drain_started_at = 0.0
+        self._refuses_at = math.inf
 
     def begin_drain(self, stops_at: float) -> None:
         """Start to refuse requests that may not complete before the process ends.
 
-        Refusals begin :data:`DRAIN_REFUSAL_DELAY_S` after this call.
+        Refusals begin :data:`DRAIN_REFUSAL_DELAY_S` after this call, or after half of
+        the time if that is shorter.
 
         :param stops_at: monotonic time at which running requests are aborted
         """
+        now = self._clock.monotonic()
         self._stops_at = stops_at
-        self._drain_started_at = self._clock.monotonic()
+        self._refuses_at = now + min(DRAIN_REFUSAL_DELAY_S, (stops_at - now) / 2)
 
     def handle(self, received: ReceivedRequest, reply: Reply) -> None:
         """Answer one request.
@@ -194,7 +197,7 @@
         """
         if self._stops_at is None or expires_at <= self._stops_at:
             return
-        if self._clock.monotonic() - self._drain_started_at > DRAIN_REFUSAL_DELAY_S:
+        if self._clock.monotonic() > self._refuses_at:
             raise RefusalError(
                 503,
                 ResultCode.NOT_READY,
--- a/tests/test_router/test_stop_under_load.py
+++ b/tests/test_router/test_stop_under_load.py
@@ -2,19 +2,24 @@
 
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING
 
 import gevent
-from routers import KEY, RunningRouter, configuration
+import pytest
+from routers import KEY, RunningFleet, RunningRouter, configuration
 
 from rosemaryseam.router.documentcodec import CONFIGURATION_KEY
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from rosemaryseam.standins.scripted import ScriptedExchange
 
 CALLERS = 24
 WORK_S = 0.25  # for which an upstream works on a request
 EVENTS = 10
+BALANCER_LAG_S = 3.0  # from a failed readiness until no new connections come
 
 
 def work(exchange: ScriptedExchange) -> None:
@@ -31,10 +36,15 @@
 
 
 class Load:
-    """Callers that send one request after the other on open connections."""
+    """Callers that send one request after the other on open connections.
+
+    :param choose: returns the router for a caller's next connection
+    :param requests: number of requests that a caller sends on a connection
+    """
 
-    def __init__(self, running: RunningRouter) -> None:
-        self._running = running
+    def __init__(self, choose: Callable[[], RunningRouter], requests: int = 3) -> None:
+        self._choose = choose
+        self._requests = requests
         self.answered = 0
         self.refused: list[str] = []
         self.cut: list[str] = []
@@ -50,8 +60,8 @@
         count = 0
         while not self.stopping:
             try:
-                with self._running.connection() as conn:
-                    for _ in range(3):
+                with self._choose().connection() as conn:
+                    for _ in range(self._requests):
                         count += 1
                         name = f'c{number}-{count}'
                         fields = {'X-Request-Id': name}
@@ -78,7 +88,7 @@
     running.start()
     try:
         upstream = running.add('one', work)
-        load = Load(running)
+        load = Load(lambda: running)
         gevent.sleep(0.6)
         stopped = gevent.spawn(running.router.wait)
         running.router.request_stop()
@@ -94,6 +104,69 @@
         running.stop()
 
 
+class Release:
+    """Planned restarts of the hosts of a fleet, which overlap.
+
+    :param grace_s: time that each host gets for its stop
+    """
+
+    def __init__(self, fleet: RunningFleet, grace_s: float) -> None:
+        self._fleet = fleet
+        self._grace_s = grace_s
+        self._serving: list[RunningRouter] = []
+        for number in range(len(fleet.hosts)):
+            self._start(number)
+
+    def choose(self) -> RunningRouter:
+        """Return a host that the load balancer knows to be ready."""
+        return random.choice(self._serving)
+
+    def restart(self, number: int) -> None:
+        """Stop a host, as the platform does, and start it again."""
+        host = self._fleet.hosts[number]
+        stopped = gevent.spawn(host.router.wait)
+        host.router.request_stop()
+        gevent.sleep(min(BALANCER_LAG_S, self._grace_s / 2))
+        self._serving.remove(host)
+        stopped.join(self._grace_s)
+        host.router.kill()  # as the platform does at the end of the grace
+        self._start(number)
+
+    def _start(self, number: int) -> None:
+        self._fleet.hosts[number].router.kill()
+        host = self._fleet.make_host(number + 1, grace_s=self._grace_s)
+        host.start()
+        self._fleet.hosts[number] = host
+        self._serving.append(host)
+
+
+# Guards against requests that come late in a planned stop on a kept connection, are
+# passed on, and are cut at its end (a report of another operator in issue 45).
+@pytest.mark.parametrize('grace_s', [1.5, 2.5, 5.0])
+def test_overlapping_stops_cut_no_accepted_request(grace_s: float) -> None:
+    fleet = RunningFleet(3)
+    try:
+        release = Release(fleet, grace_s)
+        upstream = fleet.add('one', work)
+        load = Load(release.choose, requests=10**6)
+        gevent.sleep(0.6)
+        restarts = []
+        for number in (0, 1, 0, 2):
+            restarts.append(gevent.spawn(release.restart, number))
+            gevent.sleep(0.6 * grace_s)
+            if number == 1:  # the next one stops the first host again
+                gevent.joinall(restarts, raise_error=True)
+        gevent.joinall(restarts, raise_error=True)
+        load.stopping = True
+        load.join()
+        reached = {request.headers['x-request-id'] for request in upstream.requests}
+        assert load.answered > 2 * CALLERS
+        assert not reached.intersection(load.cut)
+        assert not reached.intersection(load.refused)
+    finally:
+        fleet.stop()
+
+
 def test_a_restarted_process_uses_no_revoked_key_and_no_upstream_that_left() -> None:
     first = RunningRouter()
     first.start()
