Collect the reports of a crash at its dispatcher in a large fleet

Each host that saw a crash told all hosts of it: with 60 of 200 hosts that is 12,000 messages for one crash.

--- a/packages/router/src/rosemaryseam/router/crashcodec.py
+++ b/packages/router/src/rosemaryseam/router/crashcodec.py
@@ -18,6 +18,8 @@
         'id': entry.upstream,
         'born': entry.born,
         'ageMs': _to_ms(entry.age_s),
+        'toCollect': entry.to_collect,
+        'collected': entry.collected,
         'parts': [
             {
                 'digest': part.digest,
@@ -48,7 +50,14 @@
         )
         for part in entry.parts
     )
-    return CrashReport(entry.id, entry.born, entry.ageMs / 1000, parts)
+    return CrashReport(
+        entry.id,
+        entry.born,
+        entry.ageMs / 1000,
+        parts,
+        entry.toCollect,
+        entry.collected,
+    )
 
 
 def encode_quarantined(entry: QuarantinedPart) -> dict[str, object]:
--- a/packages/router/src/rosemaryseam/router/crashes.py
+++ b/packages/router/src/rosemaryseam/router/crashes.py
@@ -52,12 +52,18 @@
 
 
 class CrashReport(NamedTuple):
-    """A crash of an upstream's incarnation, ``age_s`` seconds ago."""
+    """A crash of an upstream's incarnation, ``age_s`` seconds ago.
+
+    The receiver of a report ``to_collect`` tells all hosts. A report that is
+    ``collected`` holds what other hosts have reported to its sender.
+    """
 
     upstream: str
     born: int
     age_s: float
     parts: tuple[SuspectPart, ...]
+    to_collect: bool = False
+    collected: bool = False
 
 
 class QuarantinedPart(NamedTuple):
@@ -78,11 +84,23 @@
     fingerprint: int
 
 
-class _Pending(NamedTuple):
-    """A crash that the other hosts have not been told of."""
+class _Pending:
+    """A crash that the other hosts have not been told of.
 
-    at: float
-    suspects: dict[int, Suspect]
+    :param at: time of the crash, in seconds on the monotonic clock
+    """
+
+    def __init__(self, at: float) -> None:
+        self.at = at
+        self.suspects: dict[int, Suspect] = {}
+        self.collected = False  # whether other hosts reported some of it
+
+    def add(self, suspects: Mapping[int, Suspect]) -> None:
+        """Add the suspects of further requests."""
+        for digest, suspect in suspects.items():
+            known = self.suspects.get(digest, suspect._replace(requests=0))
+            requests = known.requests + suspect.requests
+            self.suspects[digest] = suspect._replace(requests=requests)
 
 
 class CrashLedger:
@@ -231,7 +249,10 @@
         }
         engine = (report.upstream, report.born)
         _log_crash(engine, suspects, report.age_s, host)
-        self._quarantine.record_crash(engine, suspects, now - report.age_s)
+        at = now - report.age_s
+        self._quarantine.record_crash(engine, suspects, at)
+        if report.to_collect:
+            self._add_pending(engine, suspects, at).collected = True
 
     def quarantined(self) -> tuple[QuarantinedPart, ...]:
         """Return the parts that are quarantined now."""
@@ -308,11 +329,15 @@
             for position, digest in enumerate(sent.digests)
         }
         self._quarantine.record_crash(engine, suspects, now)
-        pending = self._pending.setdefault(engine, _Pending(now, {})).suspects
-        for digest, suspect in suspects.items():
-            known = pending.get(digest, suspect._replace(requests=0))
-            pending[digest] = suspect._replace(requests=known.requests + 1)
+        self._add_pending(engine, suspects, now)
+
+    def _add_pending(
+        self, engine: tuple[str, int], suspects: Mapping[int, Suspect], at: float
+    ) -> _Pending:
+        pending = self._pending.setdefault(engine, _Pending(at))
+        pending.add(suspects)
         self._has_pending.set()
+        return pending
 
     def _report(
         self, engine: tuple[str, int], pending: _Pending, now: float
@@ -329,7 +354,12 @@
             for digest, suspect in pending.suspects.items()
         ]
         _log_crash(engine, pending.suspects, now - pending.at, None)
-        return CrashReport(*engine, now - pending.at, tuple(parts[:MAX_REPORTED_PARTS]))
+        return CrashReport(
+            *engine,
+            now - pending.at,
+            tuple(parts[:MAX_REPORTED_PARTS]),
+            collected=pending.collected,
+        )
 
 
 def _sent(query: Query) -> _Sent:
--- a/packages/router/src/rosemaryseam/router/handover.py
+++ b/packages/router/src/rosemaryseam/router/handover.py
@@ -72,6 +72,13 @@
         """
         self._report_outcome = report
 
+    def dispatcher(self, upstream: str) -> str | None:
+        """Return the address of an upstream's dispatcher, if it is known.
+
+        :param upstream: id of the upstream
+        """
+        return self._dispatchers.get(upstream) or None
+
     def dispatchers(self) -> set[str]:
         """Return the other hosts that track upstreams for this one."""
         return {host for host in self._dispatchers.values() if host != self._host}
--- a/packages/router/src/rosemaryseam/router/peerwire.capnp
+++ b/packages/router/src/rosemaryseam/router/peerwire.capnp
@@ -93,6 +93,8 @@
   born @1 :UInt64;
   ageMs @2 :UInt32;
   parts @3 :List(Suspect);
+  toCollect @4 :Bool;
+  collected @5 :Bool;
 }
 
 struct Quarantined {
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -195,6 +195,12 @@
             _is_urgent,
             self._origin_log.apply_items,
         )
+        self._crash_reporter = CrashReporter(
+            self.tracker.crashes,
+            self.peers,
+            cfg.ip,
+            self._placer.handover.dispatcher,
+        )
         self._quarantine_log = QuarantineLog(
             cfg.ip,
             cfg.capacity,
@@ -322,7 +328,7 @@
             gevent.spawn(
                 run_repeatedly,
                 'crash_reports',
-                CrashReporter(self.tracker.crashes, self.peers).step,
+                self._crash_reporter.step,
                 self.metrics,
             ),
             *self.autoscaler.start(self.duties, self.peers, cfg.duties),
--- a/tests/test_router/test_crashes.py
+++ b/tests/test_router/test_crashes.py
@@ -8,17 +8,21 @@
 import gevent
 import pytest
 from routers import RunningFleet
+from test_handover import RecordingLink
 
 from rosemaryseam.common.addresses import Address
 from rosemaryseam.experiments.simulatedclock import SimulatedClock
 from rosemaryseam.policy.quarantine import MAX_QUARANTINES
+from rosemaryseam.router import crashreporter
 from rosemaryseam.router.crashes import (
     MAX_REPORTED_PARTS,
+    REPORT_DELAY_S,
     CrashLedger,
     CrashReport,
     QuarantinedPart,
     SuspectPart,
 )
+from rosemaryseam.router.crashreporter import CrashReporter
 from rosemaryseam.router.datagramcodec import MAX_DATAGRAM_BYTES, decode, encode
 from rosemaryseam.router.datagrams import Datagram
 from rosemaryseam.router.placement import NoUpstreamError
@@ -169,7 +173,10 @@
     datagram = Datagram(
         '10.0.0.1',
         5,
-        crashes=(CrashReport('u-1', 1_700_000_000_000, 0.125, parts),),
+        crashes=(
+            CrashReport('u-1', 1_700_000_000_000, 0.125, parts, to_collect=True),
+            CrashReport('u-2', 1_700_000_000_000, 0.125, parts, collected=True),
+        ),
         quarantined=(QuarantinedPart(7, 60.5, 3600.0),),
     )
     assert decode(encode(datagram)) == datagram
@@ -274,6 +281,55 @@
         fleet.stop()
 
 
+class CountingLink(RecordingLink):
+    """A link of a fleet of some size that delivers reports at once.
+
+    :param ledgers: ledgers of all hosts
+    """
+
+    def __init__(self, ledgers: dict[str, CrashLedger]) -> None:
+        super().__init__()
+        self._ledgers = ledgers
+        self.sent = 0
+
+    def known_hosts(self) -> dict[str, float]:
+        """Return all hosts, of which the sender is one."""
+        return dict.fromkeys(self._ledgers, 1.0)
+
+    def send_crash(self, host: str, report: CrashReport) -> None:
+        """Deliver a report."""
+        self.sent += 1
+        self._ledgers[host].apply_report('sender', report)
+
+
+# Guards against a burst of messages when many hosts of a large fleet see a crash.
+@pytest.mark.parametrize(
+    ('hosts', 'seeing', 'most_sent'), [(6, 4, 4 * 6), (200, 60, 60 + 200)]
+)
+def test_all_hosts_are_told_of_a_crash(
+    hosts: int, seeing: int, most_sent: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    clock = SimulatedClock()
+    ledgers = {f'h-{number}': CrashLedger(clock) for number in range(hosts)}
+    link = CountingLink(ledgers)
+    reporters = [
+        CrashReporter(ledger, link, host, lambda _: 'h-0')
+        for host, ledger in ledgers.items()
+    ]
+    monkeypatch.setattr(crashreporter.gevent, 'sleep', lambda _: None)
+    for crash in range(3):
+        for ledger in list(ledgers.values())[-seeing:]:
+            ledger.record_outcome(make_engine(crash), make_query(DEADLY), 'crashed')
+        clock.run_until(crash + 0.5)
+        for reporter in reversed(reporters):  # the dispatcher comes last
+            if reporter._ledger._pending:
+                clock.run_until(clock.monotonic() + 2 * REPORT_DELAY_S)
+                reporter.step()
+        clock.run_until(10.0 * (crash + 1))
+    assert link.sent <= 3 * most_sent
+    assert all(refuses(ledger, DEADLY) for ledger in ledgers.values())
+
+
 # Guards against a sound part that is quarantined, as the answers to requests are not
 # known to the host that dispatches when they end.
 def test_answer_to_an_adopted_request_clears_its_parts() -> None:
