Split what hosts keep in the store from the process

Origins of streams, software versions and quarantines are built, connected and kept up to date in one module. The decoder of quarantines is fuzzed.

--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import functools
 import json
 import random
 from typing import TYPE_CHECKING, Any
@@ -26,19 +27,17 @@
 from rosemaryseam.router.feed import StateFeed
 from rosemaryseam.router.forwarder import Forwarder
 from rosemaryseam.router.mirror import Mirror, build_mirror_app
-from rosemaryseam.router.originlog import OriginLog, is_origin_entry
-from rosemaryseam.router.origins import StreamOrigins
+from rosemaryseam.router.originlog import is_origin_entry
 from rosemaryseam.router.partition import open_paths
 from rosemaryseam.router.peers import PeerLink
 from rosemaryseam.router.pool import ConnectionPool
-from rosemaryseam.router.quarantinelog import QuarantineLog
 from rosemaryseam.router.relayedstore import RelayedStore, StoreProber
 from rosemaryseam.router.restoredtable import RestoredTable
 from rosemaryseam.router.resumption import StreamResumption
 from rosemaryseam.router.routes import CallerLimits
-from rosemaryseam.router.softwarehistory import SoftwareHistory
 from rosemaryseam.router.status import build_metrics_app, build_readiness_app
 from rosemaryseam.router.storeconfirmer import StoreConfirmer
+from rosemaryseam.router.storedstate import StoredState
 from rosemaryseam.router.upstreams import Registry
 from rosemaryseam.router.upstreamtracker import UpstreamTracker
 from rosemaryseam.router.usagereporter import is_usage_record
@@ -65,7 +64,6 @@
 CUTOFF_S = 0.1  # for the refusals of the remaining requests to be written
 DRAIN_POLL_S = 0.05  # between two checks for requests in flight
 FIRST_TABLE_TIMEOUT_S = 0.5  # a healthy store answers in milliseconds
-MIN_STREAM_MEMORY_S = 30.0  # for what is known of the software of streams
 START_POLL_S = 0.005  # between two checks for the first routing table
 
 
@@ -121,19 +119,14 @@
             cfg.capacity,
         )
         self._placer.handover.filter_outcomes(self.paths.reports.report)
-        self._origins = StreamOrigins(
-            cfg.ip,
-            clock,
-            self._stream_memory_s,
-            lambda service: self.software.has_several(service),
-        )
-        self._origin_log = OriginLog(
-            cfg.ip,
-            cfg.capacity,
+        self.stored = StoredState(
+            cfg,
             store,
-            self._stream_memory_s,
+            self.registry,
+            self.tracker.crashes,
+            lambda: self.feed.table,
             clock,
-            self._origins.adopt,
+            self._rng,
             self.skipped,
         )
         self.peers = PeerLink(
@@ -145,8 +138,8 @@
             self._placer,
             self.dispatcher,
             self.tracker,
-            self._origins,
-            self._origin_log,
+            self.stored.origins,
+            self.stored.origin_log,
             cfg.capacity,
             self._on_upstream_left,
             self.skipped,
@@ -154,8 +147,7 @@
         self._placer.connect(self.peers)
         self.tracker.brittleness.connect(cfg.ip, self.peers, self.metrics)
         self.peers.subscribe('load', self._placer.handover.loads.handle)
-        self._origins.connect(self.peers, self._origin_log.send)
-        self._origin_log.connect(self.peers)
+        self.stored.connect(self.peers)
         self.relayed_store = RelayedStore(
             store, cfg.ip, cfg.peer_port, clock, self.metrics, cfg.capacity
         )
@@ -193,7 +185,7 @@
             clock,
             self.metrics,
             _is_urgent,
-            self._origin_log.apply_items,
+            self.stored.origin_log.apply_items,
         )
         self._crash_reporter = CrashReporter(
             self.tracker.crashes,
@@ -201,31 +193,9 @@
             cfg.ip,
             self._placer.handover.dispatcher,
         )
-        self._quarantine_log = QuarantineLog(
-            cfg.ip,
-            cfg.capacity,
-            store,
-            self.tracker.crashes,
-            clock,
-            self._rng,
-            self.skipped,
-        )
-        self._quarantine_log.connect(self.peers)
         self._restored_table = RestoredTable(
             self.feed, self.peers, cfg.peer_port, clock, self._rng
         )
-        self.software = SoftwareHistory(
-            cfg.ip,
-            cfg.capacity,
-            store,
-            self.registry,
-            lambda: self.feed.table,
-            self._stream_memory_s,
-            clock,
-            self._rng,
-            self.skipped,
-        )
-        self.software.connect(self.peers, self._on_versions_changed)
         self.duties = Duties(
             cfg,
             duty_port,
@@ -244,8 +214,8 @@
             self.feed,
             self.registry,
             StreamResumption(
-                self._origins,
-                self.software,
+                self.stored.origins,
+                self.stored.software,
                 self.feed,
                 self._store_confirmer,
                 self.registry,
@@ -303,15 +273,15 @@
             gevent.spawn(self.feed.run),
             gevent.spawn(run_repeatedly, 'sweep', self._sweep, self.metrics),
             gevent.spawn(run_repeatedly, 'paths', self.paths.step, self.metrics),
-            gevent.spawn(run_repeatedly, 'software', self.software.step, self.metrics),
             gevent.spawn(
                 run_repeatedly,
                 'restored_table',
                 self._restored_table.step,
                 self.metrics,
             ),
-            gevent.spawn(
-                run_repeatedly, 'origin_log', self._origin_log.step, self.metrics
+            *(
+                gevent.spawn(run_repeatedly, name, step, self.metrics)
+                for name, step in self.stored.work().items()
             ),
             gevent.spawn(
                 run_repeatedly,
@@ -319,12 +289,6 @@
                 lambda: self.store_prober.step(self.mirror),
                 self.metrics,
             ),
-            gevent.spawn(
-                run_repeatedly,
-                'quarantine_log',
-                self._quarantine_log.step,
-                self.metrics,
-            ),
             gevent.spawn(
                 run_repeatedly,
                 'crash_reports',
@@ -414,8 +378,8 @@
             'quarantined_parts': [
                 entry._asdict() for entry in self.tracker.crashes.quarantined()
             ],
-            'software_last_registered_s': self.software.dump(),
-            'stream_origins': self._origins.size(),
+            'software_last_registered_s': self.stored.software.dump(),
+            'stream_origins': self.stored.origins.size(),
             'duties': self.duties.dump(),
             'upstream_orders': self.autoscaler.dump(),
             'idle_upstream_connections': self._pool.size(),
@@ -456,7 +420,7 @@
                 'retain_loads',
                 lambda: self._placer.handover.loads.retain(incarnations),
             ),
-            ('software_changed', self.software.registry_changed),
+            ('software_changed', self.stored.software.registry_changed),
         )
 
     def _attempt_all(self, *steps: tuple[str, Callable[[], None]]) -> None:
@@ -464,18 +428,13 @@
         for name, step in steps:
             attempt(name, step, self.metrics)
 
-    def _stream_memory_s(self) -> float:
-        """Return for how long streams that ended here may be taken up elsewhere."""
-        table = self.feed.table
-        longest_s = table.longest_resumable_s if table is not None else 0.0
-        return max(MIN_STREAM_MEMORY_S, 2 * longest_s)
-
     def _apply_other_items(self, others: OtherItems) -> None:
         self._attempt_all(
             ('host_entries', lambda: self.peers.apply_host_entries(others)),
-            ('software_entries', lambda: self.software.apply_items(others)),
-            ('origin_entries', lambda: self._origin_log.apply_items(others)),
-            ('quarantine_entries', lambda: self._quarantine_log.apply_items(others)),
+            *(
+                (name, functools.partial(apply, others))
+                for name, apply in self.stored.readers().items()
+            ),
             ('duty_entries', lambda: self.duties.apply_items(others)),
         )
 
@@ -483,16 +442,8 @@
         """Write again what the store may have lost."""
         self._attempt_all(
             ('renew_registration', self.peers.renew_registration),
-            ('write_origins_again', self._origins.write_again),
-        )
-
-    def _on_versions_changed(self) -> None:
-        table = self.feed.table
-        services = table.services if table is not None else ()
-        self._origin_log.set_needed(
-            needed=any(self.software.has_several(service) for service in services)
+            ('write_origins_again', self.stored.origins.write_again),
         )
-        self._origins.versions_changed()
 
     def _on_upstream_left(self, incarnation: Incarnation) -> None:
         for upstream in self.registry.all():
--- a/tests/test_platform/test_decoder_fuzz.py
+++ b/tests/test_platform/test_decoder_fuzz.py
@@ -16,7 +16,7 @@
 from rosemaryseam.common.rangestore import Item
 from rosemaryseam.platform.headers import HEADER_NAMES
 from rosemaryseam.platform.state import PlatformStateCodec
-from rosemaryseam.router import originlog, usagereporter
+from rosemaryseam.router import originlog, quarantinelog, usagereporter
 from rosemaryseam.router.brittlereports import read_report
 from rosemaryseam.router.datagramcodec import decode, encode
 from rosemaryseam.router.datagrams import Datagram, Incarnation
@@ -135,6 +135,13 @@
 READERS: list[tuple[str, Callable[[bytes], Any], Any]] = [
     ('host', lambda data: decode_host_entry('10.0.0.1', data), {'capacity': 1.0}),
     ('software', decode_software, {'service': 'desk', 'version': 'v1'}),
+    (
+        'quarantine',
+        lambda data: quarantinelog._decode(
+            Item(f'{quarantinelog.QUARANTINES_PREFIX}00000000000012ab', data, 1)
+        ),
+        {'untilMs': 1_800_000_000_000, 'seconds': 120.0},
+    ),
     (
         'origins',
         lambda data: originlog._decode(data, lambda _: None),
--- a/tests/test_router/test_endless_answers.py
+++ b/tests/test_router/test_endless_answers.py
@@ -369,7 +369,7 @@
             patch.setattr(target, method, fail)
             host.router.peers.renew_registration()
             other.router.peers._send(host.cfg.ip, Datagram(other.cfg.ip, 1))
-            host.router._origin_log.add(StreamOrigin('r1', Software('work', '1')))
+            host.router.stored.origin_log.add(StreamOrigin('r1', Software('work', '1')))
             host.router.feed.uncertain.set()
             host.wait(lambda: bool(errors))
         gevent.sleep(0.05)
--- a/tests/test_router/test_odd_store_values.py
+++ b/tests/test_router/test_odd_store_values.py
@@ -111,7 +111,7 @@
     monkeypatch.setattr(router.router.peers, 'apply_host_entries', fail)
     monkeypatch.setattr(router.router.paths, 'retain', fail)
     router.store.put('rosemaryseam/software/1', b'{"service": "work", "version": "v7"}')
-    router.wait(lambda: 'v7' in router.router.software.versions('work'))
+    router.wait(lambda: 'v7' in router.router.stored.software.versions('work'))
     router.add('one', lambda exchange: exchange.answer(200))
     assert router.call('safe').status == 200
     failing = router.router.metrics.work_failures.failing()
--- a/tests/test_router/test_origins.py
+++ b/tests/test_router/test_origins.py
@@ -56,11 +56,11 @@
     first, *others = fleet.hosts
     ids = [f'stream-{number}' for number in range(30)]
     for request_id in ids:
-        first.router._origins.record(request_id, FIRST)
+        first.router.stored.origins.record(request_id, FIRST)
     gevent.sleep(0.2)
     for host in fleet.hosts[:killed]:
         host.router.kill()
-    found = [others[-1].router._origins.find(request_id) for request_id in ids]
+    found = [others[-1].router.stored.origins.find(request_id) for request_id in ids]
     assert set(found) <= {FIRST, None}
     if killed < 2:  # an origin is on two hosts besides its own
         assert None not in found
@@ -69,7 +69,7 @@
 def test_an_unknown_origin_is_not_found_at_once(fleet: RunningFleet) -> None:
     host = fleet.hosts[0]
     began = host.clock.monotonic()
-    assert host.router._origins.find('unknown') is None
+    assert host.router.stored.origins.find('unknown') is None
     assert host.clock.monotonic() - began < 0.3
 
 
--- a/tests/test_router/test_take_ups_out_of_step.py
+++ b/tests/test_router/test_take_ups_out_of_step.py
@@ -136,7 +136,7 @@
 ) -> None:
     replace_engine(fleet)
     fleet.hosts[2].wait(lambda: version_of(fleet.hosts[2], 'engine-2') == '2')
-    writer_ip = fleet.hosts[0].router._origin_log._writer()
+    writer_ip = fleet.hosts[0].router.stored.origin_log._writer()
     writer = next(host for host in fleet.hosts if host.cfg.ip == writer_ip)
     others = [host for host in fleet.hosts if host is not writer]
     OutOfStep(writer).cut(store=True)
