--- a/packages/experiments/src/rosemaryseam/experiments/hosts.py
+++ b/packages/experiments/src/rosemaryseam/experiments/hosts.py
@@ -17,7 +17,7 @@
     from collections.abc import Callable, Sequence
 
     from rosemaryseam.experiments.simulatedclock import SimulatedClock
-    from rosemaryseam.router.crashes import CrashReport
+    from rosemaryseam.router.crashreports import CrashReport
     from rosemaryseam.router.datagrams import DispatchRequest, EndedRequest, Incarnation
     from rosemaryseam.router.origins import StreamOrigin
     from rosemaryseam.router.placement import Ticket, UnplacedRequest
--- a/packages/policy/src/rosemaryseam/policy/quarantine.py
+++ b/packages/policy/src/rosemaryseam/policy/quarantine.py
@@ -6,19 +6,20 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING, NamedTuple
 
+from rosemaryseam.policy.crashevidence import (
+    Charge,
+    Crash,
+    Evidence,
+    charge_suspect,
+)
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping, Sequence
 
-# Numbers of crashes without an answer in between after which a part is quarantined, and
-# the seconds that they must be apart: crashes at one time may have another cause.
-PROOFS = ((3, 0.5), (4, 0.1))
-RANKING_INTERVAL_S = 0.1  # between two crashes that count, to compare suspects
+    from rosemaryseam.policy.crashevidence import Suspect
+
 TIE_CRASHES = 8  # after which one of several equal suspects is quarantined
 SETTLE_S = 0.1  # until all requests that a crash broke off are reported
-# Crashes of a part beside those that a quarantined request explains, after which all
-# of them count: fewer for a part that was never answered.
-MIN_OTHER_CRASHES = 2
-MIN_OTHER_CRASHES_UNANSWERED = 1
 EVIDENCE_TTL_S = 600.0  # age up to which a crash counts
 MAX_CRASHES = 64  # kept at the same time
 MAX_ANSWERED_PARTS = 4096  # kept with the times of their last answer and begin
@@ -43,77 +44,6 @@
         return self.until - self.duration_s
 
 
-class Suspect(NamedTuple):
-    """A part of the prompts that a crash broke off.
-
-    ``position`` is its place in its prompts, 0 first, and ``requests`` the number of
-    requests with the part that were broken off. ``is_request`` tells that it is not a
-    part but a whole request, which may have been sent more than once.
-    """
-
-    position: int
-    requests: int
-    is_request: bool = False
-
-
-class _Crash:
-    """A crash of an engine with the parts of the prompts that it broke off.
-
-    It is explained once one of the parts is quarantined, and explained by a request
-    once one of the requests is.
-
-    :param at: time of the crash
-    """
-
-    def __init__(self, at: float) -> None:
-        self.at = at
-        self.suspects: dict[int, Suspect] = {}
-        self.explained = False
-        self.explained_by_request = False
-
-    def add(self, suspects: Mapping[int, Suspect]) -> None:
-        """Add the parts of further requests that this crash broke off."""
-        for digest, suspect in suspects.items():
-            known = self.suspects.get(digest, Suspect(0, 0))
-            self.suspects[digest] = suspect._replace(
-                requests=known.requests + suspect.requests
-            )
-
-
-class _Charge(NamedTuple):
-    """The crashes that a part may have caused.
-
-    ``rank`` is greater the more likely the part caused them: their number, how long ago
-    it was answered and begun, how few requests have it, and its position.
-    """
-
-    digest: int
-    is_request: bool
-    rank: tuple[float, ...]
-    crashes: list[_Crash]
-
-    def explains_more_than(self, request: _Charge) -> bool:
-        """Return whether a part may have caused all crashes of a request and more."""
-        if self.is_request or len(self.crashes) <= len(request.crashes):
-            return False
-        return all(crash in self.crashes for crash in request.crashes)
-
-
-class Evidence(NamedTuple):
-    """Why a part was quarantined.
-
-    ``crashes`` is the number of crashes charged to it, ``requests`` that of its
-    requests which they broke off, and ``suspects`` that of the parts with enough
-    crashes for a quarantine. ``is_tie`` tells that nothing else set it apart from
-    another one of them.
-    """
-
-    crashes: int
-    requests: int
-    suspects: int
-    is_tie: bool
-
-
 class _LastTimes:
     """Keeps the last time of something by part, for the parts that had it last."""
 
@@ -156,7 +86,7 @@
         on_quarantine: Callable[[Quarantine, Evidence], None] = lambda *_: None,
     ) -> None:
         self._on_quarantine = on_quarantine
-        self._crashes: OrderedDict[object, _Crash] = OrderedDict()
+        self._crashes: OrderedDict[object, Crash] = OrderedDict()
         self._answered = _LastTimes()
         self._begun = _LastTimes()
         self._quarantines: OrderedDict[int, Quarantine] = OrderedDict()
@@ -223,7 +153,7 @@
         """
         crash = self._crashes.get(engine)
         if crash is None:
-            crash = self._crashes[engine] = _Crash(at)
+            crash = self._crashes[engine] = Crash(at)
             while len(self._crashes) > MAX_CRASHES:
                 self._crashes.popitem(last=False)
         crash.add(suspects)
@@ -358,53 +288,21 @@
         evidence = Evidence(len(worst.crashes), requests, len(charges), is_tie)
         return worst.digest, evidence
 
-    def _charges(self, unexplained: Sequence[_Crash]) -> list[_Charge]:
+    def _charges(self, unexplained: Sequence[Crash]) -> list[Charge]:
         """Return what there is against each part that crashes enough engines."""
-        charges = []
-        for digest in {one for crash in unexplained for one in crash.suspects}:
-            answered_at = self._answered.get(digest)
-            crashes = [
-                crash
-                for crash in unexplained
-                if digest in crash.suspects and crash.at > answered_at
-            ]
-            is_request = any(crash.suspects[digest].is_request for crash in crashes)
-            others = [crash for crash in crashes if not crash.explained_by_request]
-            if is_request or len(others) < _other_crashes_needed(answered_at):
-                crashes = others
-            times = [crash.at for crash in crashes]
-            # A part that was quarantined before needs no further proof.
-            if not _is_proof(times) and not (times and digest in self._quarantines):
-                continue
-            suspects = [crash.suspects[digest] for crash in crashes]
-            rank = (
-                _count_apart(times, RANKING_INTERVAL_S),
-                -answered_at,
-                -self._begun.get(digest),
-                -sum(suspect.requests for suspect in suspects),
-                max(suspect.position for suspect in suspects),
+        charges = (
+            charge_suspect(
+                digest,
+                unexplained,
+                self._answered.get(digest),
+                self._begun.get(digest),
+                # A part that was quarantined before needs no further proof.
+                needs_proof=digest not in self._quarantines,
             )
-            charges.append(_Charge(digest, is_request, rank, crashes))
-        return charges
-
-
-def _other_crashes_needed(answered_at: float) -> int:
-    was_answered = answered_at > -math.inf
-    return MIN_OTHER_CRASHES if was_answered else MIN_OTHER_CRASHES_UNANSWERED
+            for digest in {one for crash in unexplained for one in crash.suspects}
+        )
+        return [charge for charge in charges if charge is not None]
 
 
-def _rank(charge: _Charge) -> tuple[float, ...]:
+def _rank(charge: Charge) -> tuple[float, ...]:
     return charge.rank
-
-
-def _is_proof(times: Sequence[float]) -> bool:
-    return any(_count_apart(times, apart_s) >= count for count, apart_s in PROOFS)
-
-
-def _count_apart(times: Iterable[float], interval_s: float) -> int:
-    """Return the number of times, without those that follow another one closely."""
-    count, last = 0, -math.inf
-    for at in sorted(times):
-        if at - last >= interval_s:
-            count, last = count + 1, at
-    return count
--- a/packages/router/src/rosemaryseam/router/crashcodec.py
+++ b/packages/router/src/rosemaryseam/router/crashcodec.py
@@ -4,7 +4,7 @@
 
 import math
 
-from rosemaryseam.router.crashes import CrashReport, QuarantinedPart, SuspectPart
+from rosemaryseam.router.crashreports import CrashReport, QuarantinedPart, SuspectPart
 
 UNSET = -1  # encodes an infinite time
 
--- a/packages/router/src/rosemaryseam/router/crashes.py
+++ b/packages/router/src/rosemaryseam/router/crashes.py
@@ -9,13 +9,9 @@
 from gevent.event import Event
 
 from rosemaryseam.common.decisionlog import log_event
-from rosemaryseam.policy.quarantine import (
-    MAX_QUARANTINES,
-    Evidence,
-    PromptQuarantine,
-    Quarantine,
-    Suspect,
-)
+from rosemaryseam.policy.crashevidence import Evidence, Suspect
+from rosemaryseam.policy.quarantine import MAX_QUARANTINES, PromptQuarantine, Quarantine
+from rosemaryseam.router.crashreports import CrashReport, QuarantinedPart, SuspectPart
 from rosemaryseam.router.placement import NoUpstreamError
 from rosemaryseam.router.queries import suspect_digests
 
@@ -33,47 +29,6 @@
 RequestId = tuple[str, int]  # address of the host and its number of the request
 
 
-class SuspectPart(NamedTuple):
-    """A part of the prompts that a crash broke off, or the fingerprint of a request.
-
-    ``position`` is its place in its prompts, 0 first; a fingerprint stands behind all
-    parts. ``requests`` is the number of requests with it that were broken off.
-    ``is_request`` tells that it is a fingerprint.
-    ``answered_s`` and ``begun_s`` tell how long ago a request with it was last answered
-    and an answer last began, infinite if that is not known.
-    """
-
-    digest: int
-    position: int
-    requests: int
-    answered_s: float
-    begun_s: float
-    is_request: bool = False
-
-
-class CrashReport(NamedTuple):
-    """A crash of an upstream's incarnation, ``age_s`` seconds ago.
-
-    The receiver of a report ``to_collect`` tells all hosts. A report that is
-    ``collected`` holds what other hosts have reported to its sender.
-    """
-
-    upstream: str
-    born: int
-    age_s: float
-    parts: tuple[SuspectPart, ...]
-    to_collect: bool = False
-    collected: bool = False
-
-
-class QuarantinedPart(NamedTuple):
-    """A part or request that gets no upstream for ``left_s`` of ``duration_s`` s."""
-
-    digest: int
-    left_s: float
-    duration_s: float
-
-
 class _Sent(NamedTuple):
     """What a crash by a request may be due to.
 
--- a/packages/router/src/rosemaryseam/router/crashreporter.py
+++ b/packages/router/src/rosemaryseam/router/crashreporter.py
@@ -11,7 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from rosemaryseam.router.crashes import CrashLedger, CrashReport
+    from rosemaryseam.router.crashes import CrashLedger
+    from rosemaryseam.router.crashreports import CrashReport
     from rosemaryseam.router.hostlink import HostLink
 
 MAX_TOLD_HOSTS = 24  # by each host that saw a crash; many hosts see each of them
--- a/packages/router/src/rosemaryseam/router/datagrams.py
+++ b/packages/router/src/rosemaryseam/router/datagrams.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 if TYPE_CHECKING:
-    from rosemaryseam.router.crashes import CrashReport, QuarantinedPart
+    from rosemaryseam.router.crashreports import CrashReport, QuarantinedPart
     from rosemaryseam.router.origins import StreamOrigin
     from rosemaryseam.router.queries import (
         InFlightReport,
--- a/packages/router/src/rosemaryseam/router/hostlink.py
+++ b/packages/router/src/rosemaryseam/router/hostlink.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from rosemaryseam.router.crashes import CrashReport
+    from rosemaryseam.router.crashreports import CrashReport
     from rosemaryseam.router.datagrams import DispatchRequest, EndedRequest, Incarnation
     from rosemaryseam.router.origins import StreamOrigin
     from rosemaryseam.router.queries import InFlightReport, PlacedPrompt
--- a/packages/router/src/rosemaryseam/router/outbox.py
+++ b/packages/router/src/rosemaryseam/router/outbox.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
 
-    from rosemaryseam.router.crashes import CrashReport
+    from rosemaryseam.router.crashreports import CrashReport
     from rosemaryseam.router.datagrams import (
         Datagram,
         DispatchRequest,
--- a/packages/router/src/rosemaryseam/router/peers.py
+++ b/packages/router/src/rosemaryseam/router/peers.py
@@ -37,7 +37,7 @@
     from rosemaryseam.common.errors import RosemaryseamError
     from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.common.rangestore import Lease, RangeStore
-    from rosemaryseam.router.crashes import CrashReport
+    from rosemaryseam.router.crashreports import CrashReport
     from rosemaryseam.router.datagrams import DispatchRequest, EndedRequest, Incarnation
     from rosemaryseam.router.dispatch import DispatchPlacer
     from rosemaryseam.router.dispatcher import Dispatcher
--- a/tests/test_policy/test_quarantine.py
+++ b/tests/test_policy/test_quarantine.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from rosemaryseam.policy.crashevidence import Suspect
 from rosemaryseam.policy.quarantine import (
     EVIDENCE_TTL_S,
     FIRST_QUARANTINE_S,
@@ -13,7 +14,6 @@
     SETTLE_S,
     PromptQuarantine,
     Quarantine,
-    Suspect,
 )
 
 FIRST, DEADLY, OTHER, RARE = 1, 2, 3, 4
--- a/tests/test_router/test_crashes.py
+++ b/tests/test_router/test_crashes.py
@@ -14,15 +14,9 @@
 from rosemaryseam.experiments.simulatedclock import SimulatedClock
 from rosemaryseam.policy.quarantine import MAX_QUARANTINES
 from rosemaryseam.router import crashreporter
-from rosemaryseam.router.crashes import (
-    MAX_REPORTED_PARTS,
-    REPORT_DELAY_S,
-    CrashLedger,
-    CrashReport,
-    QuarantinedPart,
-    SuspectPart,
-)
+from rosemaryseam.router.crashes import MAX_REPORTED_PARTS, REPORT_DELAY_S, CrashLedger
 from rosemaryseam.router.crashreporter import CrashReporter
+from rosemaryseam.router.crashreports import CrashReport, QuarantinedPart, SuspectPart
 from rosemaryseam.router.datagramcodec import MAX_DATAGRAM_BYTES, decode, encode
 from rosemaryseam.router.datagrams import Datagram
 from rosemaryseam.router.placement import NoUpstreamError
--- a/tests/test_router/test_handover.py
+++ b/tests/test_router/test_handover.py
@@ -19,7 +19,7 @@
 from rosemaryseam.router.upstreams import Upstream
 
 if TYPE_CHECKING:
-    from rosemaryseam.router.crashes import CrashReport
+    from rosemaryseam.router.crashreports import CrashReport
     from rosemaryseam.router.datagrams import DispatchRequest, EndedRequest, Incarnation
     from rosemaryseam.router.origins import StreamOrigin
     from rosemaryseam.router.queries import InFlightReport, PlacedPrompt
--- a/tests/test_router/test_quarantinelog.py
+++ b/tests/test_router/test_quarantinelog.py
@@ -13,7 +13,8 @@
 from rosemaryseam.common.clock import ManualClock
 from rosemaryseam.policy.quarantine import FIRST_QUARANTINE_S
 from rosemaryseam.router import quarantinelog
-from rosemaryseam.router.crashes import CrashLedger, QuarantinedPart
+from rosemaryseam.router.crashes import CrashLedger
+from rosemaryseam.router.crashreports import QuarantinedPart
 from rosemaryseam.router.feed import OtherItems
 from rosemaryseam.router.quarantinelog import QUARANTINES_PREFIX, QuarantineLog
 from rosemaryseam.standins.rangestore import MemoryRangeStore
