Judge crashes again when an answer disproves what explained them

What callers saw: nothing yet; found by reading. A wrong suspect that was quarantined and then answered kept the crashes that it had explained, so that they were no evidence against the right one, and three more engines had to end.

Cause: a crash was marked as explained for good. It now remembers which suspects were quarantined for it, and forgets those that an answer acquits; what is left is judged at once.

--- a/packages/policy/src/rosemaryseam/policy/crashevidence.py
+++ b/packages/policy/src/rosemaryseam/policy/crashevidence.py
@@ -35,7 +35,7 @@
     """A crash of an engine with the parts of the prompts that it broke off.
 
     It is explained once one of the parts is quarantined, and explained by a request
-    once one of the requests is.
+    once one of the requests is, unless an answer disproves that.
 
     :param at: time of the crash
     """
@@ -43,8 +43,25 @@
     def __init__(self, at: float) -> None:
         self.at = at
         self.suspects: dict[int, Suspect] = {}
-        self.explained = False
-        self.explained_by_request = False
+        self._convicted: set[int] = set()
+
+    @property
+    def explained(self) -> bool:
+        """Whether one of the parts was quarantined."""
+        return any(not self.suspects[one].is_request for one in self._convicted)
+
+    @property
+    def explained_by_request(self) -> bool:
+        """Whether one of the requests was quarantined."""
+        return any(self.suspects[one].is_request for one in self._convicted)
+
+    def convict(self, digest: int) -> None:
+        """Record that one of the suspects was quarantined."""
+        self._convicted.add(digest)
+
+    def acquit(self, digest: int) -> None:
+        """Record that a suspect did not cause the crash, as it was answered."""
+        self._convicted.discard(digest)
 
     def add(self, suspects: Mapping[int, Suspect]) -> None:
         """Add the parts of further requests that this crash broke off."""
--- a/packages/policy/src/rosemaryseam/policy/quarantine.py
+++ b/packages/policy/src/rosemaryseam/policy/quarantine.py
@@ -108,7 +108,7 @@
             if digest in self._quarantines and at > self._quarantines[digest].began_at
         ]
         for digest in disproved:
-            del self._quarantines[digest]
+            self._withdraw(digest, at)
         return disproved
 
     def record_begin(self, digests: Iterable[int], at: float) -> None:
@@ -213,11 +213,19 @@
         """
         if not self.is_in_force(digest, now):
             return False
-        del self._quarantines[digest]
         # Its crashes have another cause, as if the part had been answered.
         self._answered.record((digest,), now)
+        self._withdraw(digest, now)
         return True
 
+    def _withdraw(self, digest: int, now: float) -> None:
+        """End a quarantine and let the crashes that it explained be judged again."""
+        del self._quarantines[digest]
+        for crash in self._crashes.values():
+            crash.acquit(digest)
+        if self._decides_at is None:
+            self._decides_at = now
+
     def _in_force(self, digest: int, now: float) -> Quarantine | None:
         entry = self._quarantines.get(digest)
         return entry if entry is not None and entry.until > now else None
@@ -250,13 +258,9 @@
     def _mark_explained(self, now: float) -> None:
         """Mark the crashes with a quarantined part and drop those that are too old."""
         for engine, crash in list(self._crashes.items()):
-            for digest, suspect in crash.suspects.items():
-                if not self.is_in_force(digest, now):
-                    continue
-                if suspect.is_request:
-                    crash.explained_by_request = True
-                else:
-                    crash.explained = True
+            for digest in crash.suspects:
+                if self.is_in_force(digest, now):
+                    crash.convict(digest)
             if crash.at < now - EVIDENCE_TTL_S:
                 del self._crashes[engine]
 
--- a/tests/test_policy/test_quarantine.py
+++ b/tests/test_policy/test_quarantine.py
@@ -177,6 +177,20 @@
         + crashes([12.0], (FIRST, DEADLY, NEW)),
         [AGAIN, DEADLY],
     ),
+    (
+        'a wrong suspect that an answer disproves',
+        [('answer', 3.0, (DEADLY,))]
+        + crashes([10.0, 10.6, 11.2], (FIRST, DEADLY), (FIRST, OTHER))
+        + [('judge', 11.5, None), ('answer', 11.8, (FIRST, OTHER))],
+        [DEADLY],
+    ),
+    (
+        'a wrong request that an answer disproves',
+        [('answer', 3.0, (DEADLY,))]
+        + crashes([10.0, 10.6, 11.2], (FIRST, DEADLY), (FIRST, AGAIN))
+        + [('judge', 11.5, None), ('answer', 11.8, (FIRST, AGAIN))],
+        [DEADLY],
+    ),
     ('crashes long ago', crashes([0.0, 5.0, 11.0 + EVIDENCE_TTL_S], (DEADLY,)), []),
 ]
 
