Bound what is told of a request's prompt when its dispatcher changes

What callers saw: nothing yet; found by reading. 100 requests are handed over in one datagram; with the digests of prompts of some 70 parts and more it would be too long to send, and the new dispatcher would know none of the requests.

Cause: put the digests of all parts into these messages.

A message names the last 32 digests, of which the last is the request's own.

Measured: test_requests_with_long_prompts_are_handed_over failed before, with 300 parts each; the encoding of the new fields has a case, which it lacked.

--- a/packages/router/src/rosemaryseam/router/tickets.py
+++ b/packages/router/src/rosemaryseam/router/tickets.py
@@ -17,6 +17,7 @@
     from rosemaryseam.router.upstreams import Upstream
 
 STREAM_SILENCE_TIMEOUT_S = 1.0  # healthy engines never pause a stream for so long
+MAX_HANDED_DIGESTS = 32  # the last ones, which fewer requests have
 PREFILL_SILENCE_MARGIN_S = 2.0  # beyond three times the expected first-event time
 
 
@@ -123,6 +124,6 @@
             age_s=age,
             expires_in_s=max(0.0, query.expires_in_s - age),
             started=self._started,
-            digests=suspect_digests(query),
+            digests=suspect_digests(query)[-MAX_HANDED_DIGESTS:],
             fingerprint=query.fingerprint,
         )
--- a/tests/test_router/test_crashes.py
+++ b/tests/test_router/test_crashes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from random import Random
 from typing import TYPE_CHECKING
 
 import gevent
@@ -19,10 +20,14 @@
 from rosemaryseam.router.crashreports import CrashReport, QuarantinedPart, SuspectPart
 from rosemaryseam.router.datagramcodec import MAX_DATAGRAM_BYTES, decode, encode
 from rosemaryseam.router.datagrams import Datagram
+from rosemaryseam.router.handover import Handover
+from rosemaryseam.router.outbox import MAX_ENTRIES
 from rosemaryseam.router.placement import NoUpstreamError
-from rosemaryseam.router.queries import InFlightReport, Query
+from rosemaryseam.router.queries import InFlightReport, Placement, Query
 from rosemaryseam.router.routes import EngineProfile
+from rosemaryseam.router.tickets import DispatchTicket
 from rosemaryseam.router.upstreams import Upstream
+from rosemaryseam.router.upstreamtracker import UpstreamTracker
 
 if TYPE_CHECKING:
     from routers import RunningRouter
@@ -176,6 +181,26 @@
     assert decode(encode(datagram)) == datagram
 
 
+# Guards against requests that no new dispatcher knows, as their prompts have so many
+# parts that the message about them is too long.
+def test_requests_with_long_prompts_are_handed_over() -> None:
+    clock = SimulatedClock()
+    handover = Handover('h', clock, UpstreamTracker(clock, lambda _: None, Random(1)))
+    placement = Placement(1, 'u-1', 0, None, 0.2, None, 1.0, {})
+    rng = Random(1)
+    reports = []
+    for number in range(1, MAX_ENTRIES + 1):
+        query = make_query(*(rng.getrandbits(64) for _ in range(300)))
+        query = query._replace(fingerprint=number)
+        ticket = DispatchTicket(
+            handover, clock, make_engine(1), query, placement, None, 'd'
+        )
+        reports.append(ticket.to_in_flight_report())
+    assert [report.digests[-1] for report in reports] == list(range(1, MAX_ENTRIES + 1))
+    data = encode(Datagram('h', 5, in_flight=tuple(reports)))
+    assert len(data) < MAX_DATAGRAM_BYTES
+
+
 def test_largest_messages_fit_in_datagrams() -> None:
     numbers = [0x9E3779B97F4A7C15 * number % 2**64 for number in range(1, 257)]
     parts = tuple(
--- a/tests/test_router/test_datagrams.py
+++ b/tests/test_router/test_datagrams.py
@@ -71,6 +71,11 @@
     Datagram('10.0.0.1', 1, replies=(Reply(7, None, 'busy', 0.5, 0.25, True),)),
     Datagram('10.0.0.1', 1, started=(7,), ended=(EndedRequest(7, 'done', 0.5),)),
     Datagram('10.0.0.1', 1, in_flight=(IN_FLIGHT,)),
+    Datagram(
+        '10.0.0.1',
+        1,
+        in_flight=(IN_FLIGHT._replace(digests=(1, 2**64 - 1), fingerprint=2**63),),
+    ),
     Datagram('10.0.0.1', 1, placed=(PlacedPrompt('one', ((5, 100),), 1.25, 0.5),)),
     Datagram('10.0.0.1', 1, left=(Incarnation('one', 2**41),)),
     Datagram(
