--- a/packages/router/src/rosemaryseam/router/outcomereports.py
+++ b/packages/router/src/rosemaryseam/router/outcomereports.py
@@ -78,11 +78,8 @@
             or (outcome in DELAYED_OUTCOMES and not self._is_suspect())
         ):
             self._delayed.append(_DelayedReport(name, outcome, now, send))
-        elif self._is_suspect():
-            _log_withheld(upstream.incarnation, outcome)
-            send('cancelled')
         else:
-            send(outcome)
+            send('cancelled' if self._is_suspect() else outcome)
 
     def settle(self) -> None:
         """Send the delayed reports for which it is known who is at fault."""
@@ -95,8 +92,8 @@
             if outcome is None:
                 self._delayed.append(report)
                 continue
-            if outcome != report.outcome:
-                _log_withheld(report.upstream, report.outcome)
+            if report.outcome == 'crashed' and outcome == 'cancelled':
+                _log_withheld_crash(report.upstream)
             report.send(outcome)
 
     def _decide(self, report: _DelayedReport, now: float) -> str | None:
@@ -112,8 +109,6 @@
         return 'cancelled' if self._is_suspect() else report.outcome
 
 
-def _log_withheld(upstream: Incarnation, outcome: str) -> None:
-    """Log an outcome that is reported as cancelled, as this host may be cut off."""
-    log_event(
-        'outcome_withheld', upstream=upstream[0], born=upstream[1], outcome=outcome
-    )
+def _log_withheld_crash(upstream: Incarnation) -> None:
+    """Log a crash that is reported as cancelled, as this host may be cut off."""
+    log_event('crash_withheld', upstream=upstream[0], born=upstream[1])
