Decide in one place which host writes shared entries

Cause: the history of versions and the log of quarantines had the same choice of the writing host, of its substitutes and of their delay, line by line; so had a pending report what a crash has.

Both ask an EntryWriter now, and a pending report is a crash.

--- a/packages/router/src/rosemaryseam/router/crashes.py
+++ b/packages/router/src/rosemaryseam/router/crashes.py
@@ -9,7 +9,7 @@
 from gevent.event import Event
 
 from rosemaryseam.common.decisionlog import log_event
-from rosemaryseam.policy.crashevidence import Evidence, Suspect
+from rosemaryseam.policy.crashevidence import Crash, Evidence, Suspect
 from rosemaryseam.policy.quarantine import MAX_QUARANTINES, PromptQuarantine, Quarantine
 from rosemaryseam.router.crashreports import CrashReport, QuarantinedPart, SuspectPart
 from rosemaryseam.router.placement import NoUpstreamError
@@ -39,23 +39,10 @@
     fingerprint: int
 
 
-class _Pending:
-    """A crash that the other hosts have not been told of.
+class _Pending(Crash):
+    """A crash that the other hosts have not been told of."""
 
-    :param at: time of the crash, in seconds on the monotonic clock
-    """
-
-    def __init__(self, at: float) -> None:
-        self.at = at
-        self.suspects: dict[int, Suspect] = {}
-        self.collected = False  # whether other hosts reported some of it
-
-    def add(self, suspects: Mapping[int, Suspect]) -> None:
-        """Add the suspects of further requests."""
-        for digest, suspect in suspects.items():
-            known = self.suspects.get(digest, suspect._replace(requests=0))
-            requests = known.requests + suspect.requests
-            self.suspects[digest] = suspect._replace(requests=requests)
+    collected = False  # whether other hosts reported some of it
 
 
 class CrashLedger:
--- a/packages/router/src/rosemaryseam/router/quarantinelog.py
+++ b/packages/router/src/rosemaryseam/router/quarantinelog.py
@@ -15,11 +15,11 @@
 from rosemaryseam.common.rangestore import Write
 from rosemaryseam.common.skippedvalues import SkippedValues
 from rosemaryseam.policy.quarantine import MAX_QUARANTINE_S, Quarantine
-from rosemaryseam.policy.rendezvous import rank_by_capacity
+from rosemaryseam.router.entrywriter import MAX_WRITES, EntryWriter
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Iterable
+    from collections.abc import Iterable
 
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.common.rangestore import Item, RangeStore
@@ -32,7 +32,6 @@
 SUBSTITUTE_DELAY_S = 2.0  # before other hosts write what the writer did not
 RETRY_DELAY_S = 1.0  # after a failed write
 EXTENSION_S = 5.0  # by which a quarantine must end later to be written again
-MAX_WRITES = 32  # per call to the store
 
 
 class StoredQuarantine(NamedTuple):
@@ -68,16 +67,14 @@
         rng: random.Random,
         skipped: SkippedValues | None = None,
     ) -> None:
-        self._host = host
-        self._capacity = capacity
         self._store = store
         self._ledger = ledger
         self._clock = clock
         self._skipped = skipped or SkippedValues(Metrics())
-        self._find_hosts: Callable[[], dict[str, float]] = dict
-        self._substitute_delay_s = SUBSTITUTE_DELAY_S * rng.uniform(0.5, 1.5)
+        self._writer = EntryWriter(
+            host, capacity, QUARANTINES_PREFIX, SUBSTITUTE_DELAY_S, clock, rng
+        )
         self._stored: dict[str, StoredQuarantine] = {}
-        self._differs_since = math.inf
         self._retry_at = -math.inf
         self._changed = Event()
 
@@ -86,7 +83,7 @@
 
         :param link: link to the other hosts
         """
-        self._find_hosts = lambda: dict(link.known_hosts())
+        self._writer.connect(link)
 
     def apply_items(self, others: OtherItems) -> None:
         """Apply the entries in the store, or changes of them.
@@ -104,19 +101,12 @@
         """Wait for a change or a while, and bring the entries up to date."""
         self._changed.wait(CHECK_INTERVAL_S)
         self._changed.clear()
-        now = self._clock.monotonic()
         missing = self._missing()
         disproved, over = self._outdated()
-        if not missing and not over:
-            self._differs_since = math.inf
-        else:
-            self._differs_since = min(self._differs_since, now)
-        is_due = self._is_writer() or now - self._differs_since > (
-            self._substitute_delay_s
-        )
-        if not is_due:
+        if not self._writer.may_write(differs=bool(missing or over)):
             missing, over = [], []
-        if (missing or disproved or over) and now >= self._retry_at:
+        is_due = self._clock.monotonic() >= self._retry_at
+        if is_due and (missing or disproved or over):
             self._write(missing[:MAX_WRITES], [*disproved, *over][:MAX_WRITES])
 
     def _apply_item(self, item: Item) -> None:
@@ -184,10 +174,6 @@
     def _wall_time(self) -> float:
         return self._clock.now().timestamp()
 
-    def _is_writer(self) -> bool:
-        hosts = {**self._find_hosts(), self._host: self._capacity}
-        return rank_by_capacity(QUARANTINES_PREFIX, hosts)[0] == self._host
-
 
 def _key(digest: int) -> str:
     return f'{QUARANTINES_PREFIX}{digest:016x}'
--- a/packages/router/src/rosemaryseam/router/softwarehistory.py
+++ b/packages/router/src/rosemaryseam/router/softwarehistory.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import math
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -20,7 +19,7 @@
 from rosemaryseam.common.metrics import Metrics
 from rosemaryseam.common.rangestore import Write
 from rosemaryseam.common.skippedvalues import SkippedValues
-from rosemaryseam.policy.rendezvous import rank_by_capacity
+from rosemaryseam.router.entrywriter import MAX_WRITES, EntryWriter
 from rosemaryseam.router.origins import Software
 
 if TYPE_CHECKING:
@@ -37,7 +36,6 @@
 SOFTWARE_PREFIX = 'rosemaryseam/software/'
 CHECK_INTERVAL_S = 2.0  # between two comparisons with the store without a change
 SUBSTITUTE_DELAY_S = 3.0  # before other hosts write what the writer did not
-MAX_WRITES = 32  # per call to the store
 
 
 class SoftwareHistory:
@@ -70,19 +68,17 @@
         rng: random.Random,
         skipped: SkippedValues | None = None,
     ) -> None:
-        self._host = host
-        self._capacity = capacity
         self._store = store
         self._registry = registry
         self._find_table = find_table
         self._kept_s = kept_s
         self._clock = clock
         self._skipped = skipped or SkippedValues(Metrics())
-        self._link: HostLink | None = None
-        self._substitute_delay_s = SUBSTITUTE_DELAY_S * rng.uniform(0.5, 1.5)
+        self._writer = EntryWriter(
+            host, capacity, SOFTWARE_PREFIX, SUBSTITUTE_DELAY_S, clock, rng
+        )
         self._stored: dict[str, Software] = {}
         self._seen_at: dict[Software, float] = {}
-        self._differs_since = math.inf
         self._changed = Event()
         self._on_change: Callable[[], None] = lambda: None
 
@@ -92,7 +88,7 @@
         :param link: link to the other hosts
         :param on_change: called when the versions may have changed
         """
-        self._link = link
+        self._writer.connect(link)
         self._on_change = on_change
 
     def has_several(self, service: str) -> bool:
@@ -147,11 +143,7 @@
         self._on_change()
         missing = recent - set(self._stored.values())
         expired = [key for key, one in self._stored.items() if one not in recent]
-        if not missing and not expired:
-            self._differs_since = math.inf
-            return
-        self._differs_since = min(self._differs_since, now)
-        if self._is_writer() or now - self._differs_since > self._substitute_delay_s:
+        if self._writer.may_write(differs=bool(missing or expired)):
             self._write(sorted(missing)[:MAX_WRITES], expired[:MAX_WRITES])
 
     def _apply_item(self, item: Item) -> None:
@@ -204,11 +196,6 @@
         oldest = self._clock.monotonic() - self._kept_s()
         return {one for one, at in self._seen_at.items() if at > oldest}
 
-    def _is_writer(self) -> bool:
-        others = self._link.known_hosts() if self._link is not None else {}
-        hosts = {**others, self._host: self._capacity}
-        return rank_by_capacity(SOFTWARE_PREFIX, hosts)[0] == self._host
-
 
 def _decode(value: bytes) -> Software:
     with decoding('software version'):
--- a/tests/test_router/test_quarantinelog.py
+++ b/tests/test_router/test_quarantinelog.py
@@ -9,6 +9,7 @@
 import gevent
 import pytest
 from routers import RunningFleet, RunningRouter
+from test_handover import RecordingLink
 
 from rosemaryseam.common.clock import ManualClock
 from rosemaryseam.policy.quarantine import FIRST_QUARANTINE_S
@@ -26,6 +27,18 @@
 LASTING_S = 100.0
 
 
+class OtherHosts(RecordingLink):
+    """A link that knows some hosts and sends nothing."""
+
+    def __init__(self, names: list[str]) -> None:
+        super().__init__()
+        self._names = names
+
+    def known_hosts(self) -> dict[str, float]:
+        """Return the other hosts."""
+        return dict.fromkeys(self._names, 1.0)
+
+
 class Host:
     """A host that follows the entries of a store.
 
@@ -40,7 +53,7 @@
         self._position: StorePosition | None = None
         self.ledger = CrashLedger(clock)
         self.log = QuarantineLog(ip, 1.0, store, self.ledger, clock, random.Random(1))
-        self.log._find_hosts = lambda: dict.fromkeys(others, 1.0)
+        self.log.connect(OtherHosts(others))
 
     def quarantine(self, *digests: int, left_s: float = LASTING_S) -> None:
         """Quarantine parts, as if this host had found them."""
