--- a/tests/test_router/test_crashes.py
+++ b/tests/test_router/test_crashes.py
@@ -8,6 +8,7 @@
 
 import gevent
 import pytest
+import xxhash
 from routers import RunningFleet
 from test_handover import RecordingLink
 
@@ -353,12 +354,35 @@
 # known to the host that dispatches when they end.
 def test_answer_to_an_adopted_request_clears_its_parts() -> None:
     clock = SimulatedClock()
-    ledger = CrashLedger(clock)
+    tracker = UpstreamTracker(clock, lambda _: None, Random(1))
+    tracker.retain_upstreams([make_engine(1)])
     for number in range(3):
         clock.run_until(number + 1.0)
-        ledger.record_outcome(make_engine(number), make_query(OTHER), 'crashed')
+        tracker.crashes.record_outcome(
+            make_engine(number), make_query(OTHER), 'crashed'
+        )
         report = IN_FLIGHT._replace(number=number, digests=(OTHER,))
-        ledger.adopt_placement('h', report)
+        tracker.adopt_request('h', report)
         clock.run_until(number + 1.5)
-        ledger.record_end('h', number, 'done')
-    assert not refuses(ledger, OTHER)
+        tracker.record_end('h', number, 'done', 0.5)
+    assert not refuses(tracker.crashes, OTHER)
+
+
+# Guards against a sound part that hosts quarantine which dispatch nothing, as they
+# do not know the answers to their own requests.
+def test_a_host_knows_the_answers_to_its_own_requests() -> None:
+    fleet = RunningFleet(3)
+    try:
+        prompts = DeadlyPrompts(fleet, forgets=False)
+        first = fleet.dispatcher()
+        other = next(host for host in fleet.hosts if host is not first)
+        ledger = other.router.tracker.crashes
+        prompts.call(other, 'sound')
+        known = xxhash.xxh3_64_intdigest(b'\x00sound')
+        for number in range(3):
+            ledger.record_outcome(make_engine(number), make_query(known), 'crashed')
+            prompts.call(other, 'sound')
+            gevent.sleep(0.55)
+        assert not refuses(ledger, known)
+    finally:
+        fleet.stop()
--- a/tests/test_router/test_cut_answers.py
+++ b/tests/test_router/test_cut_answers.py
@@ -22,6 +22,7 @@
 EVENTS = 3
 JSON = b'{"text": "a whole answer"}'
 ERROR = b'the model failed: out of memory'
+ERROR_EVENT = b'event: error\ndata: out of memory\n\n'
 UPSTREAMS = 4
 COMMENT = b': a comment\n'
 BOUNDARIES = range(EVENTS + 1)
@@ -102,6 +103,13 @@
     *(failing(302, 'text/html', framing) for framing in ('length', 'chunked')),
     *(failing(200, media, 'length') for media in ('application/json', 'text/plain')),
     *(failing(206, 'text/event-stream', framing) for framing in ('length', 'chunked')),
+    *(
+        Next(
+            f'{status} with a whole event',
+            lambda exchange, _, status=status: encode(exchange, status, ERROR_EVENT),
+        )
+        for status in (206, 404, 503)
+    ),
     Next('204', lambda exchange, _: encode(exchange, 204, b'', framing='none')),
     Next(
         'a foreign 200',
@@ -173,7 +181,7 @@
         assert response.complete
         assert b'id: ' not in response.body
         return
-    if response.body == ERROR:  # an upstream's whole answer before any event
+    if response.body in (ERROR, ERROR_EVENT):  # a whole answer before any event
         assert response.complete
         return
     assert response.body in [events(1, last) for last in BOUNDARIES]
--- a/tests/test_router/test_readability.py
+++ b/tests/test_router/test_readability.py
@@ -11,6 +11,7 @@
 
 from rosemaryseam.common.clock import SystemClock
 from rosemaryseam.router.headercodec import open_header_codec
+from rosemaryseam.router.pool import ConnectionPool
 from rosemaryseam.router.readability import readable_descriptors
 from rosemaryseam.router.upstreamconnection import UpstreamConnection
 
@@ -72,6 +73,32 @@
     far.close()
 
 
+class OpenPaths:
+    """Paths that are not cut."""
+
+    def may_reuse(self, _: object) -> bool:
+        """Return that each path works."""
+        return True
+
+
+# Guards against idle connections that stay open after their upstream closed them.
+@pytest.mark.parametrize(('act', 'kept'), [(nothing, 2), (send, 1), (close, 1)])
+def test_the_sweep_closes_what_cannot_be_reused(
+    act: Callable[[socket.socket], None], kept: int
+) -> None:
+    pairs = [socket.socketpair() for _ in range(2)]
+    codec, clock = open_header_codec(), SystemClock()
+    pool = ConnectionPool(codec, clock, OpenPaths())
+    pool._idle['one', 1] = [UpstreamConnection(near, codec, clock) for near, _ in pairs]
+    act(pairs[0][1])
+    pool.close_expired()
+    assert pool.size() == kept
+    assert (pairs[0][0].fileno() < 0) is (kept == 1)
+    for pair in pairs:
+        for sock in pair:
+            sock.close()
+
+
 def test_many_descriptors_are_asked_for_at_once() -> None:
     pairs = [socket.socketpair() for _ in range(5)]
     pairs[1][1].sendall(b'x')
