Bound what callers make the node hold

What callers saw: with unfinished bodies the node took 300 MB (60 callers), 598 MB with long headers and 328 MB with prompts of small objects; with all connections taken, or chunks that did not end, others got no answer; a refused sender was read on without end; a chunked prompt got 400, and a booking in chunks ran with an empty body and was answered 200.

Cause: the front had no account of memory; gevent's server discards a refused body however long it is, and accepts heads of 6 MB; the body was read by its length, which chunks do not have; prompts were decoded into objects of up to thirty times their size.

The front uses the caller account. Bodies are read in parts with a turn for others after each, with a length or in chunks. Heads are limited to bounds.head_bytes (32 KiB, twice what the platform's clients send), callers' memory to bounds.memory_bytes (64 MB). Addresses of operators get 64 connections and 8 MB.

--- a/packages/common/src/rosemaryseam/common/exchange.py
+++ b/packages/common/src/rosemaryseam/common/exchange.py
@@ -18,6 +18,7 @@
     from rosemaryseam.common.addresses import Address
 
 READ_BYTES = 4096
+MAX_JOINED_BYTES = 16_384  # of a body that is sent together with its head
 MAX_HEAD_BYTES = 262_144  # and what follows in the same read
 MAX_ANSWER_BYTES = 16_777_216  # of one answer, head and body
 
@@ -78,7 +79,7 @@
         self,
         method: str,
         path: str,
-        body: bytes = b'',
+        body: bytes | memoryview = b'',
         headers: Mapping[str, str] | None = None,
     ) -> HTTPSocketResponse:
         """Write the request and read the answer's head.
@@ -90,7 +91,11 @@
         :raises OSError: the connection failed or a read timed out
         """
         head = self._build_request(method, path, body=body, headers=headers)
-        self._sock.sendall(head.encode('latin-1') + body)
+        if len(body) <= MAX_JOINED_BYTES:
+            self._sock.sendall(head.encode('latin-1') + bytes(body))
+        else:
+            self._sock.sendall(head.encode('latin-1'))
+            self._sock.sendall(body)
         receiver = FairReceiver(self._sock, MAX_HEAD_BYTES)
         response = _Response(receiver, method=method, block_size=READ_BYTES)
         receiver.max_bytes = MAX_ANSWER_BYTES
--- a/packages/common/src/rosemaryseam/common/wsgi.py
+++ b/packages/common/src/rosemaryseam/common/wsgi.py
@@ -2,31 +2,27 @@
 
 from __future__ import annotations
 
-import contextlib
 import socket
 import time
 from typing import TYPE_CHECKING, Any
 
 import gevent
 from gevent.event import Event
-from gevent.hub import get_hub
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.pywsgi import WSGIServer
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator
+from rosemaryseam.common.requestholder import RequestHolder
 
+if TYPE_CHECKING:
     from rosemaryseam.common.addresses import Address
+    from rosemaryseam.common.calleraccount import CallerAccount
 
-SOCKET_KEY = 'rosemaryseam.socket'
 DEFAULT_IDLE_S = 75.0
 DEFAULT_HEAD_S = 10.0
 DEFAULT_SEND_S = 10.0
+DEFAULT_HEAD_BYTES = 32_768
 IDLE_CHECK_INTERVAL_S = 0.2
-_EV_READ = 1  # libev's event bit for a readable descriptor
-
-
-class CallerGoneError(Exception):
-    """Raised when the caller closed its connection before the answer was complete."""
+RELIEF_INTERVAL_S = 0.2  # between two looks for a connection that can yield
+RECEIVE_BUFFER_BYTES = 16_384  # of each connection; the kernel takes twice as much
 
 
 class ServerTimeouts:
@@ -55,6 +51,9 @@
     :param application: the WSGI application
     :param timeouts: timeouts of the connections
     :param max_connections: limit on open connections; more wait in the listen backlog
+        until others end or yield
+    :param account: counts the memory that callers occupy, ``None`` not to count it
+    :param head_bytes: limit on the size of a head
     """
 
     def __init__(
@@ -63,23 +62,37 @@
         application: Any,
         timeouts: ServerTimeouts,
         max_connections: int | None = None,
+        account: CallerAccount | None = None,
+        head_bytes: int = DEFAULT_HEAD_BYTES,
     ) -> None:
         super().__init__(
             tuple(address),
             application,
             log=None,
             error_log=None,
-            handler_class=_Handler,
+            handler_class=RequestHolder,
             spawn=max_connections or 'default',
         )
         self.timeouts = timeouts
-        self._idle: dict[_Handler, float] = {}
+        self.account = account
+        self.head_bytes = head_bytes
+        self._max_connections = max_connections
+        self._relief: gevent.Greenlet | None = None
+        self._idle: dict[RequestHolder, float] = {}
         self.draining = False
         self.connections = 0
         self.requests = 0
         self._all_closed = Event()
         self._all_closed.set()
 
+    def init_socket(self) -> None:
+        """Open the listening socket."""
+        super().init_socket()
+        if self.account is not None:
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
+
     def begin_drain(self) -> None:
         """Send ``Connection: close`` with all following answers."""
         self.draining = True
@@ -109,11 +122,11 @@
                     handler.shut_down()
             gevent.sleep(IDLE_CHECK_INTERVAL_S)
 
-    def mark_idle(self, handler: _Handler) -> None:
+    def mark_idle(self, handler: RequestHolder) -> None:
         """Record that a connection waits for a request."""
         self._idle[handler] = time.monotonic()
 
-    def mark_busy(self, handler: _Handler) -> None:
+    def mark_busy(self, handler: RequestHolder) -> None:
         """Record that a connection received a request or was closed."""
         self._idle.pop(handler, None)
 
@@ -129,6 +142,8 @@
         """Serve one connection."""
         self.connections += 1
         self._all_closed.clear()
+        if self._is_full() and self.account is not None:
+            self._relieve()
         try:
             super().handle(sock, address)
         finally:
@@ -136,101 +151,18 @@
             if not self.connections:
                 self._all_closed.set()
 
+    def _is_full(self) -> bool:
+        limit = self._max_connections
+        return limit is not None and self.connections >= limit
 
-class _Handler(WSGIHandler):
-    """Serves the requests of one connection."""
-
-    def read_requestline(self) -> str:
-        """Read a request line; a connection that stays idle is closed."""
-        self.server.mark_idle(self)
-        try:
-            with gevent.Timeout(self.server.timeouts.idle_s, False):
-                return super().read_requestline()
-            return ''
-        finally:
-            self.server.mark_busy(self)
-
-    def shut_down(self) -> None:
-        """Shut down a connection that waits for a request."""
-        with contextlib.suppress(OSError):
-            self.socket.shutdown(socket.SHUT_RDWR)
-
-    def read_request(self, raw_requestline: str) -> bool:
-        """Read the rest of the head within its timeout."""
-        with gevent.Timeout(self.server.timeouts.head_s, ValueError('slow head')):
-            return super().read_request(raw_requestline)
-
-    def get_environ(self) -> dict[str, Any]:
-        """Add the connection's socket to the environment."""
-        environ = super().get_environ()
-        environ[SOCKET_KEY] = self.socket
-        return environ
-
-    def _sendall(self, data: bytes) -> None:
-        """Send data, or raise :exc:`CallerGoneError` when the caller does not read."""
-        with gevent.Timeout(self.server.timeouts.send_s, CallerGoneError()):
-            super()._sendall(data)
-
-    def start_response(
-        self, status: str, headers: list[tuple[str, str]], exc_info: Any = None
-    ) -> Any:
-        """Add ``Connection: close`` to the answer while draining."""
-        if self.server.draining:
-            headers = [*headers, ('Connection', 'close')]
-        return super().start_response(status, headers, exc_info)
-
-    def handle_one_response(self) -> None:
-        """Serve a request and count it meanwhile."""
-        self.server.requests += 1
-        try:
-            super().handle_one_response()
-        except CallerGoneError:
-            self.close_connection = True
-        finally:
-            self.server.requests -= 1
-
-    def handle_error(self, t: Any, v: Any, tb: Any) -> None:
-        """Close the connection without an error log when the caller disconnected."""
-        if isinstance(v, CallerGoneError):
-            self.close_connection = True
+    def _relieve(self) -> None:
+        """Let a connection yield, now or as soon as one can."""
+        if self.account.free_connection():
             return
-        super().handle_error(t, v, tb)
-
+        if self._relief is None or self._relief.ready():
+            self._relief = gevent.spawn(self._free_connections)
 
-@contextlib.contextmanager
-def watch_caller(sock: socket.socket | None) -> Iterator[None]:
-    """Raise :exc:`CallerGoneError` in this greenlet when the caller disconnects.
-
-    :param sock: socket of the caller; ``None`` watches nothing
-    """
-    if sock is None or sock.fileno() < 0:
-        yield
-        return
-    greenlet = gevent.getcurrent()
-    watcher = get_hub().loop.io(sock.fileno(), _EV_READ)
-
-    def on_readable() -> None:
-        watcher.stop()
-        if _is_closed(sock):
-            greenlet.throw(CallerGoneError())
-
-    watcher.start(on_readable)
-    try:
-        yield
-    finally:
-        watcher.stop()
-        watcher.close()
-
-
-def _is_closed(sock: socket.socket) -> bool:
-    try:
-        raw = socket.socket(fileno=socket.dup(sock.fileno()))
-    except OSError:
-        return True
-    with raw:
-        try:
-            return not raw.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+    def _free_connections(self) -> None:
+        while self._is_full():
+            self.account.free_connection()
+            gevent.sleep(RELIEF_INTERVAL_S)
--- a/packages/node/src/rosemaryseam/node/gateway/admission.py
+++ b/packages/node/src/rosemaryseam/node/gateway/admission.py
@@ -8,7 +8,10 @@
 
 import gevent
 
+from rosemaryseam.common.bodybuffer import BodyBuffer
+from rosemaryseam.common.calleraccount import NoRoomError, Stage
 from rosemaryseam.common.errors import RequestError, ResultCode
+from rosemaryseam.common.requestholder import HOLDER_KEY, RETRY_AFTER_S
 
 if TYPE_CHECKING:
     import falcon
@@ -19,6 +22,8 @@
         RequestClass,
         Workspace,
     )
+    from rosemaryseam.common.requestholder import RequestHolder
+    from rosemaryseam.common.requestinput import RequestInput
     from rosemaryseam.node.replica import ReplicaTask
     from rosemaryseam.node.settings import Bounds
 
@@ -112,28 +117,67 @@
     raise RequestError(f'unknown pool {name!r}', ResultCode.NOT_FOUND)
 
 
-def read_body(req: falcon.Request, bounds: Bounds) -> bytes:
-    """Read the complete body of a request.
+def read_body(req: falcon.Request, bounds: Bounds) -> bytes | memoryview:
+    """Read the complete body of a request, sent with a length or in chunks.
 
     :param req: the request
     :param bounds: limits on the size of the body and the time to read it
-    :raises RequestError: if the body is too large, too slow or incomplete
+    :raises RequestError: if the body is too large, too slow or incomplete, or there is
+        no memory for it
     """
-    limit = bounds.body_bytes
-    if (req.content_length or 0) > limit:
-        raise RequestError(f'more than {limit} bytes', ResultCode.BODY_TOO_LARGE)
+    source: RequestInput = req.env['wsgi.input']
+    holder: RequestHolder = req.env[HOLDER_KEY]
+    length = source.stated_length
+    if length is None and req.get_header('Transfer-Encoding').lower() != 'chunked':
+        raise RequestError('unknown transfer encoding')
+    if (length or 0) > bounds.body_bytes:
+        raise _body_too_large(bounds)
     try:
+        holder.enter(Stage.BODY, length or 0)
+        holder.body = buffer = BodyBuffer(length or 0)
         with gevent.Timeout(bounds.body_s):
-            body = req.bounded_stream.read(limit + 1)
+            for part in source.parts():
+                _append(buffer, part, bounds, holder)
+        holder.enter(Stage.RUNNING, buffer.capacity)
+        holder.body = None
     except gevent.Timeout as exc:
         raise RequestError('the body came too slowly') from exc
     except OSError as exc:
         raise RequestError('the body was cut short') from exc
-    if len(body) > limit:
-        raise RequestError(f'more than {limit} bytes', ResultCode.BODY_TOO_LARGE)
-    if len(body) < (req.content_length or 0):
-        raise RequestError('the body was cut short')
-    return body
+    except NoRoomError as exc:
+        raise RequestError(str(exc), ResultCode.NO_CAPACITY, RETRY_AFTER_S) from exc
+    return buffer.view()
+
+
+def hold_memory(req: falcon.Request, count: int) -> None:
+    """Set the memory that a complete request takes.
+
+    :param req: the request
+    :param count: number of bytes
+    :raises RequestError: if there is no memory for them
+    """
+    holder: RequestHolder = req.env[HOLDER_KEY]
+    try:
+        holder.enter(Stage.RUNNING, count)
+    except NoRoomError as exc:
+        raise RequestError(str(exc), ResultCode.NO_CAPACITY, RETRY_AFTER_S) from exc
+
+
+def _append(
+    buffer: BodyBuffer, part: bytes, bounds: Bounds, holder: RequestHolder
+) -> None:
+    if buffer.size + len(part) > bounds.body_bytes:
+        raise _body_too_large(bounds)
+    holder.note_progress()
+    capacity = buffer.capacity_for(len(part))
+    if capacity > buffer.capacity:
+        holder.hold(capacity)
+    buffer.append(part)
+
+
+def _body_too_large(bounds: Bounds) -> RequestError:
+    message = f'more than {bounds.body_bytes} bytes'
+    return RequestError(message, ResultCode.BODY_TOO_LARGE)
 
 
 def _match_route(
--- a/packages/node/src/rosemaryseam/node/gateway/application.py
+++ b/packages/node/src/rosemaryseam/node/gateway/application.py
@@ -8,8 +8,8 @@
 import falcon
 from loguru import logger
 
+from rosemaryseam.common.callerwatch import CallerGoneError
 from rosemaryseam.common.errors import ResultCode, RosemaryseamError
-from rosemaryseam.common.wsgi import CallerGoneError
 from rosemaryseam.node.gateway.errors import ErrorHandler
 
 if TYPE_CHECKING:
--- a/packages/node/src/rosemaryseam/node/gateway/apps.py
+++ b/packages/node/src/rosemaryseam/node/gateway/apps.py
@@ -5,8 +5,9 @@
 import hashlib
 from typing import TYPE_CHECKING, NamedTuple
 
+from rosemaryseam.common.callerwatch import watch_caller
 from rosemaryseam.common.errors import RequestError, ResultCode, UpstreamError
-from rosemaryseam.common.wsgi import SOCKET_KEY, watch_caller
+from rosemaryseam.common.requestholder import SOCKET_KEY
 from rosemaryseam.node.gateway.admission import (
     Admission,
     authenticate,
@@ -233,5 +234,6 @@
 def _fingerprint(request: PreparedRequest) -> str:
     parts = [request.method, request.path, request.admission.pool.name]
     digest = hashlib.sha256('\x00'.join(parts).encode())
-    digest.update(b'\x00' + request.body)
+    digest.update(b'\x00')
+    digest.update(request.body)
     return digest.hexdigest()
--- a/packages/node/src/rosemaryseam/node/gateway/calls.py
+++ b/packages/node/src/rosemaryseam/node/gateway/calls.py
@@ -8,8 +8,8 @@
 import gevent
 
 from rosemaryseam.common.addresses import parse_address
+from rosemaryseam.common.callerwatch import CallerGoneError, watch_caller
 from rosemaryseam.common.errors import RequestError, ResultCode, UpstreamError
-from rosemaryseam.common.wsgi import CallerGoneError, watch_caller
 from rosemaryseam.node.gateway.admission import CLASS_HEADER
 from rosemaryseam.node.member import ObservedUpstreams
 from rosemaryseam.node.tickets import Outcome, RunningCall, Ticket
@@ -55,7 +55,7 @@
     method: str
     path: str
     headers: Mapping[str, str]
-    body: bytes
+    body: bytes | memoryview
     prefix: str
     arrived: float
 
--- a/packages/node/src/rosemaryseam/node/gateway/completions.py
+++ b/packages/node/src/rosemaryseam/node/gateway/completions.py
@@ -3,23 +3,23 @@
 from __future__ import annotations
 
 import hashlib
-import json
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
-from rosemaryseam.common.decoding import decode_json
+from rosemaryseam.common.callerwatch import watch_caller
 from rosemaryseam.common.errors import (
     RequestError,
     ResultCode,
     UnreadableError,
     UpstreamError,
 )
-from rosemaryseam.common.wsgi import SOCKET_KEY, watch_caller
+from rosemaryseam.common.requestholder import SOCKET_KEY
 from rosemaryseam.node.gateway.admission import (
     Admission,
     authenticate,
     find_model_pool,
     find_request_class,
+    hold_memory,
     read_body,
     require_catalogue,
 )
@@ -28,6 +28,7 @@
     FAILED_OUTCOME,
     PreparedRequest,
 )
+from rosemaryseam.node.gateway.completionbody import parse_body
 from rosemaryseam.node.gateway.errors import error_event
 from rosemaryseam.node.gateway.events import AnswerAggregator, is_final_event
 
@@ -37,11 +38,11 @@
     import falcon
 
     from rosemaryseam.node.gateway.calls import CallRunner, GrantedCall
+    from rosemaryseam.node.gateway.completionbody import CompletionBody
     from rosemaryseam.node.gateway.requestids import RequestIdGenerator
     from rosemaryseam.node.replica import ReplicaTask
     from rosemaryseam.node.settings import Bounds
 
-AFFINITY_PREFIX_BYTES = 1024  # length of the prompt prefix used for cache affinity
 EVENT_STREAM = 'text/event-stream'
 MAX_ERROR_BYTES = 1_000_000
 
@@ -86,18 +87,11 @@
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Answer a completion request."""
         arrived = self._runner.clock.monotonic()
-        catalogue = require_catalogue(self._replica)
-        workspace = authenticate(req, catalogue)
-        body = _parse_body(read_body(req, self._bounds))
-        pool = find_model_pool(catalogue, body['model'])
-        request_class = find_request_class(req, catalogue, workspace, body['model'])
-        admission = Admission(workspace, request_class, pool)
-        request_id = self._ids.next()
-        resp.set_header('X-Request-Id', request_id)
-        request = _build_request(req, body, admission, request_id, arrived)
+        request, streamed = self._prepare(req, arrived)
+        resp.set_header('X-Request-Id', request.request_id)
         events = self._watched_events(request, req.env.get(SOCKET_KEY))
         try:
-            if body.get('stream'):
+            if streamed:
                 resp.stream = _PrefetchedIterator(next(events), events)
                 resp.content_type = EVENT_STREAM
                 resp.set_header('Cache-Control', 'no-store')
@@ -108,6 +102,26 @@
             resp.content_type = 'application/json'
             resp.data = exc.body
 
+    def _prepare(
+        self, req: falcon.Request, arrived: float
+    ) -> tuple[PreparedRequest, bool]:
+        """Return the request to send and whether the caller asks for a stream.
+
+        The caller's body is not referred to any more after this.
+        """
+        catalogue = require_catalogue(self._replica)
+        workspace = authenticate(req, catalogue)
+        data = read_body(req, self._bounds)
+        body = parse_body(data)
+        pool = find_model_pool(catalogue, body.model)
+        request_class = find_request_class(req, catalogue, workspace, body.model)
+        admission = Admission(workspace, request_class, pool)
+        hold_memory(req, 2 * len(data))  # for the request to the upstream, too
+        request = _build_request(req, body, admission, self._ids.next(), arrived)
+        del data
+        hold_memory(req, len(request.body))
+        return request, body.streamed
+
     def _watched_events(self, request: PreparedRequest, sock: Any) -> Iterator[bytes]:
         """Yield the events of the answer; stop if the caller disconnects."""
         with watch_caller(sock):
@@ -242,37 +256,19 @@
         self._rest.close()
 
 
-def _parse_body(data: bytes) -> dict[str, Any]:
-    try:
-        body = decode_json(data)
-    except UnreadableError as exc:
-        raise RequestError('the body is not valid JSON') from exc
-    if not isinstance(body, dict) or not isinstance(body.get('model'), str):
-        raise RequestError('the body must be an object that names a model')
-    if not isinstance(body.get('messages', body.get('prompt')), list | str):
-        raise RequestError('the body must hold messages or a prompt')
-    return body
-
-
 def _build_request(
     req: falcon.Request,
-    body: dict[str, Any],
+    body: CompletionBody,
     admission: Admission,
     request_id: str,
     arrived: float,
 ) -> PreparedRequest:
-    upstream_body = {**body, 'priority': admission.request_class.tier}
-    if not body.get('stream'):
-        upstream_body['stream'] = True
-        upstream_body['stream_options'] = {'include_usage': True}
-    prompt = json.dumps(body.get('messages', body.get('prompt')))
-    head = prompt[:AFFINITY_PREFIX_BYTES].encode()
-    prefix = hashlib.blake2b(head, digest_size=8).hexdigest()
+    prefix = hashlib.blake2b(body.prompt_start, digest_size=8).hexdigest()
     headers = {
         'Content-Type': 'application/json',
         'X-Request-Id': request_id,
     }
-    data = json.dumps(upstream_body).encode()
+    data = body.encode(admission.request_class.tier)
     return PreparedRequest(
         request_id, admission, 'POST', req.path, headers, data, prefix, arrived
     )
--- a/packages/node/src/rosemaryseam/node/process.py
+++ b/packages/node/src/rosemaryseam/node/process.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from rosemaryseam.common.addresses import parse_address
+from rosemaryseam.common.calleraccount import CallerAccount
 from rosemaryseam.common.errors import ResultCode, SettingsError
 from rosemaryseam.common.inspection import DumpResource, MetricsResource
 from rosemaryseam.common.keyvalue import open_key_value_store
@@ -55,6 +56,8 @@
     from rosemaryseam.node.settings import Settings
     from rosemaryseam.node.tasks import Task
 
+OPERATOR_CONNECTIONS = 64
+OPERATOR_BYTES = 8_388_608  # of memory for them
 LAST_HEARTBEAT_DELAY_S = 0.1  # lets the last heartbeats be sent before closing
 DRAIN_IDLE_TIMEOUT_S = 5.0  # for connections that stay open after draining
 
@@ -308,7 +311,12 @@
             cfg.bounds.idle_connection_s, cfg.bounds.head_s, cfg.bounds.send_s
         )
         return HttpServer(
-            parse_address(cfg.listen), application, bounds, cfg.bounds.connections
+            parse_address(cfg.listen),
+            application,
+            bounds,
+            cfg.bounds.connections,
+            CallerAccount(cfg.bounds.memory_bytes, self._clock, self.metrics),
+            cfg.bounds.head_bytes,
         )
 
     def _build_admin(self) -> HttpServer:
@@ -320,7 +328,13 @@
             CatalogueResource(self._replica),
         )
         address = parse_address(self._cfg.admin_listen)
-        return HttpServer(address, application, ServerTimeouts())
+        return HttpServer(
+            address,
+            application,
+            ServerTimeouts(),
+            OPERATOR_CONNECTIONS,
+            CallerAccount(OPERATOR_BYTES, self._clock, self.metrics, 'operator'),
+        )
 
     def _build_pollers(self) -> list[HostListPoller | LoadReportPoller]:
         timing = self._cfg.timing
--- a/packages/node/src/rosemaryseam/node/settings.py
+++ b/packages/node/src/rosemaryseam/node/settings.py
@@ -25,11 +25,15 @@
 class Bounds(NamedTuple):
     """Limits on the time and memory that callers can occupy.
 
-    ``body_s`` and ``head_s`` limit the time to receive a request, ``send_s`` each wait
-    for a caller to read a part of its answer. ``queue_length`` limits the waiting
-    requests of a partition, ``kept_answer_bytes`` an answer kept for duplicates.
+    ``memory_bytes`` limits the memory that all callers occupy together. ``body_s`` and
+    ``head_s`` limit the time to receive a request, ``send_s`` each wait for a caller to
+    read a part of its answer. ``queue_length`` limits the waiting requests of a
+    partition, ``kept_answer_bytes`` an answer kept for duplicates.
     """
 
+    memory_bytes: Bytes = 64_000_000
+    head_bytes: Bytes = 32_768
+
     body_bytes: Bytes = 4_000_000
     body_s: Seconds = 10.0
     head_s: Seconds = 10.0
--- a/packages/standins/src/rosemaryseam/standins/engine.py
+++ b/packages/standins/src/rosemaryseam/standins/engine.py
@@ -16,8 +16,9 @@
 from gevent.event import Event
 from gevent.queue import Queue
 
+from rosemaryseam.common.callerwatch import watch_caller
 from rosemaryseam.common.clock import Clock, SystemClock
-from rosemaryseam.common.wsgi import SOCKET_KEY, watch_caller
+from rosemaryseam.common.requestholder import SOCKET_KEY
 from rosemaryseam.standins.content import answer_tokens, digest_request
 from rosemaryseam.standins.serving import ControlResource, main
 
