--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -20,6 +20,7 @@
 
 import gevent  # noqa: E402
 from checks import find_violations  # noqa: E402
+from crowding import find_overuse, send_crowds  # noqa: E402
 from environment import SoakEnvironment  # noqa: E402
 from faults import run_faults  # noqa: E402
 from oddities import write_odd_values  # noqa: E402
@@ -49,6 +50,9 @@
         if not only or only == write_odd_values.__name__:
             odd_rng = random.Random(f'odd values {seed}')
             gevent.spawn(write_odd_values, env, odd_rng, faults_s)
+        if not only or only == send_crowds.__name__:
+            crowd_rng = random.Random(f'crowds {seed}')
+            gevent.spawn(send_crowds, env, crowd_rng, faults_s)
         gevent.joinall(run_faults(env, faults_s, only), timeout=20.0)
         gevent.sleep(RECOVERY_S)
         recovered_at = time.monotonic()
@@ -60,6 +64,11 @@
             for router in env.routers
             if any(line.startswith(f'{router.name} took no') for line in violations)
         ]
+        for router in env.routers:
+            if router.is_running():
+                violations += find_overuse(
+                    router, pathlib.Path(f'/proc/{router.process.pid}')
+                )
         gevent.sleep(0.2)
     finally:
         env.stop()
