Close a connection after bytes ahead of its answer were discarded

Cause: bytes that a caller sends far ahead of its answer are discarded, and the connection closes after the answer. An answer whose head was sent before cannot say so, and the connection went on: what came next was read from the middle of a request, so that bytes of a body could be taken for a request.

The connection now closes after such an answer too. Bytes that were read behind a head count towards the memory of its request. On the node, the unfinished body of a refused request is free before its answer is sent, not after what follows was discarded.

test_nothing_is_read_as_a_request_after_bytes_were_discarded failed before: two answers.

--- a/packages/common/src/rosemaryseam/common/requestholder.py
+++ b/packages/common/src/rosemaryseam/common/requestholder.py
@@ -193,6 +193,8 @@
         """Add ``Connection: close`` to the last answer of the connection."""
         source = self.wsgi_input
         self._refusal = None  # the request is answered already
+        if self.body is not None:
+            self.body.release()
         if source.is_unread:
             self.stage = Stage.REFUSED
             self._lingers = not source.is_worth_reading
--- a/packages/router/src/rosemaryseam/router/callerconnection.py
+++ b/packages/router/src/rosemaryseam/router/callerconnection.py
@@ -268,7 +268,7 @@
                 pass
 
     def _prepare_next_request(self) -> bool:
-        if self._http.our_state is h11.MUST_CLOSE:
+        if self._http.our_state is h11.MUST_CLOSE or self._read_ahead.is_incomplete:
             self.stage = Stage.REFUSED
             self._linger()
             return False
--- a/packages/router/src/rosemaryseam/router/requestreader.py
+++ b/packages/router/src/rosemaryseam/router/requestreader.py
@@ -105,7 +105,7 @@
         self._receiver = FairReceiver(sock)
         self._head: RequestHead | None = None
         self._body: BodyBuffer | None = None
-        self._head_bytes = 0  # what the head takes in memory
+        self._head_bytes = 0  # what the head and what came with it take in memory
 
     def read(self) -> ReceivedRequest | None:
         """Return the next request, or ``None`` if no complete head came.
@@ -192,6 +192,7 @@
         if size > self._limits.head_bytes:
             raise _refusal(431, ResultCode.BAD_REQUEST, 'the head is too large')
         self._head_bytes = self._conn.head_bytes(size, len(head.headers))
+        self._head_bytes += len(self._http.trailing_data[0])  # read behind it
         self._conn.enter(Stage.BODY, self._head_bytes)
 
     # Bodies.
--- a/tests/test_router/test_callers.py
+++ b/tests/test_router/test_callers.py
@@ -218,6 +218,36 @@
     assert len(upstream.requests) == 1
 
 
+def test_nothing_is_read_as_a_request_after_bytes_were_discarded(
+    router: RunningRouter,
+) -> None:
+    """A stream that has begun can't announce the close; the bytes are not aligned."""
+
+    def stream(exchange: ScriptedExchange) -> None:
+        exchange.start_stream()
+        exchange.event(1)
+        gevent.sleep(0.4)
+        exchange.event(2)
+        exchange.end_stream()
+
+    upstream = router.add('one', stream)
+    head = HEAD.replace('/unsafe/', '/once/')
+    hidden = (HEAD.replace('r1', 'r2') + 'Content-Length: 0\r\n\r\n').encode()
+    with router.connection() as conn:
+        conn.sock.sendall((head + 'Content-Length: 0\r\n\r\n').encode())
+        received = conn.sock.recv(1000)
+        further = (HEAD + 'Content-Length: 200000\r\n\r\n').encode()
+        conn.sock.sendall(further + bytes(200_000))
+        gevent.sleep(0.6)
+        conn.sock.sendall(hidden)
+        with gevent.Timeout(3.0, False):
+            while data := conn.sock.recv(65_536):
+                received += data
+    assert received.count(b'HTTP/1.1') == 1
+    assert received.endswith(b'0\r\n\r\n')
+    assert [seen.headers['x-request-id'] for seen in upstream.requests] == ['r1']
+
+
 def test_memory_of_callers_is_released(router: RunningRouter) -> None:
     router.add('one', answer)
     account = router.router.callers.account
