Send crowds that return at once, slow whole bodies and unsafe requests in the tests of crowds

Cases that the first ones leave out: callers that connect again when they are closed, a body of the full size that comes slowly, and refusals of requests that may run only once, each with its own id.

The body of a completion request is decoded like all outside data, with one error.

--- a/packages/node/src/rosemaryseam/node/gateway/completionbody.py
+++ b/packages/node/src/rosemaryseam/node/gateway/completionbody.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from rosemaryseam.common.errors import RequestError
+from rosemaryseam.common.decoding import decoding
+from rosemaryseam.common.errors import RequestError, UnreadableError
 
 AFFINITY_PREFIX_BYTES = 1024  # length of the prompt prefix used for cache affinity
 MAX_FLAG_BYTES = 16  # of a value that is read as true or false
@@ -49,20 +50,21 @@
     :param data: bytes of the body
     :raises RequestError: the body is no JSON, or lacks a model or a prompt
     """
-    message = 'the body must be an object that names a model'
     try:
-        fields = _DECODER.decode(data)
-        if 'model' not in fields:
-            raise RequestError(message)
-        model = msgspec.json.decode(fields['model'], type=str)
-    except msgspec.ValidationError as exc:
-        raise RequestError(message) from exc
-    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as exc:
-        raise RequestError('the body is not valid JSON') from exc
+        with decoding('body'):
+            fields = _DECODER.decode(data)
+    except UnreadableError as exc:
+        raise RequestError('the body is not a valid JSON object') from exc
+    try:
+        with decoding('model'):
+            model = msgspec.json.decode(fields['model'], type=str)
+            streamed = _is_true(fields.get('stream', b'false'))
+    except UnreadableError as exc:
+        raise RequestError('the body must be an object that names a model') from exc
     prompt = fields.get('messages', fields.get('prompt', b''))
     if bytes(memoryview(prompt)[:1]) not in (b'[', b'"'):
         raise RequestError('the body must hold messages or a prompt')
-    return CompletionBody(fields, model, _is_true(fields.get('stream', b'false')))
+    return CompletionBody(fields, model, streamed)
 
 
 def _is_true(value: msgspec.Raw | bytes) -> bool:
--- a/tests/soak/crowds.py
+++ b/tests/soak/crowds.py
@@ -28,13 +28,15 @@
 
     ``script`` yields the bytes that a connection sends, ``None`` to send nothing for a
     while. With ``reads`` the callers read what is sent to them. With ``leaves`` they
-    close after the script, else they stay.
+    close after the script, else they stay. With ``returns`` they connect again at once
+    when they were closed.
     """
 
     callers: int
     script: Callable[[], Iterator[bytes | None]]
     reads: bool = True
     leaves: bool = False
+    returns: bool = False
 
 
 class Outcome:
@@ -65,7 +67,7 @@
         self._crowd = crowd
         self._address = address
         self.outcomes = [Outcome() for _ in range(crowd.callers)]
-        self._socks: list[Any] = []
+        self._socks: set[Any] = set()
         self._greenlets = [gevent.spawn(self._run, one) for one in self.outcomes]
 
     def wait_sent(self, timeout_s: float) -> None:
@@ -84,10 +86,16 @@
             sock.close()
 
     def _run(self, outcome: Outcome) -> None:
-        reader = None
+        self._run_once(outcome)
+        while self._crowd.returns:
+            gevent.sleep(0)
+            self._run_once(outcome)
+
+    def _run_once(self, outcome: Outcome) -> None:
+        sock = reader = None
         try:
             sock = socket.create_connection(self._address, CONNECT_TIMEOUT_S)
-            self._socks.append(sock)
+            self._socks.add(sock)
             sock.settimeout(None)
             if self._crowd.reads:
                 reader = gevent.spawn(self._read, sock, outcome)
@@ -103,6 +111,9 @@
         finally:
             if reader is not None:
                 reader.kill()
+            if sock is not None and self._crowd.returns:
+                self._socks.discard(sock)
+                sock.close()
 
     def _send(self, sock: Any, part: bytes | None, outcome: Outcome) -> None:
         if part is None:
@@ -302,6 +313,18 @@
     return lambda: iter((request, b'POST / HTTP/1.1\r\na: ' + b'x' * size))
 
 
+def slowly(request: bytes, parts: int) -> Callable[[], Iterator[bytes | None]]:
+    """Return a script that sends a request in parts with pauses."""
+    size = -(-len(request) // parts)
+
+    def script() -> Iterator[bytes | None]:
+        for at in range(0, len(request), size):
+            yield request[at : at + size]
+            yield None
+
+    return script
+
+
 def once(request: bytes) -> Callable[[], Iterator[bytes | None]]:
     """Return a script that sends a request and stays."""
     return lambda: iter((request,))
--- a/tests/test_node/test_crowds.py
+++ b/tests/test_node/test_crowds.py
@@ -71,6 +71,8 @@
     Case('unfinished prompts', Crowd(60, crowds.unfinished(CHAT, MAX_BODY_BYTES))),
     Case('unfinished chunks', Crowd(60, crowds.unfinished_chunks(APP, MAX_BODY_BYTES))),
     Case('dripped', Crowd(60, crowds.dripped(APP, MAX_BODY_BYTES))),
+    Case('returning', Crowd(60, crowds.unfinished(APP, MAX_BODY_BYTES), returns=True)),
+    Case('silent, returning', Crowd(350, crowds.silent, returns=True)),
     Case('announced flood', Crowd(30, crowds.flood(APP, 1_000_000_000))),
     Case('chunked flood', Crowd(30, crowds.flood(APP, None))),
     Case('unknown key', Crowd(60, crowds.flood(UNKNOWN_KEY, 1_000_000_000))),
@@ -145,11 +147,20 @@
     assert expected in answer
 
 
-def test_largest_request_is_served_in_calm(own_fleet: Callable[..., Any]) -> None:
+@pytest.mark.parametrize('parts', [1, 12], ids=['at once', 'slowly'])
+def test_largest_request_is_served_in_calm(
+    parts: int, own_fleet: Callable[..., Any]
+) -> None:
     fleet = _start(own_fleet)
-    head = APP + b'Connection: close\r\nContent-Length: %d\r\n\r\n' % MAX_BODY_BYTES
-    answer = crowds.ask(_address(fleet), head + bytes(MAX_BODY_BYTES))
-    assert answer.startswith(b'HTTP/1.1 200'), answer[:200]
+    body = bytes(MAX_BODY_BYTES)
+    head = APP + b'Content-Length: %d\r\n\r\n' % MAX_BODY_BYTES
+    script = crowds.slowly(head + body, parts)
+    running = RunningCrowd(Crowd(1, script), _address(fleet))
+    running.wait_sent(SEND_TIMEOUT_S)
+    gevent.sleep(SETTLE_S)
+    running.stop()
+    assert [one.status for one in running.outcomes] == [200]
+    assert hashlib.sha256(body).hexdigest().encode() in running.outcomes[0].received
 
 
 def test_large_answers_stay_within_the_memory_of_the_host(
--- a/tests/test_platform/test_crowds.py
+++ b/tests/test_platform/test_crowds.py
@@ -38,6 +38,7 @@
 MAX_HEAD_BYTES = 16_384
 MAX_DISCARDED_BYTES = 16_777_216  # of what a refused caller sends on
 WORK_S = 0.5  # of an upstream for a request
+KINDS = {'endless': 'stream', 'unsafe': 'unsafe'}  # of routes that are not safe
 SLOW_WORK_S = 8.0
 LARGE_ANSWER_BYTES = 8_000_000
 ENDLESS_BYTES = 950_000  # of an event
@@ -94,6 +95,22 @@
         Crowd(60, crowds.unfinished_chunks(PATIENT, MAX_BODY_BYTES)),
     ),
     case('dripped', 100, Crowd(60, crowds.dripped(PATIENT, MAX_BODY_BYTES))),
+    case(
+        'returning',
+        100,
+        Crowd(60, crowds.unfinished(PATIENT, MAX_BODY_BYTES), returns=True),
+    ),
+    case(
+        'returning flood',
+        100,
+        Crowd(30, crowds.flood(HEAD, 1_000_000_000), returns=True),
+    ),
+    case(
+        'all connections, returning',
+        150,
+        Crowd(80, crowds.silent, returns=True),
+        maxFds=450,
+    ),
     case('announced flood', 100, Crowd(30, crowds.flood(HEAD, 1_000_000_000))),
     case('chunked flood', 100, Crowd(30, crowds.flood(HEAD, None))),
     case(
@@ -214,27 +231,43 @@
     assert all(one.sent_after_answer < MAX_DISCARDED_BYTES for one in outcomes)
 
 
-def test_largest_request_is_served_in_calm(start: Callable[..., Host]) -> None:
+@pytest.mark.parametrize('parts', [1, 12], ids=['at once', 'slowly'])
+def test_largest_request_is_served_in_calm(
+    parts: int, start: Callable[..., Host]
+) -> None:
     host = start({'memoryMb': 88})
-    head = HEAD + b'Connection: close\r\nContent-Length: %d\r\n\r\n' % MAX_BODY_BYTES
-    assert crowds.ask(host.address, head + bytes(MAX_BODY_BYTES)).startswith(
-        b'HTTP/1.1 200'
-    )
+    head = PATIENT + b'Content-Length: %d\r\n\r\n' % MAX_BODY_BYTES
+    script = crowds.slowly(head + bytes(MAX_BODY_BYTES), parts)
+    running = RunningCrowd(Crowd(1, script), host.address)
+    running.wait_sent(SEND_TIMEOUT_S)
+    gevent.sleep(SETTLE_S + WORK_S)
+    running.stop()
+    assert [one.status for one in running.outcomes] == [200]
     assert [len(seen.body) for seen in host.upstream.requests] == [MAX_BODY_BYTES]
-    assert len(host.upstream.requests) == 1
 
 
-def test_refused_request_has_not_run(start: Callable[..., Host]) -> None:
+@pytest.mark.parametrize('route', ['plain', 'unsafe'])
+def test_refused_request_has_not_run(route: str, start: Callable[..., Host]) -> None:
     """A request that was refused as not run never reaches an upstream."""
     host = start({'memoryMb': 100})
-    running = RunningCrowd(Crowd(60, crowds.whole(HEAD, MAX_BODY_BYTES)), host.address)
-    running.wait_sent(SEND_TIMEOUT_S)
+    running = {}
+    for number in range(60):
+        head = HEAD.replace(b'a1', b'n%d' % number).replace(b'plain', route.encode())
+        crowd = Crowd(1, crowds.whole(head, MAX_BODY_BYTES))
+        running[f'n{number}'] = RunningCrowd(crowd, host.address)
+    for one in running.values():
+        one.wait_sent(SEND_TIMEOUT_S)
     gevent.sleep(SETTLE_S + WORK_S)
-    answered = sum(one.status == 200 for one in running.outcomes)
-    running.stop()
-    refused = sum(one.status == 503 for one in running.outcomes)
-    assert len(host.upstream.requests) <= len(running.outcomes) - refused
-    assert answered
+    statuses = {name: one.outcomes[0].status for name, one in running.items()}
+    for one in running.values():
+        one.stop()
+    id_field = HEADER_NAMES.request_id.lower()
+    ran = [seen.headers[id_field] for seen in host.upstream.requests]
+    refused = {name for name, status in statuses.items() if status in (408, 429, 503)}
+    assert refused
+    assert not refused & set(ran)
+    assert len(ran) == len(set(ran))
+    assert 200 in statuses.values()
 
 
 def test_addresses_of_operators_hold_little(start: Callable[..., Host]) -> None:
@@ -303,7 +336,8 @@
 def _answer(exchange: ScriptedExchange) -> None:
     """Answer as an upstream of the platform, after some work."""
     target = exchange.request.target
-    head = {HEADER_NAMES.request_id: 'a1', HEADER_NAMES.signature: 'signed'}
+    request_id = exchange.request.headers[HEADER_NAMES.request_id.lower()]
+    head = {HEADER_NAMES.request_id: request_id, HEADER_NAMES.signature: 'signed'}
     if target.startswith('/endless/'):
         exchange.start_stream(**head)
         for _ in range(ENDLESS_BYTES // crowds.PART_BYTES):
@@ -333,13 +367,13 @@
             'host': 'crowd.example',
             'pathPrefix': f'/{name}/',
             'service': 'work',
-            'kind': 'stream' if name == 'endless' else 'safe',
+            'kind': KINDS.get(name, 'safe'),
             'timeoutMs': 30_000,
             'targetLatencyMs': 500,
             'maxAttempts': 1,
             'priority': 0,
         }
-        for name in ('plain', 'slow', 'large', 'endless', 'failing')
+        for name in ('plain', 'unsafe', 'slow', 'large', 'endless', 'failing')
     ]
     return json.dumps(
         {
