Close one connection for each descriptor that a complete request needs

What callers saw: with all connections taken, a request that was complete closed all other connections that had no complete request, and was refused with 503 all the same.

Cause: the loop that lets connections yield asked for the number of open connections, which falls only when the greenlets of the closed ones have had a turn; the loop gave them none.

A connection that yields is not counted any more, and an unfinished request that yields gets its answer before the next one is asked. Refused connections, which only wait for their callers to stop, yield first. The number of complete requests is kept, not counted for each request.

--- a/packages/common/src/rosemaryseam/common/calleraccount.py
+++ b/packages/common/src/rosemaryseam/common/calleraccount.py
@@ -234,8 +234,9 @@
 ) -> Holder | None:
     """Return the connection that yields its place, or ``None`` if none does.
 
-    A connection without a request yields before an unfinished request that has stalled,
-    and among them the one for which nothing came for longest.
+    A caller that was refused yields first. A connection without a request yields before
+    an unfinished request that has stalled, and among them the one for which nothing came
+    for longest.
 
     :param holders: all connections
     :param asking: the connection that needs a place, ``None`` if it has none yet
@@ -245,10 +246,12 @@
     def rank(holder: Holder) -> _Rank:
         if holder.stage is Stage.RUNNING:
             return None
+        if holder.stage is Stage.REFUSED:
+            return 0, holder.since
         stalled = now - holder.since >= STALL_S
         if holder.stage is Stage.BODY:
-            return (1, holder.since) if stalled else None
-        return (0 if stalled else 2), holder.since
+            return (2, holder.since) if stalled else None
+        return (1 if stalled else 3), holder.since
 
     return next(iter(_ranked(holders, asking, rank)), None)
 
--- a/packages/router/src/rosemaryseam/router/callerconnection.py
+++ b/packages/router/src/rosemaryseam/router/callerconnection.py
@@ -151,6 +151,7 @@
     def release(self) -> None:
         """Release all memory of the connection."""
         self._refusal = None
+        self._set_stage(Stage.REFUSED)
         self._reader.release()
         self._account.remove(self)
 
@@ -160,9 +161,15 @@
         """Begin a stage of the request."""
         if stage is Stage.RUNNING:
             self._check_yielded()
+            self._set_stage(stage)
             self._server.admit(self)
             count += self._account.costs.request
         self.hold(count)
+        self._set_stage(stage)
+
+    def _set_stage(self, stage: Stage) -> None:
+        running = Stage.RUNNING
+        self._server.running += (stage is running) - (self.stage is running)
         self.stage = stage
         self.since = self._server.clock.monotonic()
 
@@ -195,6 +202,7 @@
     def give_way(self, reason: str) -> None:
         """Release the memory of an unfinished request and refuse it, or close."""
         if self.stage is not Stage.BODY:
+            self._server.forget(self)
             self.close()
             return
         self._reader.release()
@@ -233,8 +241,7 @@
         self._refusal = None  # it may have had to yield at the same time
         self._reader.release()
         self._account.resize(self, self._account.costs.connection)
-        self.stage = Stage.REFUSED
-        self.since = self._server.clock.monotonic()
+        self._set_stage(Stage.REFUSED)
         self._server.metrics.count('requests_refused', status=str(exc.status))
         if exc.code is not ResultCode.NO_CAPACITY:  # which the account has told
             self._log_refusal(exc)
@@ -269,7 +276,7 @@
 
     def _prepare_next_request(self) -> bool:
         if self._http.our_state is h11.MUST_CLOSE or self._read_ahead.is_incomplete:
-            self.stage = Stage.REFUSED
+            self._set_stage(Stage.REFUSED)
             self._linger()
             return False
         try:
--- a/packages/router/src/rosemaryseam/router/callers.py
+++ b/packages/router/src/rosemaryseam/router/callers.py
@@ -10,7 +10,7 @@
 from gevent.pool import Pool
 from gevent.server import StreamServer
 
-from rosemaryseam.common.calleraccount import CallerAccount, NoRoomError, Stage
+from rosemaryseam.common.calleraccount import CallerAccount, NoRoomError
 from rosemaryseam.common.decisionlog import log_event
 from rosemaryseam.common.errors import ResultCode
 from rosemaryseam.router.admission import RefusalError
@@ -63,6 +63,7 @@
         self.limits = limits
         self.account = account
         self.draining = False
+        self.running = 0  # complete requests
         self._address = address
         self._max_descriptors = max_descriptors
         self._connections: set[CallerConnection] = set()
@@ -119,10 +120,10 @@
     def admit(self, conn: CallerConnection) -> None:
         """Admit a complete request, which may open a connection to an upstream.
 
-        :param conn: connection of the request
+        :param conn: connection of the request, which does not yield any more
         :raises RefusalError: if no descriptor is left and no connection yields
         """
-        while self._is_full():
+        while len(self._connections) + self.running > self._max_descriptors:
             if not self.account.free_connection(conn):
                 self.account.turned_away.record('connections', conn.peer)
                 raise RefusalError(
@@ -132,6 +133,14 @@
                     RETRY_AFTER_S,
                     close=True,
                 )
+            gevent.sleep(0)  # an unfinished request that yielded gets its answer
+
+    def forget(self, conn: CallerConnection) -> None:
+        """Stop to count a connection that was closed to make room.
+
+        :param conn: the connection, whose greenlet ends in its next turn
+        """
+        self._connections.discard(conn)
 
     @property
     def open_connections(self) -> int:
@@ -152,8 +161,8 @@
             return
         self._connections.add(conn)
         try:
-            if self._is_full() and not self.account.free_connection(conn):
-                self._relieve()
+            if self._is_full():
+                self._relieve(conn)
             conn.run()
         except CallerGoneError as exc:
             self.metrics.count('callers_gone')
@@ -164,12 +173,12 @@
             conn.release()
 
     def _is_full(self) -> bool:
-        running = sum(1 for conn in self._connections if conn.stage is Stage.RUNNING)
-        return len(self._connections) + running >= self._max_descriptors
+        return len(self._connections) + self.running >= self._max_descriptors
 
-    def _relieve(self) -> None:
-        """Let connections yield as soon as one can while others wait to be accepted."""
-        if self._relief is None or self._relief.ready():
+    def _relieve(self, conn: CallerConnection) -> None:
+        """Let a connection yield to a new one, now or as soon as one can."""
+        self.account.free_connection(conn)
+        if self._is_full() and (self._relief is None or self._relief.ready()):
             self._relief = gevent.spawn(self._free_connections)
 
     def _free_connections(self) -> None:
--- a/tests/test_common/test_calleraccount.py
+++ b/tests/test_common/test_calleraccount.py
@@ -173,6 +173,7 @@
     ('idle for longest', [(Stage.IDLE, -5.0), (Stage.IDLE, -9.0)], 1),
     ('a stalled body', [(Stage.IDLE, -0.1), (Stage.BODY, -9.0)], 1),
     ('a new one', [(Stage.IDLE, -0.1), (Stage.BODY, -0.1)], 0),
+    ('a refused one', [(Stage.IDLE, -9.0), (Stage.REFUSED, -0.1)], 1),
     ('none', [(Stage.RUNNING, -9.0), (Stage.BODY, -0.1)], None),
 ]
 
--- a/tests/test_platform/test_crowds.py
+++ b/tests/test_platform/test_crowds.py
@@ -270,6 +270,22 @@
     assert 200 in statuses.values()
 
 
+def test_requests_close_no_more_connections_than_they_need(
+    start: Callable[..., Host],
+) -> None:
+    """Guards against requests that close all other connections and are refused."""
+    host = start({'memoryMb': 150, 'maxFds': 450})
+    silent = RunningCrowd(Crowd(45, crowds.silent), host.address)
+    gevent.sleep(SETTLE_S)
+    requests = crowds.once(SLOW + b'Content-Length: 4\r\n\r\nbody')
+    running = RunningCrowd(Crowd(5, requests), host.address)
+    gevent.sleep(SLOW_WORK_S + SETTLE_S)
+    running.stop()
+    silent.stop()
+    assert [one.status for one in running.outcomes] == [200] * 5
+    assert sum(one.closed for one in silent.outcomes) <= 2 * 5
+
+
 def test_addresses_of_operators_hold_little(start: Callable[..., Host]) -> None:
     """Connections to the readiness and metrics addresses are bounded too."""
     host = start({'memoryMb': 100, 'maxFds': 1000})
