Refuse a request on the node whose head is truncated

What callers saw: a booking whose connection ended within its head ran with what had come of it, without a body, and was answered 200.

Cause: the library takes the end of the connection for the end of the head, and a header that was cut, as of a length, for a whole one.

A line of a head that does not end is an error, answered 400.

--- a/packages/common/src/rosemaryseam/common/requestinput.py
+++ b/packages/common/src/rosemaryseam/common/requestinput.py
@@ -83,10 +83,12 @@
 
         :param size: maximum number of bytes, negative for no maximum
         :raises HeadTooLargeError: if the limit is exceeded
+        :raises ValueError: if the connection ended before the head
         """
-        line = self._stream.readline(
-            self._left + 1 if size < 0 else min(size, self._left + 1)
-        )
+        limit = self._left + 1 if size < 0 else min(size, self._left + 1)
+        line = self._stream.readline(limit)
+        if not line.endswith(b'\n') and len(line) < limit:
+            raise ValueError('the head is truncated')
         self._left -= len(line)
         if self._left < 0:
             raise HeadTooLargeError('the head is too large')
