Accept no more connections than fit the memory for callers

What callers saw: on a host of 75 MB, 1,500 callers with unfinished heads that connect again when they are closed took a router to 202 MB, and one with unfinished bodies to 114 MB; a node with 12 MB for callers held 1,554 of their connections. Once that was bounded, an ordinary request was refused, or its connection closed unread, twelve times in a row.

Cause: connections were accepted up to the descriptors, faster than they were counted and closed, and what the kernel receives for each is memory. Heads that never end and are small made no room for a complete request, as they hold less. Callers that were refused held their connections for the second in which they may see their answers, which left none for others.

Servers accept 64 connections more than fit, which wait up to 1 s for room; others wait in the accept queue (1024 on the node, as on the router, where 128 were). All unfinished requests yield to a small complete one, and a refused caller yields after 0.2 s. The last replaces the test that no refused connection yields: it does not before its answer.

--- a/packages/common/src/rosemaryseam/common/calleraccount.py
+++ b/packages/common/src/rosemaryseam/common/calleraccount.py
@@ -17,8 +17,12 @@
 _Rank = tuple[int, float] | None  # lowest first; ``None`` never yields
 
 STALL_S = 1.0  # without a byte, after which an unfinished request yields first
+ANSWER_S = 0.2  # for a refused caller to see its answer before its connection yields
 SMALL_BYTES = 262_144  # held by one caller; larger ones leave room for these
 LARGE_SHARE = 0.75  # of the limit, for callers that hold more than that
+WAITING_CONNECTIONS = 64  # accepted beyond those that fit, until others yield to them
+MAX_WAIT_S = 1.0  # for an accepted connection until others yield to it
+WAIT_INTERVAL_S = 0.05  # between two tries
 
 
 class Stage(enum.IntEnum):
@@ -100,18 +104,28 @@
         metrics.gauge(f'{name}_memory_bytes', lambda: self.reserved_bytes)
         metrics.gauge(f'{name}_memory_limit_bytes', lambda: self.limit)
 
-    def add(self, holder: Holder) -> None:
+    @property
+    def max_connections(self) -> int:
+        """The number of connections that a server may accept at once.
+
+        What the kernel receives for a connection takes memory before it is added.
+        """
+        return self.limit // self.costs.connection + WAITING_CONNECTIONS
+
+    def add(self, holder: Holder, pause: Callable[[float], None] | None = None) -> None:
         """Reserve what a new connection takes.
 
         :param holder: the connection
-        :raises NoRoomError: if no other connection yields
+        :param pause: waits for a number of seconds, if the connection may wait until
+            others yield
+        :raises NoRoomError: if no other connection yields in time
         """
+        until = self._clock.monotonic() + MAX_WAIT_S
+        while not self._reserve(holder, self.costs.connection):
+            if pause is None or self._clock.monotonic() >= until:
+                raise self._no_room(holder)
+            pause(WAIT_INTERVAL_S)
         self._holders.add(holder)
-        try:
-            self.resize(holder, self.costs.connection)
-        except NoRoomError:
-            self.remove(holder)
-            raise
 
     def remove(self, holder: Holder) -> None:
         """Release what a connection held.
@@ -129,12 +143,8 @@
         :param count: number of bytes that it holds from now on
         :raises NoRoomError: if no other connection yields; nothing is changed then
         """
-        limit = self.limit if count <= SMALL_BYTES else int(self.limit * LARGE_SHARE)
-        needed = self.reserved_bytes + count - holder.held_bytes - limit
-        if needed > 0 and count > holder.held_bytes:
-            self._make_room(holder, count, needed)
-        self.reserved_bytes += count - holder.held_bytes
-        holder.held_bytes = count
+        if not self._reserve(holder, count):
+            raise self._no_room(holder)
 
     def head_bytes(self, size: int, headers: int) -> int:
         """Return what the head of a request takes, decoded and as it is forwarded.
@@ -157,20 +167,25 @@
         self._evict(victim, 'connections')
         return True
 
-    def _make_room(self, asking: Holder, count: int, needed: int) -> None:
-        victims = choose_for_memory(
-            self._holders,
-            asking,
-            count,
-            needed,
-            self.costs.connection,
-            self._clock.monotonic(),
-        )
-        if not victims:
-            self.turned_away.record('memory', asking.peer, stage=asking.stage.name)
-            raise NoRoomError('the memory for callers is in use')
-        for victim in victims:
-            self._evict(victim, 'memory')
+    def _reserve(self, holder: Holder, count: int) -> bool:
+        """Set what a connection holds, if there is room or others yield."""
+        limit = self.limit if count <= SMALL_BYTES else int(self.limit * LARGE_SHARE)
+        needed = self.reserved_bytes + count - holder.held_bytes - limit
+        if needed > 0 and count > holder.held_bytes:
+            now = self._clock.monotonic()
+            kept = self.costs.connection
+            victims = choose_for_memory(self._holders, holder, count, needed, kept, now)
+            for victim in victims:
+                self._evict(victim, 'memory')
+            if not victims:
+                return False
+        self.reserved_bytes += count - holder.held_bytes
+        holder.held_bytes = count
+        return True
+
+    def _no_room(self, holder: Holder) -> NoRoomError:
+        self.turned_away.record('memory', holder.peer, stage=holder.stage.name)
+        return NoRoomError('the memory for callers is in use')
 
     def _evict(self, victim: Holder, resource: str) -> None:
         self.turned_away.record(
@@ -181,6 +196,7 @@
             # It is still answered; the memory of its request is free before that.
             victim.give_way(reason)
             victim.stage = Stage.REFUSED
+            victim.since = self._clock.monotonic()
             self.resize(victim, min(victim.held_bytes, self.costs.connection))
         else:
             self.remove(victim)
@@ -198,9 +214,10 @@
     """Return the connections that yield their memory, none if that is not enough.
 
     First come unfinished requests that have stalled, the largest of them first. A
-    caller that holds little takes the place of connections without a request next, then
-    of unfinished requests that hold more; a large one the other way round. A complete
-    request never yields, and what was refused ends soon.
+    caller that holds little takes the place of connections without a request next, also
+    of those whose request was refused, then of unfinished requests that hold more; a
+    large one the other way round. If it holds little and its request is complete, all
+    other unfinished requests follow. A complete request never yields.
 
     :param holders: all connections
     :param asking: the connection that needs memory
@@ -209,16 +226,23 @@
     :param kept: bytes that a connection keeps when its unfinished request is refused
     :param now: monotonic time in seconds
     """
-    idle, larger = (1, 2) if count <= SMALL_BYTES else (2, 1)
+    is_small = count <= SMALL_BYTES
+    idle, larger = (1, 2) if is_small else (2, 1)
+    is_complete = asking.stage is Stage.RUNNING
 
     def rank(holder: Holder) -> _Rank:
-        if holder.stage in (Stage.RUNNING, Stage.REFUSED):
+        age = now - holder.since
+        if holder.stage is Stage.RUNNING:
             return None
+        if holder.stage is Stage.REFUSED:
+            return (idle, holder.since) if age >= ANSWER_S else None
         if holder.stage is Stage.IDLE:
             return idle, holder.since
-        if now - holder.since >= STALL_S:
+        if age >= STALL_S:
             return 0, -holder.held_bytes
-        return (larger, -holder.held_bytes) if holder.held_bytes > count else None
+        if holder.held_bytes > count:
+            return larger, -holder.held_bytes
+        return (3, -holder.held_bytes) if is_small and is_complete else None
 
     victims = []
     for holder in _ranked(holders, asking, rank):
--- a/packages/common/src/rosemaryseam/common/requestholder.py
+++ b/packages/common/src/rosemaryseam/common/requestholder.py
@@ -50,7 +50,7 @@
             if account is not None:
                 self.since = time.monotonic()
                 self.peer = str(self.client_address[0])
-                account.add(self)
+                account.add(self, None if self.server.draining else gevent.sleep)
             super().handle()
         except NoRoomError:
             self.socket.close()
@@ -134,8 +134,9 @@
         :raises NoRoomError: if there is no memory for them
         """
         account = self.server.account
-        if account is not None and stage is Stage.RUNNING:
-            count += account.costs.request
+        if stage is Stage.RUNNING:
+            self.stage = stage  # others yield to a complete request
+            count += 0 if account is None else account.costs.request
         self.hold(count)
         self.stage = stage
         self.since = time.monotonic()
@@ -213,6 +214,7 @@
             self.body.release()
         if source.is_unread:
             self.stage = Stage.REFUSED
+            self.since = time.monotonic()
             self._lingers = not source.is_worth_reading
         if self.server.draining or self._lingers:
             headers = [*headers, ('Connection', 'close')]
--- a/packages/common/src/rosemaryseam/common/wsgi.py
+++ b/packages/common/src/rosemaryseam/common/wsgi.py
@@ -56,6 +56,8 @@
     :param head_bytes: limit on the size of a head
     """
 
+    backlog = 1024  # length of the accept queue, in connections
+
     def __init__(
         self,
         address: Address,
@@ -65,6 +67,10 @@
         account: CallerAccount | None = None,
         head_bytes: int = DEFAULT_HEAD_BYTES,
     ) -> None:
+        if account is not None:
+            max_connections = min(
+                max_connections or account.max_connections, account.max_connections
+            )
         super().__init__(
             tuple(address),
             application,
--- a/packages/router/src/rosemaryseam/router/callers.py
+++ b/packages/router/src/rosemaryseam/router/callers.py
@@ -69,8 +69,9 @@
         self._connections: set[CallerConnection] = set()
         self._relief: gevent.Greenlet | None = None
         self._listener = listener
+        max_connections = min(max_descriptors, account.max_connections)
         self._server = StreamServer(
-            tuple(address), self._serve, spawn=Pool(max_descriptors)
+            tuple(address), self._serve, spawn=Pool(max_connections)
         )
         metrics.gauge('caller_connections', lambda: self.open_connections)
 
@@ -155,7 +156,7 @@
     def _serve(self, sock: Any, peer: tuple[str, int]) -> None:
         conn = CallerConnection(sock, self, peer[0])
         try:
-            self.account.add(conn)
+            self.account.add(conn, None if self.draining else gevent.sleep)
         except NoRoomError:
             conn.close()
             conn.release()
--- a/tests/test_common/test_calleraccount.py
+++ b/tests/test_common/test_calleraccount.py
@@ -5,6 +5,7 @@
 import pytest
 
 from rosemaryseam.common.calleraccount import (
+    ANSWER_S,
     SMALL_BYTES,
     STALL_S,
     AccountCosts,
@@ -13,6 +14,7 @@
     NoRoomError,
     Stage,
     choose_connection,
+    choose_for_memory,
 )
 from rosemaryseam.common.clock import ManualClock
 from rosemaryseam.common.metrics import Metrics
@@ -119,7 +121,13 @@
         2 * SMALL_BYTES,
         None,
     ),
-    ('no refused one', [(Stage.REFUSED, 5.9, -9.0)], LARGE, None),
+    (
+        'a refused one that saw its answer',
+        [(Stage.REFUSED, 3.0, -2 * ANSWER_S), (Stage.REFUSED, 2.9, 0.0)],
+        SMALL_BYTES,
+        [0],
+    ),
+    ('no refused one before its answer', [(Stage.REFUSED, 5.9, 0.0)], LARGE, None),
 ]
 
 
@@ -159,6 +167,55 @@
     assert yielded == (expected or [])
 
 
+@pytest.mark.parametrize(
+    ('stage', 'asked', 'expected'),
+    [
+        (Stage.RUNNING, SMALL_BYTES, [1, 0]),
+        (Stage.HEAD, SMALL_BYTES, []),
+        (Stage.RUNNING, LARGE, []),
+    ],
+    ids=['complete', 'unfinished', 'large'],
+)
+def test_smaller_unfinished_requests_yield_to_a_complete_one(
+    stage: Stage, asked: int, expected: list[int]
+) -> None:
+    """Guards against heads without an end that leave no room for whole requests."""
+    conns = [FakeConnection(stage, 10.0) for stage in (Stage.HEAD, Stage.BODY)]
+    conns[0].held_bytes, conns[1].held_bytes = 400, 600
+    asking = FakeConnection(stage, 10.0)
+    victims = choose_for_memory(conns, asking, asked, 1000, 0, 10.0)
+    assert [conns.index(victim) for victim in victims] == expected
+
+
+@pytest.mark.parametrize(
+    ('leaves', 'tries'), [(True, 2), (False, 21)], ids=['in time', 'too late']
+)
+def test_new_connection_waits_until_others_leave(
+    leaves: bool, tries: int, account: CallerAccount, clock: ManualClock
+) -> None:
+    """Guards against refused callers that leave no room before they have left."""
+    others = [
+        add(account, FakeConnection(Stage.RUNNING), SMALL_BYTES) for _ in range(8)
+    ]
+    pauses = []
+
+    def pause(seconds: float) -> None:
+        pauses.append(seconds)
+        clock.advance(seconds)
+        if leaves:
+            account.remove(others.pop())
+
+    conn = FakeConnection(Stage.IDLE)
+    if leaves:
+        account.add(conn, pause)
+        assert conn.held_bytes == COSTS.connection
+    else:
+        with pytest.raises(NoRoomError):
+            account.add(conn, pause)
+        assert conn.held_bytes == 0
+    assert len(pauses) < tries
+
+
 def test_refused_body_keeps_only_its_connection(account: CallerAccount) -> None:
     stalled = add(account, FakeConnection(Stage.BODY, -60.0), 5 * SMALL_BYTES)
     add(account, FakeConnection(Stage.BODY), 4 * SMALL_BYTES)
--- a/tests/test_node/test_crowds.py
+++ b/tests/test_node/test_crowds.py
@@ -62,8 +62,10 @@
 
     name: str
     crowd: Crowd
+    bounds: dict[str, int] = {}
 
 
+MANY = {'connections': 10_000, 'memory_bytes': 12_000_000}
 CASES = [
     Case('whole bodies', Crowd(60, crowds.whole(APP, MAX_BODY_BYTES))),
     Case('small chunks', Crowd(20, crowds.small_chunks(APP, 1_000_000))),
@@ -81,6 +83,16 @@
     Case('silent', Crowd(350, crowds.silent)),
     Case('unfinished heads', Crowd(350, crowds.once(APP))),
     Case('small requests', Crowd(350, crowds.unfinished(APP, 1000))),
+    Case(
+        'more bodies than fit, returning',
+        Crowd(1500, crowds.unfinished(APP, 60_000), returns=True),
+        MANY,
+    ),
+    Case(
+        'more heads than fit, returning',
+        Crowd(1500, crowds.small_headers(APP, 30_000, b''), returns=True),
+        MANY,
+    ),
     Case(
         'unread answers',
         Crowd(100, crowds.pipelined(ORDINARY, 600_000), reads=False),
@@ -92,7 +104,7 @@
 def test_crowd_stays_within_the_memory_of_the_host(
     one: Case, own_fleet: Callable[..., Any]
 ) -> None:
-    fleet = _start(own_fleet)
+    fleet = _start(own_fleet, one.bounds)
     answer, watch, _ = _play(fleet, one.crowd)
     assert fleet.processes['host-1'].process.poll() is None
     assert watch.most_bytes < MEMORY_BYTES
@@ -222,8 +234,8 @@
     assert answer.startswith(b'HTTP/1.1 200'), answer[:200]
 
 
-def _start(own_fleet: Callable[..., Any]) -> Any:
-    return own_fleet(nodes=1, engines=1, apps=1, bounds=BOUNDS)
+def _start(own_fleet: Callable[..., Any], bounds: dict[str, int] | None = None) -> Any:
+    return own_fleet(nodes=1, engines=1, apps=1, bounds=BOUNDS | (bounds or {}))
 
 
 def _play(fleet: Any, crowd: Crowd) -> tuple[bytes, ProcessWatch, list[Any]]:
--- a/tests/test_platform/test_crowds.py
+++ b/tests/test_platform/test_crowds.py
@@ -9,6 +9,7 @@
 
 import json
 import os
+import signal
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import crowds
@@ -32,6 +33,7 @@
     from rosemaryseam.standins.scripted import ScriptedExchange
 
 START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 30.0
 SEND_TIMEOUT_S = 20.0  # for a crowd to send what the process takes
 SETTLE_S = 1.0  # for what was sent last to be handled
 MAX_BODY_BYTES = 4_194_304  # the limits of the platform's configurations
@@ -133,6 +135,18 @@
         Crowd(1200, crowds.small_headers(HEAD, MAX_HEAD_BYTES, b'')),
         maxFds=2000,
     ),
+    case(
+        'more bodies than fit, returning',
+        75,
+        Crowd(1500, crowds.unfinished(PATIENT, 60_000), returns=True),
+        maxFds=4100,
+    ),
+    case(
+        'more heads than fit, returning',
+        75,
+        Crowd(1500, crowds.small_headers(HEAD, MAX_HEAD_BYTES, b''), returns=True),
+        maxFds=4100,
+    ),
     case('silent', 88, Crowd(1500, crowds.silent), maxFds=4100),
     case(
         'pipelined',
@@ -286,6 +300,38 @@
     assert sum(one.closed for one in silent.outcomes) <= 2 * 5
 
 
+@pytest.mark.parametrize(
+    ('limits', 'crowd'),
+    [
+        (
+            {'memoryMb': 75, 'maxFds': 4100},
+            Crowd(1500, crowds.unfinished(PATIENT, 60_000), returns=True),
+        ),
+        (
+            {'memoryMb': 150, 'maxFds': 450},
+            Crowd(300, crowds.silent, returns=True),
+        ),
+        (
+            {'memoryMb': 100, 'maxFds': 1400},
+            Crowd(800, crowds.once(SLOW + b'Content-Length: 0\r\n\r\n'), returns=True),
+        ),
+    ],
+    ids=['bodies', 'silent', 'requests'],
+)
+def test_process_stops_beside_a_crowd(
+    limits: dict[str, int], crowd: Crowd, start: Callable[..., Host]
+) -> None:
+    """Guards against callers that return faster than a stop lets them go."""
+    host = start(limits)
+    running = RunningCrowd(crowd, host.address)
+    gevent.sleep(SETTLE_S)
+    host.process.signal(signal.SIGTERM)
+    try:
+        wait_until(lambda: not host.process.is_running(), 'stopped', STOP_TIMEOUT_S)
+    finally:
+        running.stop()
+
+
 def test_addresses_of_operators_hold_little(start: Callable[..., Host]) -> None:
     """Connections to the readiness and metrics addresses are bounded too."""
     host = start({'memoryMb': 100, 'maxFds': 1000})
