Give others a turn while the node reads what is between chunks

What callers saw: beside 60 callers with trailers that do not end, or with chunk extensions of 8,000 bytes, an ordinary request at the node got no answer in twelve tries.

Cause: the library reads trailers, without a bound, and extensions byte by byte and never lets another greenlet run as long as bytes are there; turns were given after parts of bodies only.

The stream of a chunked body gives a turn after each 512 bytes that are read singly, so that the body's time limit ends trailers too. The router refuses both with 431 by its limit on heads.

--- a/packages/common/src/rosemaryseam/common/requestholder.py
+++ b/packages/common/src/rosemaryseam/common/requestholder.py
@@ -16,6 +16,7 @@
 from rosemaryseam.common.errors import RequestError, ResultCode
 from rosemaryseam.common.fairness import FairReceiver
 from rosemaryseam.common.requestinput import (
+    FramingReader,
     HeadReader,
     HeadTooLargeError,
     RequestInput,
@@ -117,8 +118,9 @@
         environ[SOCKET_KEY] = self.socket
         environ[HOLDER_KEY] = self
         old = self.wsgi_input
+        stream = FramingReader(old.rfile) if old.chunked_input else old.rfile
         self.wsgi_input = RequestInput(
-            old.rfile, old.content_length, old.socket, old.chunked_input
+            stream, old.content_length, old.socket, old.chunked_input
         )
         environ['wsgi.input'] = self.wsgi_input
         self.enter(Stage.BODY if self.wsgi_input.is_unread else Stage.RUNNING)
--- a/packages/common/src/rosemaryseam/common/requestinput.py
+++ b/packages/common/src/rosemaryseam/common/requestinput.py
@@ -13,6 +13,7 @@
 SMALL_BODY_BYTES = 65_536  # read to its end also if its request is refused
 PART_BYTES = 16_384  # read at a time
 CHUNKED_PART_BYTES = 512  # of chunks, each of which may hold a single byte
+FRAMING_PER_TURN = 512  # bytes between chunks before other greenlets get a turn
 
 
 class RequestInput(Input):
@@ -63,6 +64,31 @@
             self.send_100_continue_enabled = True
 
 
+class FramingReader:
+    """Gives other greenlets turns while what is between chunks is read.
+
+    Extensions and trailers may be long or without end. They are read byte by byte.
+
+    :param stream: buffered stream of the connection
+    """
+
+    def __init__(self, stream: Any) -> None:
+        self._stream = stream
+        self._count = 0
+
+    def read(self, size: int = -1) -> bytes:
+        """Read up to a number of bytes."""
+        if size == 1:
+            self._count += 1
+            if self._count % FRAMING_PER_TURN == 0:
+                gevent.sleep(0)
+        return self._stream.read(size)
+
+    def readline(self, size: int = -1) -> bytes:
+        """Read up to the end of a line."""
+        return self._stream.readline(size)
+
+
 class HeadTooLargeError(ValueError):
     """Raised when a head exceeds the limit on its size."""
 
--- a/tests/soak/crowds.py
+++ b/tests/soak/crowds.py
@@ -282,6 +282,18 @@
     return lambda: iter((_chunked(head), b'1\r\nx\r\n' * size))
 
 
+def endless_framing(
+    head: bytes, begin: bytes, part: bytes
+) -> Callable[[], Iterator[bytes | None]]:
+    """Return a script that sends a chunked body that begins and then repeats a part."""
+
+    def script() -> Iterator[bytes | None]:
+        yield _chunked(head) + begin
+        yield from itertools.repeat(part * (PART_BYTES // len(part)))
+
+    return script
+
+
 def small_headers(
     head: bytes, size: int, end: bytes
 ) -> Callable[[], Iterator[bytes | None]]:
--- a/tests/test_node/test_crowds.py
+++ b/tests/test_node/test_crowds.py
@@ -83,6 +83,17 @@
     Case('silent', Crowd(350, crowds.silent)),
     Case('unfinished heads', Crowd(350, crowds.once(APP))),
     Case('small requests', Crowd(350, crowds.unfinished(APP, 1000))),
+    Case(
+        'trailers without end',
+        Crowd(60, crowds.endless_framing(APP, b'0\r\n', b'a: b\r\n')),
+    ),
+    Case(
+        'long chunk extensions',
+        Crowd(
+            60,
+            crowds.endless_framing(APP, b'', b'1;' + b'e' * 8000 + b'\r\nx\r\n'),
+        ),
+    ),
     Case(
         'more bodies than fit, returning',
         Crowd(1500, crowds.unfinished(APP, 60_000), returns=True),
--- a/tests/test_platform/test_crowds.py
+++ b/tests/test_platform/test_crowds.py
@@ -135,6 +135,19 @@
         Crowd(1200, crowds.small_headers(HEAD, MAX_HEAD_BYTES, b'')),
         maxFds=2000,
     ),
+    case(
+        'trailers without end',
+        100,
+        Crowd(60, crowds.endless_framing(HEAD, b'0\r\n', b'a: b\r\n')),
+    ),
+    case(
+        'long chunk extensions',
+        100,
+        Crowd(
+            60,
+            crowds.endless_framing(HEAD, b'', b'1;' + b'e' * 8000 + b'\r\nx\r\n'),
+        ),
+    ),
     case(
         'more bodies than fit, returning',
         75,
