--- a/packages/router/src/rosemaryseam/router/admission.py
+++ b/packages/router/src/rosemaryseam/router/admission.py
@@ -59,8 +59,12 @@
     :param message: text for the answer and the log
     :param retry_after_s: delay in seconds after which the caller can retry
     :param close: whether the answer asks the caller to close the connection
+
+    ``request_id`` is the id of the request, if its head was read.
     """
 
+    request_id: str | None = None
+
     def __init__(
         self,
         status: int,
--- a/packages/router/src/rosemaryseam/router/codec.py
+++ b/packages/router/src/rosemaryseam/router/codec.py
@@ -33,12 +33,12 @@
 
     @abc.abstractmethod
     def decode_request(
-        self, head: RequestHead, body: bytes, arrived: float
+        self, head: RequestHead, body: bytes | memoryview, arrived: float
     ) -> CallerRequest:
         """Decode a caller's request.
 
         :param head: method, target and headers
-        :param body: complete body
+        :param body: complete body, valid until the request is answered
         :param arrived: monotonic time in seconds at which the head was read
         :raises BadRequestError: a header has an invalid value
         """
--- a/packages/router/src/rosemaryseam/router/earlylisten.py
+++ b/packages/router/src/rosemaryseam/router/earlylisten.py
@@ -10,6 +10,9 @@
 import socket
 
 LISTEN_BACKLOG = 1024  # length of the accept queue, in connections
+# Of each connection, of which the kernel takes twice as much. Bytes that are received
+# and not read yet count towards the memory of the process.
+RECEIVE_BUFFER_BYTES = 16_384
 
 
 def listen_early(ip: str, port: int) -> socket.socket:
@@ -22,6 +25,7 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         sock.bind((ip, port))
         sock.listen(LISTEN_BACKLOG)
         sock.setblocking(False)
--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -29,6 +29,7 @@
 from rosemaryseam.router.quiet import QuietPeriods
 from rosemaryseam.router.relay import StreamRelay, read_body, relay_answer
 from rosemaryseam.router.reply import CutOffError
+from rosemaryseam.router.requesthandler import RequestHandler
 from rosemaryseam.router.requests import UpstreamCall
 from rosemaryseam.router.routes import Repeat, pick_service
 from rosemaryseam.router.silence import NoTakeoverError, OpenAnswer, SilenceWatch
@@ -41,13 +42,13 @@
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.policy.retrybudget import RetryBudgetLimits
-    from rosemaryseam.router.callers import ReceivedRequest
-    from rosemaryseam.router.codec import HttpCodec
+    from rosemaryseam.router.codec import HttpCodec, RequestHead
     from rosemaryseam.router.demandcounts import DemandCounts
     from rosemaryseam.router.feed import StateFeed
     from rosemaryseam.router.placement import Placer, Ticket
     from rosemaryseam.router.pool import ConnectionPool
     from rosemaryseam.router.reply import Reply
+    from rosemaryseam.router.requesthandler import ReceivedRequest
     from rosemaryseam.router.requests import AnswerHead, CallerRequest
     from rosemaryseam.router.resumption import StreamResumption
     from rosemaryseam.router.routes import Route, RoutingTable, Workspace
@@ -70,7 +71,7 @@
     """All upstreams want a pause."""
 
 
-class Forwarder:
+class Forwarder(RequestHandler):
     """Answers requests by forwarding them to upstreams.
 
     :param feed: provides the routing table and its staleness
@@ -138,16 +139,20 @@
         self._stops_at = stops_at
         self._refuses_at = now + min(DRAIN_REFUSAL_DELAY_S, (stops_at - now) / 2)
 
-    def handle(self, received: ReceivedRequest, reply: Reply) -> None:
-        """Answer one request.
+    def check_head(self, head: RequestHead, arrived: float) -> float:
+        """Check a request before its body is read."""
+        request = self._decode(head, b'', arrived)
+        try:
+            return self._admit(request).expires_at
+        except RefusalError as exc:
+            exc.request_id = request.id
+            raise
 
-        :param received: request as read from the connection
-        :param reply: answer to the caller
-        :raises CallerGoneError: if the caller disconnected or the answer was aborted
-        """
+    def handle(self, received: ReceivedRequest, reply: Reply) -> None:
+        """Answer one request."""
         request: CallerRequest | None = None
         try:
-            request = self._decode(received)
+            request = self._decode(*received)
             admitted = self._admit(request)
             self._forward(admitted, reply)
         except RefusalError as exc:
@@ -155,11 +160,11 @@
 
     # Admission.
 
-    def _decode(self, received: ReceivedRequest) -> CallerRequest:
+    def _decode(
+        self, head: RequestHead, body: bytes | memoryview, arrived: float
+    ) -> CallerRequest:
         try:
-            return self._codec.decode_request(
-                received.head, received.body, received.arrived
-            )
+            return self._codec.decode_request(head, body, arrived)
         except BadRequestError as exc:
             raise RefusalError(400, ResultCode.BAD_REQUEST, str(exc)) from exc
 
--- a/packages/router/src/rosemaryseam/router/headercodec.py
+++ b/packages/router/src/rosemaryseam/router/headercodec.py
@@ -155,7 +155,7 @@
         }
 
     def decode_request(
-        self, head: RequestHead, body: bytes, arrived: float
+        self, head: RequestHead, body: bytes | memoryview, arrived: float
     ) -> CallerRequest:
         """Read a caller's request."""
         fields = {name.lower(): value for name, value in head.headers}
--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -12,6 +12,8 @@
 from gevent.event import Event
 
 from rosemaryseam.common.addresses import Address
+from rosemaryseam.common.calleraccount import CallerAccount
+from rosemaryseam.common.clock import SystemClock
 from rosemaryseam.common.decisionlog import log_event
 from rosemaryseam.common.errors import ResultCode, SettingsError
 from rosemaryseam.common.fairness import attempt, run_repeatedly
@@ -19,7 +21,7 @@
 from rosemaryseam.common.skippedvalues import SkippedValues
 from rosemaryseam.common.wsgi import HttpServer, ServerTimeouts
 from rosemaryseam.router.autoscaler import Autoscaler
-from rosemaryseam.router.callers import BodyMemoryBudget, CallerServer
+from rosemaryseam.router.callers import CallerServer
 from rosemaryseam.router.crashreporter import CrashReporter
 from rosemaryseam.router.dispatch import DispatchPlacer
 from rosemaryseam.router.dispatcher import Dispatcher
@@ -56,8 +58,9 @@
     from rosemaryseam.router.settings import RouterSettings
     from rosemaryseam.router.upstreams import UpstreamChange
 
-BODY_MEMORY_SHARE = 0.2  # share of the process's memory
-RESERVED_DESCRIPTORS = 400  # for files and for connections to upstreams and store
+OPERATOR_CONNECTIONS = 64  # for each of the addresses of operators
+OPERATOR_BYTES = 8_388_608  # of memory for them
+RESERVED_DESCRIPTORS = 400  # for files, operators and connections to the store
 SWEEP_INTERVAL_S = 0.2  # between two removals of expired entries and connections
 READINESS_LAG_S = 2.9  # probed each second; two failures end new connections
 CUTOFF_MARGIN_S = 0.6  # before the kill, to end the remaining requests in order
@@ -234,21 +237,30 @@
         )
         self.callers = CallerServer(
             cfg.callers,
-            self._forwarder.handle,
+            self._forwarder,
             clock,
             self.metrics,
             self._caller_limits,
-            BodyMemoryBudget(int(cfg.memory_bytes * BODY_MEMORY_SHARE)),
+            CallerAccount(cfg.caller_memory_bytes, clock, self.metrics),
             cfg.descriptors - RESERVED_DESCRIPTORS,
             listener,
         )
+        operators = CallerAccount(
+            OPERATOR_BYTES, SystemClock(), self.metrics, 'operator'
+        )
         self._readiness_server = HttpServer(
             cfg.readiness,
             build_readiness_app(self.not_ready, self._failing_work),
             ServerTimeouts(),
+            OPERATOR_CONNECTIONS,
+            operators,
         )
         self._status_server = HttpServer(
-            cfg.metrics, build_metrics_app(self.metrics, self.dump), ServerTimeouts()
+            cfg.metrics,
+            build_metrics_app(self.metrics, self.dump),
+            ServerTimeouts(),
+            OPERATOR_CONNECTIONS,
+            operators,
         )
         self._mirror_server = HttpServer(
             Address(cfg.ip, cfg.peer_port),
--- a/packages/router/src/rosemaryseam/router/relay.py
+++ b/packages/router/src/rosemaryseam/router/relay.py
@@ -29,6 +29,7 @@
 
     An answer of up to :data:`MAX_BUFFERED_ANSWER_BYTES` is read completely before
     anything is written, so that the request can be retried if the answer is truncated.
+    Without memory for that, it is written while it arrives.
 
     :param head: head of the upstream's answer
     :param chunks: body of the upstream's answer
@@ -36,22 +37,22 @@
     :param bodyless: whether the request's method allows no body in the answer
     :raises BrokenError: if the upstream's answer is truncated
     """
-    parts: list[bytes] = []
-    size = 0
+    buffer = bytearray()
     for chunk in chunks:
-        parts.append(chunk)
-        size += len(chunk)
-        if size > MAX_BUFFERED_ANSWER_BYTES:
+        buffer += chunk
+        too_long = len(buffer) > MAX_BUFFERED_ANSWER_BYTES
+        if too_long or not reply.reserve(len(chunk)):
             break
     else:
-        body = b''.join(parts)
+        body = bytes(buffer)
+        buffer.clear()
         reply.start(
             head.status, head.reason, _headers_with_length(head, body, bodyless)
         )
         reply.write(body)
         reply.finish()
         return
-    _relay_unbuffered(head, parts, chunks, reply)
+    _relay_unbuffered(head, buffer, chunks, reply)
 
 
 def read_body(chunks: Iterator[bytes]) -> bytes:
@@ -69,10 +70,13 @@
 
 
 def _relay_unbuffered(
-    head: AnswerHead, parts: list[bytes], chunks: Iterator[bytes], reply: Reply
+    head: AnswerHead, buffer: bytearray, chunks: Iterator[bytes], reply: Reply
 ) -> None:
     reply.start(head.status, head.reason, end_to_end_headers(head))
-    reply.write(b''.join(parts))
+    begun = bytes(buffer)
+    buffer.clear()
+    reply.write(begun)
+    del begun
     try:
         for chunk in chunks:
             reply.write(chunk)
--- a/packages/router/src/rosemaryseam/router/reply.py
+++ b/packages/router/src/rosemaryseam/router/reply.py
@@ -53,6 +53,14 @@
     def abort(self) -> None:
         """Close the connection so that the caller sees an incomplete answer."""
 
+    def reserve(self, count: int) -> bool:
+        """Reserve memory for parts of the answer that are not written yet.
+
+        :param count: number of bytes
+        :returns: whether there is room for them
+        """
+        return True
+
     def refuse(
         self,
         status: int,
--- a/packages/router/src/rosemaryseam/router/requests.py
+++ b/packages/router/src/rosemaryseam/router/requests.py
@@ -56,7 +56,7 @@
     ``timeout_s`` is how long the caller waits after ``arrived``, a time of the
     monotonic clock. ``resume_after`` is the id of the last event that the caller has of
     a stream that it takes up again, ``resumed_id`` the id of its request that brought
-    the first event of that stream.
+    the first event of that stream. ``body`` is valid until the request is answered.
     """
 
     id: str
@@ -65,7 +65,7 @@
     host: str
     path: str
     headers: RawHeaders
-    body: bytes
+    body: bytes | memoryview
     api_key: str | None
     timeout_s: float | None
     prompt: Prompt | None
--- a/packages/router/src/rosemaryseam/router/settings.py
+++ b/packages/router/src/rosemaryseam/router/settings.py
@@ -8,6 +8,9 @@
     from rosemaryseam.common.addresses import Address
     from rosemaryseam.policy.retrybudget import RetryBudgetLimits
 
+PROCESS_BYTES = 60_000_000  # of a router without callers
+CALLER_SHARE = 0.8  # of the rest of its memory, for callers
+MIN_CALLER_BYTES = 8_388_608  # two requests of the largest size
 MBPS_PER_CORE = 20.0  # with less bandwidth for each core, the link is the bottleneck
 
 
@@ -61,6 +64,12 @@
     relay_port: int | None = None
     duties: DutySettings | None = None
 
+    @property
+    def caller_memory_bytes(self) -> int:
+        """Memory that callers may occupy, in bytes."""
+        rest = max(0, self.memory_bytes - PROCESS_BYTES)
+        return max(MIN_CALLER_BYTES, int(rest * CALLER_SHARE))
+
     @property
     def capacity(self) -> float:
         """Capacity of the host for work on behalf of other hosts, in cores."""
--- a/packages/router/src/rosemaryseam/router/upstreamconnection.py
+++ b/packages/router/src/rosemaryseam/router/upstreamconnection.py
@@ -27,7 +27,8 @@
     from rosemaryseam.router.codec import HttpCodec
     from rosemaryseam.router.requests import AnswerHead, RawHeaders
 
-READ_BYTES = 65_536
+READ_BYTES = 32_768
+RECEIVE_BUFFER_BYTES = 32_768  # of which the kernel takes twice as much
 MAX_INLINE_BODY_BYTES = 4096  # longer bodies are written while the answer is read
 MAX_HEAD_BYTES = 65_536
 EVENTS_PER_TURN = 64  # parts of an answer before other greenlets get a turn
@@ -138,7 +139,11 @@
         return limit is not None and self.idle_s() > limit - KEEP_ALIVE_MARGIN_S
 
     def send(
-        self, method: bytes, target: bytes, headers: RawHeaders, body: bytes
+        self,
+        method: bytes,
+        target: bytes,
+        headers: RawHeaders,
+        body: bytes | memoryview,
     ) -> None:
         """Send a request.
 
@@ -156,12 +161,12 @@
         if body:
             self._sent_events.append(h11.Data(data=body))
         self._sent_events.append(h11.EndOfMessage())
-        data = b''.join([self._http.send(event) for event in self._sent_events])
+        parts = self._encode()
         self.path.on_sent()
         if len(body) <= MAX_INLINE_BODY_BYTES:
-            self._write(data)
+            self._write(b''.join(parts))
         else:
-            self._writer = gevent.spawn(self._write_ignoring_errors, data)
+            self._writer = gevent.spawn(self._write_ignoring_errors, parts)
 
     def set_abort_check(
         self,
@@ -238,6 +243,7 @@
         self.requests_served += 1
         self.last_used = self._clock.monotonic()
         self._writer = None
+        self._sent_events = []  # they refer to the body
         self._should_abort = _never
         self._aborts_while_receiving = False
         self.path.on_released()
@@ -247,6 +253,7 @@
         """Close the connection."""
         if self._writer is not None:
             self._writer.kill(block=False)
+        self._sent_events = []
         self.path.on_released()
         self._sock.close()
 
@@ -268,11 +275,17 @@
                 raise ForeignBytesError('the answer to another request is too long')
         rest, _ = self._http.trailing_data
         self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
-        for event in self._sent_events:
-            self._http.send(event)
+        self._encode()
         if rest:  # passing empty bytes would mean end of file
             self._http.receive_data(rest)
 
+    def _encode(self) -> list[bytes | memoryview]:
+        """Return the parts of the request; the body is not copied."""
+        parts: list[bytes | memoryview] = []
+        for event in self._sent_events:
+            parts += self._http.send_with_data_passthrough(event)
+        return parts
+
     def _next_event(self) -> Any:
         while True:
             try:
@@ -337,10 +350,11 @@
             self.path.on_failed()
             raise BrokenError(f'the connection failed: {exc}') from exc
 
-    def _write_ignoring_errors(self, data: bytes) -> None:
+    def _write_ignoring_errors(self, parts: list[bytes | memoryview]) -> None:
         """Write; a failure is raised when the answer is read."""
         with contextlib.suppress(OSError):
-            self._sock.sendall(data)
+            for part in parts:
+                self._sock.sendall(part)
 
 
 def _never() -> bool:
@@ -364,5 +378,7 @@
     except OSError as exc:
         raise NotSentError(f'cannot connect to {address}: {exc}') from exc
     sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
+    # Buffers that the kernel sizes itself grow to several MB if a caller reads slowly.
+    sock.setsockopt(std_socket.SOL_SOCKET, std_socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     sock.settimeout(None)
     return sock
--- /dev/null
+++ b/tests/test_platform/test_crowds.py
@@ -0,0 +1,332 @@
+"""Tests that crowds of misbehaving callers end, fill or stop no router process.
+
+Each starts a router on a host with little memory, lets a crowd do one thing and asks
+for one ordinary request while the crowd is still there. The crowds and the limits are
+those that ended or stopped routers that counted only the bytes of bodies.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import crowds
+import gevent
+import pytest
+from crowds import Crowd, ProcessWatch, RunningCrowd
+from environment import FRONT_PORT, READY_PORT, RouterProcess
+from gevent import socket
+from storeserver import StoreServer
+
+from fleet import wait_until
+from rosemaryseam.platform.headers import HEADER_NAMES
+from rosemaryseam.platform.settings import METRICS_PORT
+from rosemaryseam.platform.state import CONFIGURATION_KEY, REGISTRY_PREFIX
+from rosemaryseam.standins.scripted import ScriptedUpstream
+
+if TYPE_CHECKING:
+    import pathlib
+    from collections.abc import Callable, Iterator
+
+    from rosemaryseam.standins.scripted import ScriptedExchange
+
+START_TIMEOUT_S = 20.0
+SEND_TIMEOUT_S = 20.0  # for a crowd to send what the process takes
+SETTLE_S = 1.0  # for what was sent last to be handled
+MAX_BODY_BYTES = 4_194_304  # the limits of the platform's configurations
+MAX_HEAD_BYTES = 16_384
+MAX_DISCARDED_BYTES = 16_777_216  # of what a refused caller sends on
+WORK_S = 0.5  # of an upstream for a request
+LARGE_ANSWER_BYTES = 8_000_000
+IP = f'127.78.{os.getpid() % 250 + 1}.1'
+
+HEAD = (
+    b'POST /work/x HTTP/1.1\r\nHost: crowd.example\r\n'
+    b'Rosemaryseam-Attempt-Id: a1\r\nX-Api-Key: key-north\r\n'
+)
+PATIENT = HEAD + b'Rosemaryseam-Deadline-Ms: 60000\r\n'
+UNKNOWN_KEY = HEAD.replace(b'key-north', b'key-none')
+UNKNOWN_ROUTE = HEAD.replace(b'/work/', b'/none/')
+SLOW = HEAD.replace(b'/work/', b'/slow/')
+LARGE = HEAD.replace(b'/work/', b'/large/')
+ORDINARY = HEAD + b'Connection: close\r\nContent-Length: 4\r\n\r\nbody'
+
+
+class Host(NamedTuple):
+    """A router with its store and upstream."""
+
+    process: RouterProcess
+    store: StoreServer
+    upstream: ScriptedUpstream
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where callers connect."""
+        return (self.process.ip, FRONT_PORT)
+
+
+class Case(NamedTuple):
+    """A crowd and the limits of the host that it calls."""
+
+    name: str
+    limits: dict[str, int]
+    crowd: Crowd
+
+
+def case(name: str, memory_mb: int, crowd: Crowd, **limits: int) -> Case:
+    """Return a case with the memory of the host in MB."""
+    return Case(name, {'memoryMb': memory_mb, **limits}, crowd)
+
+
+CASES = [
+    case('whole bodies', 150, Crowd(60, crowds.whole(HEAD, MAX_BODY_BYTES))),
+    case('small chunks', 150, Crowd(20, crowds.small_chunks(HEAD, 120_000))),
+    case('unfinished', 100, Crowd(60, crowds.unfinished(PATIENT, MAX_BODY_BYTES))),
+    case(
+        'unfinished chunks',
+        100,
+        Crowd(60, crowds.unfinished_chunks(PATIENT, MAX_BODY_BYTES)),
+    ),
+    case('dripped', 100, Crowd(60, crowds.dripped(PATIENT, MAX_BODY_BYTES))),
+    case('announced flood', 100, Crowd(30, crowds.flood(HEAD, 1_000_000_000))),
+    case('chunked flood', 100, Crowd(30, crowds.flood(HEAD, None))),
+    case(
+        'flood without reading',
+        100,
+        Crowd(30, crowds.flood(HEAD, 1_000_000_000), reads=False),
+    ),
+    case('unknown key', 100, Crowd(60, crowds.unfinished(UNKNOWN_KEY, MAX_BODY_BYTES))),
+    case(
+        'small headers',
+        100,
+        Crowd(
+            300,
+            crowds.small_headers(HEAD, MAX_HEAD_BYTES, b'Content-Length: 9\r\n\r\n'),
+        ),
+    ),
+    case(
+        'unfinished heads',
+        100,
+        Crowd(1200, crowds.small_headers(HEAD, MAX_HEAD_BYTES, b'')),
+        maxFds=2000,
+    ),
+    case('silent', 88, Crowd(1500, crowds.silent), maxFds=4100),
+    case(
+        'pipelined',
+        100,
+        Crowd(400, crowds.pipelined(SLOW + b'Content-Length: 0\r\n\r\n', 600_000)),
+    ),
+    case(
+        'unread answers',
+        100,
+        Crowd(100, crowds.once(LARGE + b'Content-Length: 0\r\n\r\n'), reads=False),
+    ),
+    case('all connections', 150, Crowd(80, crowds.silent), maxFds=450),
+    case(
+        'all connections with requests',
+        150,
+        Crowd(80, crowds.unfinished(PATIENT, 1000)),
+        maxFds=450,
+    ),
+    case(
+        'many requests',
+        100,
+        Crowd(800, crowds.once(SLOW + b'Content-Length: 4\r\n\r\nbody')),
+        maxFds=1400,
+    ),
+]
+
+
+@pytest.fixture
+def start(tmp_path: pathlib.Path) -> Iterator[Callable[..., Host]]:
+    """Return a function that starts a router with limits of its host."""
+    hosts: list[Host] = []
+
+    def start_host(limits: dict[str, int]) -> Host:
+        store = StoreServer()
+        upstream = ScriptedUpstream(_answer)
+        store.store.put(CONFIGURATION_KEY, _configuration())
+        store.store.put(REGISTRY_PREFIX + 'u1', _registration(upstream))
+        process = RouterProcess('r0', IP, tuple(store.address), tmp_path, **limits)
+        hosts.append(Host(process, store, upstream))
+        process.start()
+        wait_until(lambda: _serves(process.ip), 'router ready', START_TIMEOUT_S)
+        return hosts[-1]
+
+    yield start_host
+    for host in hosts:
+        host.process.stop()
+        host.upstream.stop()
+        host.store.stop()
+
+
+@pytest.mark.parametrize('one', CASES, ids=[one.name for one in CASES])
+def test_crowd_stays_within_the_memory_of_the_host(
+    one: Case, start: Callable[..., Host]
+) -> None:
+    host = start(one.limits)
+    answer, watch, _ = _play(host, one.crowd)
+    assert host.process.is_running()
+    assert watch.most_bytes < one.limits['memoryMb'] * 1_000_000
+    assert watch.most_descriptors < one.limits.get('maxFds', 1000)
+    assert answer.startswith(b'HTTP/1.1 200'), answer[:200]
+
+
+REFUSED = [
+    ('a long body', crowds.flood(HEAD, 1_000_000_000), {413}),
+    ('long chunks', crowds.flood(HEAD, None), {413}),
+    ('an unknown key', crowds.flood(UNKNOWN_KEY, 4_000_000), {401}),
+    ('an unknown route', crowds.flood(UNKNOWN_ROUTE, 4_000_000), {404}),
+    ('an unreadable head', crowds.flood(b'POST\r\n\r\n', 4_000_000), {400}),
+]
+
+
+@pytest.mark.parametrize(
+    ('name', 'script', 'statuses'), REFUSED, ids=[row[0] for row in REFUSED]
+)
+def test_refused_sender_sees_its_answer_and_is_closed(
+    name: str,
+    script: Callable[..., Any],
+    statuses: set[int],
+    start: Callable[..., Host],
+) -> None:
+    host = start({'memoryMb': 150})
+    answer, _, outcomes = _play(host, Crowd(5, script))
+    assert answer.startswith(b'HTTP/1.1 200')
+    assert {one.status for one in outcomes} == statuses
+    assert all(one.closed for one in outcomes)
+    assert all(one.sent_after_answer < MAX_DISCARDED_BYTES for one in outcomes)
+
+
+def test_largest_request_is_served_in_calm(start: Callable[..., Host]) -> None:
+    host = start({'memoryMb': 88})
+    head = HEAD + b'Connection: close\r\nContent-Length: %d\r\n\r\n' % MAX_BODY_BYTES
+    assert crowds.ask(host.address, head + bytes(MAX_BODY_BYTES)).startswith(
+        b'HTTP/1.1 200'
+    )
+    assert [len(seen.body) for seen in host.upstream.requests] == [MAX_BODY_BYTES]
+    assert len(host.upstream.requests) == 1
+
+
+def test_refused_request_has_not_run(start: Callable[..., Host]) -> None:
+    """A request that was refused as not run never reaches an upstream."""
+    host = start({'memoryMb': 100})
+    running = RunningCrowd(Crowd(60, crowds.whole(HEAD, MAX_BODY_BYTES)), host.address)
+    running.wait_sent(SEND_TIMEOUT_S)
+    gevent.sleep(SETTLE_S + WORK_S)
+    answered = sum(one.status == 200 for one in running.outcomes)
+    running.stop()
+    refused = sum(one.status == 503 for one in running.outcomes)
+    assert len(host.upstream.requests) <= len(running.outcomes) - refused
+    assert answered
+
+
+def test_addresses_of_operators_hold_little(start: Callable[..., Host]) -> None:
+    """Connections to the readiness and metrics addresses are bounded too."""
+    host = start({'memoryMb': 100, 'maxFds': 1000})
+    watch = ProcessWatch(host.process.process.pid)
+    bodies = Crowd(30, crowds.flood(b'POST /x HTTP/1.1\r\nHost: h\r\n', 10**9))
+    heads = Crowd(40, crowds.long_headers(b'GET /x HTTP/1.1\r\n', 90, 60_000))
+    silent = Crowd(600, crowds.silent)
+    running = [
+        RunningCrowd(crowd, (IP, port))
+        for port in (READY_PORT, METRICS_PORT)
+        for crowd in (bodies, heads, silent)
+    ]
+    for crowd in running:
+        crowd.wait_sent(5.0)
+    gevent.sleep(SETTLE_S)
+    ready = crowds.ask((IP, READY_PORT), b'GET /-/ready HTTP/1.0\r\n\r\n')
+    answer = crowds.ask(host.address, ORDINARY)
+    watch.stop()
+    for crowd in running:
+        crowd.stop()
+    assert host.process.is_running()
+    assert watch.most_bytes < 100_000_000
+    assert watch.most_descriptors < 1000
+    assert ready.startswith(b'HTTP/1.1 200'), ready[:200]
+    assert answer.startswith(b'HTTP/1.1 200'), answer[:200]
+
+
+def _play(host: Host, crowd: Crowd) -> tuple[bytes, ProcessWatch, list[Any]]:
+    """Let a crowd send, ask an ordinary request beside it, and return what was seen."""
+    watch = ProcessWatch(host.process.process.pid)
+    running = RunningCrowd(crowd, host.address)
+    try:
+        running.wait_sent(SEND_TIMEOUT_S)
+        gevent.sleep(SETTLE_S)
+        answer = crowds.ask(host.address, ORDINARY)
+        gevent.sleep(SETTLE_S)
+    finally:
+        running.stop()
+        watch.stop()
+    return answer, watch, running.outcomes
+
+
+def _answer(exchange: ScriptedExchange) -> None:
+    """Answer as an upstream of the platform, after some work."""
+    target = exchange.request.target
+    gevent.sleep(8.0 if target.startswith('/slow/') else WORK_S)
+    size = LARGE_ANSWER_BYTES if target.startswith('/large/') else 2
+    exchange.answer(
+        200,
+        bytes(size),
+        {
+            HEADER_NAMES.request_id: 'a1',
+            HEADER_NAMES.signature: 'signed',
+        },
+    )
+
+
+def _serves(ip: str) -> bool:
+    with socket.create_connection((ip, READY_PORT), timeout=1.0) as sock:
+        sock.sendall(b'GET / HTTP/1.0\r\n\r\n')
+        return b' 200 ' in sock.recv(100)
+
+
+def _configuration() -> bytes:
+    routes = [
+        {
+            'name': name,
+            'host': 'crowd.example',
+            'pathPrefix': f'/{name}/',
+            'service': 'work',
+            'kind': 'safe',
+            'timeoutMs': 30_000,
+            'targetLatencyMs': 500,
+            'maxAttempts': 1,
+            'priority': 0,
+        }
+        for name in ('work', 'slow', 'large')
+    ]
+    return json.dumps(
+        {
+            'version': 1,
+            'routes': routes,
+            'services': [{'name': 'work', 'healthPath': '/health', 'maxConns': 2000}],
+            'tenants': [{'name': 'north', 'apiKeys': ['key-north']}],
+            'limits': {
+                'maxHeaderBytes': MAX_HEAD_BYTES,
+                'maxBodyBytes': MAX_BODY_BYTES,
+                'headerTimeoutMs': 600_000,
+                'idleTimeoutMs': 600_000,
+            },
+        }
+    ).encode()
+
+
+def _registration(upstream: ScriptedUpstream) -> bytes:
+    return json.dumps(
+        {
+            'service': 'work',
+            'addr': str(upstream.address),
+            'zone': 'a',
+            'version': '1',
+            'slots': 1000,
+            'state': 'ready',
+            'coldLeftMs': 0,
+            'seq': 1,
+            'born': 1,
+        }
+    ).encode()
--- a/tests/test_router/test_callers.py
+++ b/tests/test_router/test_callers.py
@@ -132,6 +132,100 @@
     assert gevent.get_hub().loop.now() - started < 2.5
 
 
+UNSENT = 'Content-Length: 1000000\r\n'
+REFUSED_BY_HEAD = [
+    ('an unknown key', HEAD.replace(KEY, 'other'), b'401'),
+    ('an unknown route', HEAD.replace('/unsafe/', '/none/'), b'404'),
+    ('a long body', HEAD + 'Content-Length: 9000000\r\n', b'413'),
+    ('a very long body', HEAD + f'Content-Length: {"9" * 18}\r\n', b'413'),
+    ('a deadline that is none', HEAD + 'X-Patience-Ms: soon\r\n', b'400'),
+]
+
+
+@pytest.mark.parametrize('expects', ['', 'Expect: 100-continue\r\n'])
+@pytest.mark.parametrize(
+    ('name', 'head', 'status'), REFUSED_BY_HEAD, ids=[row[0] for row in REFUSED_BY_HEAD]
+)
+def test_request_is_refused_before_its_body_is_sent(
+    router: RunningRouter, name: str, head: str, status: bytes, expects: str
+) -> None:
+    upstream = router.add('one', answer)
+    length = '' if 'Content-Length' in head else UNSENT
+    received = send_and_receive(router, f'{head}{length}{expects}\r\n'.encode(), 3.0)
+    assert received.split(b' ')[1:2] == [status]
+    assert b'Connection: close' in received
+    assert not upstream.requests
+
+
+def test_awaited_body_is_served(router: RunningRouter) -> None:
+    """A caller that waits for the word to send its body gets it and its answer."""
+    router.add('one', answer)
+    with router.connection() as conn:
+        head = HEAD + 'Expect: 100-continue\r\nContent-Length: 4\r\n\r\n'
+        conn.sock.sendall(head.encode())
+        assert conn.sock.recv(1000).startswith(b'HTTP/1.1 100')
+        conn.sock.sendall(b'body')
+        assert b'answer:body' in conn.sock.recv(1000)
+
+
+def test_unfinished_body_is_refused_at_its_deadline(router: RunningRouter) -> None:
+    """A byte now and then doesn't keep a request beyond the time that it has."""
+    upstream = router.add('one', answer)
+    head = HEAD.replace('2000', '300') + 'Content-Length: 1000\r\n\r\n'
+    with router.connection() as conn:
+        conn.sock.sendall(head.encode())
+        dripping = gevent.spawn(_drip, conn.sock)
+        response = conn.read()
+        dripping.kill()
+    assert response.status == 408
+    assert not upstream.requests
+
+
+def _drip(sock: socket.socket) -> None:
+    while True:
+        sock.sendall(b'x')
+        gevent.sleep(0.05)
+
+
+def test_small_refused_request_leaves_the_connection_open(
+    router: RunningRouter,
+) -> None:
+    router.add('one', answer)
+    with router.connection() as conn:
+        head = HEAD.replace(KEY, 'other') + 'Content-Length: 4\r\n\r\n'
+        conn.sock.sendall(head.encode())
+        gevent.sleep(0.05)
+        conn.sock.sendall(b'body')
+        assert conn.sock.recv(1000).startswith(b'HTTP/1.1 401')
+        assert conn.call('unsafe').status == 200
+
+
+def test_caller_far_ahead_of_its_answer_is_answered_and_closed(
+    router: RunningRouter,
+) -> None:
+    """Bytes that don't fit are not kept; the answer in progress is complete."""
+
+    def answer_late(exchange: ScriptedExchange) -> None:
+        gevent.sleep(0.4)
+        answer(exchange)
+
+    upstream = router.add('one', answer_late)
+    request = HEAD + 'Content-Length: 1\r\n\r\n1'
+    further = (HEAD + 'Content-Length: 200000\r\n\r\n').encode() + bytes(200_000)
+    received = send_and_receive(router, request.encode() + further, 3.0)
+    assert received.endswith(b'answer:1')
+    assert b'Connection: close' in received
+    assert len(upstream.requests) == 1
+
+
+def test_memory_of_callers_is_released(router: RunningRouter) -> None:
+    router.add('one', answer)
+    account = router.router.callers.account
+    for body in (b'', b'x' * 3_000_000):
+        assert router.call('unsafe', body=body).body == b'answer:' + body
+    router.wait(lambda: account.reserved_bytes == 0)
+
+
 def test_unread_answer_is_not_buffered_without_limit(router: RunningRouter) -> None:
     sent = []
 
