--- a/packages/common/src/rosemaryseam/common/bodybuffer.py
+++ b/packages/common/src/rosemaryseam/common/bodybuffer.py
@@ -1,10 +1,10 @@
-"""Buffers for the bodies of requests, whose memory returns to the system at once."""
+"""Buffers for bodies, whose memory returns to the system at once."""
 
 from __future__ import annotations
 
 import mmap
 
-MAPPED_BYTES = 131_072  # larger buffers are mapped, so that no heap keeps them
+MAPPED_BYTES = 65_536  # larger buffers are mapped, so that no heap keeps them
 GROWTH_BYTES = 16_384  # smallest growth of a buffer without a known size
 _BLANK = b''
 
--- a/packages/common/src/rosemaryseam/common/requestholder.py
+++ b/packages/common/src/rosemaryseam/common/requestholder.py
@@ -149,6 +149,20 @@
         if account is not None:
             account.resize(self, account.costs.connection + count)
 
+    def reserve(self, count: int) -> bool:
+        """Reserve more memory for the request that is answered.
+
+        :param count: number of bytes
+        :returns: whether there is room for them
+        """
+        account = self.server.account
+        if account is not None:
+            try:
+                account.resize(self, self.held_bytes + count)
+            except NoRoomError:
+                return False
+        return True
+
     def note_progress(self) -> None:
         """Record that bytes of the caller arrived.
 
--- a/packages/node/src/rosemaryseam/node/gateway/apps.py
+++ b/packages/node/src/rosemaryseam/node/gateway/apps.py
@@ -7,7 +7,7 @@
 
 from rosemaryseam.common.callerwatch import watch_caller
 from rosemaryseam.common.errors import RequestError, ResultCode, UpstreamError
-from rosemaryseam.common.requestholder import SOCKET_KEY
+from rosemaryseam.common.requestholder import HOLDER_KEY, SOCKET_KEY
 from rosemaryseam.node.gateway.admission import (
     Admission,
     authenticate,
@@ -119,7 +119,15 @@
             target += f'?{req.query_string}'
         body = read_body(req, self._bounds)
         return PreparedRequest(
-            request_id, admission, req.method, target, headers, body, '', arrived
+            request_id,
+            admission,
+            req.method,
+            target,
+            headers,
+            body,
+            '',
+            arrived,
+            req.env[HOLDER_KEY].reserve,
         )
 
     def _run_idempotent(self, request: PreparedRequest) -> AppAnswer:
@@ -201,7 +209,7 @@
     def _send_and_read(self, request: PreparedRequest, call: GrantedCall) -> AppAnswer:
         self._runner.send(request, call)
         exchange = call.exchange
-        body = exchange.read(MAX_ANSWER_BYTES)
+        body = exchange.read(MAX_ANSWER_BYTES, request.reserve)
         call.outcome = COMPLETED_OUTCOME
         return AppAnswer(exchange.status, exchange.headers, body)
 
--- a/packages/node/src/rosemaryseam/node/gateway/calls.py
+++ b/packages/node/src/rosemaryseam/node/gateway/calls.py
@@ -47,7 +47,8 @@
 
     ``path`` includes the query. ``prefix`` is the digest of the start of the prompt,
     by which requests are routed to an engine that has it cached. ``arrived`` is a time
-    of the monotonic clock in seconds.
+    of the monotonic clock in seconds. ``reserve`` reserves memory for a part of the
+    answer, in bytes, and returns whether there is room.
     """
 
     request_id: str
@@ -58,6 +59,7 @@
     body: bytes | memoryview
     prefix: str
     arrived: float
+    reserve: Callable[[int], bool]
 
 
 class GrantedCall(RunningCall):
--- a/packages/node/src/rosemaryseam/node/gateway/completions.py
+++ b/packages/node/src/rosemaryseam/node/gateway/completions.py
@@ -13,7 +13,7 @@
     UnreadableError,
     UpstreamError,
 )
-from rosemaryseam.common.requestholder import SOCKET_KEY
+from rosemaryseam.common.requestholder import HOLDER_KEY, SOCKET_KEY
 from rosemaryseam.node.gateway.admission import (
     Admission,
     authenticate,
@@ -163,7 +163,7 @@
         self._runner.send(request, call, delivered)
         exchange = call.exchange
         if exchange.status != HTTPStatus.OK:
-            raise self._status_error(call)
+            raise self._status_error(request, call)
         complete = False
         for event in exchange.events():
             self._runner.check_run_time(request, call)
@@ -175,9 +175,9 @@
             message = f'{call.upstream.name}: the stream ended early'
             raise UpstreamError(message, written=True)
 
-    def _status_error(self, call: GrantedCall) -> Exception:
+    def _status_error(self, request: PreparedRequest, call: GrantedCall) -> Exception:
         status = call.exchange.status
-        body = call.exchange.read(MAX_ERROR_BYTES)
+        body = call.exchange.read(MAX_ERROR_BYTES, request.reserve)
         call.outcome = FAILED_OUTCOME
         if status < HTTPStatus.INTERNAL_SERVER_ERROR and status not in (
             HTTPStatus.TOO_MANY_REQUESTS,
@@ -270,7 +270,15 @@
     }
     data = body.encode(admission.request_class.tier)
     return PreparedRequest(
-        request_id, admission, 'POST', req.path, headers, data, prefix, arrived
+        request_id,
+        admission,
+        'POST',
+        req.path,
+        headers,
+        data,
+        prefix,
+        arrived,
+        req.env[HOLDER_KEY].reserve,
     )
 
 
--- a/packages/node/src/rosemaryseam/node/upstreams/__init__.py
+++ b/packages/node/src/rosemaryseam/node/upstreams/__init__.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Mapping
+    from collections.abc import Callable, Iterator, Mapping
 
     from rosemaryseam.common.addresses import Address
 
@@ -22,7 +22,7 @@
     method: str
     path: str
     headers: Mapping[str, str]
-    body: bytes
+    body: bytes | memoryview
     connect_s: float
     first_byte_s: float
     between_bytes_s: float
@@ -52,12 +52,15 @@
         """
 
     @abc.abstractmethod
-    def read(self, limit: int) -> bytes:
+    def read(
+        self, limit: int, reserve: Callable[[int], bool] = lambda _: True
+    ) -> bytes:
         """Read the complete body.
 
         :param limit: maximum size of the body in bytes
+        :param reserve: reserves memory in bytes, and returns whether there is room
         :raises UpstreamError: if the connection failed, a read timed out or the body
-            is too large
+            is too large, or there is no memory for it
         """
 
     @abc.abstractmethod
--- a/packages/node/src/rosemaryseam/node/upstreams/http.py
+++ b/packages/node/src/rosemaryseam/node/upstreams/http.py
@@ -5,12 +5,13 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from rosemaryseam.common.bodybuffer import BodyBuffer
 from rosemaryseam.common.errors import UpstreamError
 from rosemaryseam.common.exchange import TRANSPORT_ERRORS, Exchange
 from rosemaryseam.node.upstreams import UpstreamCall, UpstreamClient, UpstreamExchange
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from geventhttpclient.response import HTTPSocketResponse
 
@@ -90,21 +91,25 @@
                 return
             yield event
 
-    def read(self, limit: int) -> bytes:
+    def read(
+        self, limit: int, reserve: Callable[[int], bool] = lambda _: True
+    ) -> bytes:
         """Read the complete body."""
-        parts = []
-        size = 0
+        buffer = BodyBuffer()
         try:
             while part := self._response.read(READ_BYTES):
-                parts.append(part)
-                size += len(part)
-                if size > limit:
-                    raise UpstreamError(
-                        f'{self._address}: answer too large', written=True
-                    )
+                if buffer.size + len(part) > limit:
+                    raise self._error('answer too large')
+                added = buffer.capacity_for(len(part)) - buffer.capacity
+                if added and not reserve(added):
+                    raise self._error('no memory for the answer')
+                buffer.append(part)
         except TRANSPORT_ERRORS as exc:
             raise UpstreamError(f'{self._address}: {exc}', written=True) from exc
-        return b''.join(parts)
+        return bytes(buffer.view())
+
+    def _error(self, reason: str) -> UpstreamError:
+        return UpstreamError(f'{self._address}: {reason}', written=True)
 
     def cancel(self) -> None:
         """Cancel the call without blocking."""
--- a/packages/router/src/rosemaryseam/router/events.py
+++ b/packages/router/src/rosemaryseam/router/events.py
@@ -41,6 +41,11 @@
         """The bytes after the last complete event."""
         return bytes(self._buffer)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The number of bytes after the last complete event."""
+        return len(self._buffer)
+
     @property
     def inside_event(self) -> bool:
         """Whether the bytes so far end in the middle of an event or a line."""
--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -591,7 +591,7 @@
             head.status >= FIRST_SERVER_ERROR_STATUS
             and admitted.route.repeat is not Repeat.NEVER
         ):
-            attempts.error_answer = (head, read_body(conn.chunks()))
+            attempts.error_answer = (head, read_body(conn.chunks(), relay.reserve))
             raise BrokenError(f'{upstream.id} answered {head.status}')
         if not relay.may_go_on_with(head):
             media_type = _to_text(head.media_type)
--- a/packages/router/src/rosemaryseam/router/relay.py
+++ b/packages/router/src/rosemaryseam/router/relay.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING
 
+from rosemaryseam.common.bodybuffer import BodyBuffer
 from rosemaryseam.router.events import EventSplitter, EventTooLongError
 from rosemaryseam.router.faults import BrokenError, ForeignBytesError
 from rosemaryseam.router.headercodec import CONNECTION_HEADERS, connection_options
@@ -17,6 +19,7 @@
     from rosemaryseam.router.requests import AnswerHead, RawHeaders
     from rosemaryseam.router.upstreams import Upstream
 
+EVENT_BYTES = 65_536  # of memory that is reserved at a time for an unfinished event
 MAX_BUFFERED_ANSWER_BYTES = 262_144  # longer answers are relayed while they arrive
 EVENT_STREAM = b'text/event-stream'
 _DROPPED_HEADERS = CONNECTION_HEADERS - {b'content-length'}
@@ -37,46 +40,40 @@
     :param bodyless: whether the request's method allows no body in the answer
     :raises BrokenError: if the upstream's answer is truncated
     """
-    buffer = bytearray()
+    buffer = AnswerBuffer(reply.reserve)
     for chunk in chunks:
-        buffer += chunk
-        too_long = len(buffer) > MAX_BUFFERED_ANSWER_BYTES
-        if too_long or not reply.reserve(len(chunk)):
+        if not buffer.add(chunk):
             break
     else:
-        body = bytes(buffer)
-        buffer.clear()
+        body = buffer.take()
         reply.start(
             head.status, head.reason, _headers_with_length(head, body, bodyless)
         )
         reply.write(body)
         reply.finish()
         return
-    _relay_unbuffered(head, buffer, chunks, reply)
+    _relay_unbuffered(head, buffer, itertools.chain((chunk,), chunks), reply)
 
 
-def read_body(chunks: Iterator[bytes]) -> bytes:
+def read_body(chunks: Iterator[bytes], reserve: Callable[[int], bool]) -> bytes:
     """Return a body of up to :data:`MAX_BUFFERED_ANSWER_BYTES`.
 
     :param chunks: body of the upstream's answer
-    :raises ForeignBytesError: if the body is longer
+    :param reserve: reserves memory in bytes, and returns whether there is room
+    :raises ForeignBytesError: if the body is longer, or there is no memory for it
     """
-    body = bytearray()
+    buffer = AnswerBuffer(reserve)
     for chunk in chunks:
-        body += chunk
-        if len(body) > MAX_BUFFERED_ANSWER_BYTES:
-            raise ForeignBytesError('the body of a failure is too long')
-    return bytes(body)
+        if not buffer.add(chunk):
+            raise ForeignBytesError('there is no room for the body of a failure')
+    return buffer.take()
 
 
 def _relay_unbuffered(
-    head: AnswerHead, buffer: bytearray, chunks: Iterator[bytes], reply: Reply
+    head: AnswerHead, buffer: AnswerBuffer, chunks: Iterator[bytes], reply: Reply
 ) -> None:
     reply.start(head.status, head.reason, end_to_end_headers(head))
-    begun = bytes(buffer)
-    buffer.clear()
-    reply.write(begun)
-    del begun
+    reply.write(buffer.take())
     try:
         for chunk in chunks:
             reply.write(chunk)
@@ -86,6 +83,37 @@
     reply.finish()
 
 
+class AnswerBuffer:
+    """The beginning of an answer, up to :data:`MAX_BUFFERED_ANSWER_BYTES`.
+
+    :param reserve: reserves memory in bytes, and returns whether there is room
+    """
+
+    def __init__(self, reserve: Callable[[int], bool]) -> None:
+        self._reserve = reserve
+        self._buffer = BodyBuffer()
+
+    def add(self, data: bytes) -> bool:
+        """Add bytes; return whether there is room for them.
+
+        :param data: next bytes of the answer
+        """
+        buffer = self._buffer
+        if buffer.size + len(data) > MAX_BUFFERED_ANSWER_BYTES:
+            return False
+        added = buffer.capacity_for(len(data)) - buffer.capacity
+        if added and not self._reserve(added):
+            return False
+        buffer.append(data)
+        return True
+
+    def take(self) -> bytes:
+        """Return the bytes, which are not kept any more."""
+        data = bytes(self._buffer.view())
+        self._buffer = BodyBuffer()
+        return data
+
+
 class StreamRelay:
     """Relays complete events of one stream, which several upstreams may continue.
 
@@ -101,6 +129,7 @@
         self.version: str | None = None  # of the software that began the stream
         self._first_head: AnswerHead | None = None  # that the caller has
         self.last_event_id: bytes | None = None
+        self._reserved_bytes = EVENT_BYTES  # included in each request
         self.event_count = 0
         self.unfinished_bytes = 0  # after the last complete event, at the end
 
@@ -138,6 +167,7 @@
                 events = splitter.feed(chunk)
             except EventTooLongError as exc:
                 raise ForeignBytesError(str(exc)) from exc
+            self._reserve(splitter.buffered_bytes)
             data = b''.join([event.data for event in events if self._is_new(event.id)])
             for _ in events:
                 ticket.on_event()
@@ -152,6 +182,25 @@
             self._reply.write(splitter.remainder)
         self._reply.finish()
 
+    def reserve(self, count: int) -> bool:
+        """Reserve memory for parts of an answer that are not relayed yet.
+
+        :param count: number of bytes
+        :returns: whether there is room for them
+        """
+        return self._reply.reserve(count)
+
+    def _reserve(self, count: int) -> None:
+        """Reserve memory for an unfinished event.
+
+        :param count: number of its bytes so far
+        :raises ForeignBytesError: if there is no room for it
+        """
+        while count > self._reserved_bytes:
+            if not self.reserve(EVENT_BYTES):
+                raise ForeignBytesError('there is no memory for an unfinished event')
+            self._reserved_bytes += EVENT_BYTES
+
     def _start(self, head: AnswerHead, ticket: Ticket) -> None:
         if not self._reply.started:
             if self.version is None:
--- a/tests/test_node/test_crowds.py
+++ b/tests/test_node/test_crowds.py
@@ -16,16 +16,21 @@
 from crowds import Crowd, ProcessWatch, RunningCrowd
 
 from catalogues import KEYS
+from rosemaryseam.standins.scripted import ScriptedUpstream
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from rosemaryseam.standins.scripted import ScriptedExchange
+
 MEMORY_BYTES = 150_000_000  # of the host
 DESCRIPTORS = 400  # that the node may open
 MAX_BODY_BYTES = 4_000_000  # the default of the settings
 MAX_DISCARDED_BYTES = 16_777_216  # of what a refused caller sends on
 MAX_FLOOD_BYTES = 40_000_000  # of a caller whose answer may be lost by a reset
 SEND_TIMEOUT_S = 20.0  # for a crowd to send what the process takes
+WORK_S = 0.3  # of an upstream for a request
+LARGE_ANSWER_BYTES = 6_000_000
 SETTLE_S = 1.0  # for what was sent last to be handled
 BOUNDS = {
     'connections': 300,
@@ -147,6 +152,38 @@
     assert answer.startswith(b'HTTP/1.1 200'), answer[:200]
 
 
+def test_large_answers_stay_within_the_memory_of_the_host(
+    own_fleet: Callable[..., Any],
+) -> None:
+    """Callers that ask for large answers at once get some of them or an error."""
+
+    def answer_at_length(exchange: ScriptedExchange) -> None:
+        gevent.sleep(WORK_S)
+        exchange.answer(200, bytes(LARGE_ANSWER_BYTES), {'Content-Type': 'text/plain'})
+
+    upstream = ScriptedUpstream(answer_at_length)
+
+    def use_upstream(catalogue: dict[str, Any]) -> None:
+        for entry in catalogue['upstreams']:
+            if entry['pool'] == 'desk':
+                entry['address'] = str(upstream.address)
+
+    fleet = own_fleet(
+        nodes=1,
+        engines=1,
+        apps=1,
+        concurrent=100,
+        edit_catalogue=use_upstream,
+        bounds=BOUNDS,
+    )
+    crowd = Crowd(40, crowds.once(APP + b'Content-Length: 2\r\n\r\nhi'), reads=False)
+    answer, watch, _ = _play(fleet, crowd)
+    upstream.stop()
+    assert len(upstream.requests) == crowd.callers
+    assert watch.most_bytes < MEMORY_BYTES
+    assert answer.startswith(b'HTTP/1.1 200'), answer[:200]
+
+
 def test_addresses_of_operators_hold_little(own_fleet: Callable[..., Any]) -> None:
     """Connections to the operators' address are bounded too."""
     fleet = _start(own_fleet)
