--- a/packages/router/src/rosemaryseam/router/process.py
+++ b/packages/router/src/rosemaryseam/router/process.py
@@ -245,22 +245,19 @@
             cfg.descriptors - RESERVED_DESCRIPTORS,
             listener,
         )
-        operators = CallerAccount(
-            OPERATOR_BYTES, SystemClock(), self.metrics, 'operator'
-        )
         self._readiness_server = HttpServer(
             cfg.readiness,
             build_readiness_app(self.not_ready, self._failing_work),
             ServerTimeouts(),
             OPERATOR_CONNECTIONS,
-            operators,
+            self._operator_account('readiness'),
         )
         self._status_server = HttpServer(
             cfg.metrics,
             build_metrics_app(self.metrics, self.dump),
             ServerTimeouts(),
             OPERATOR_CONNECTIONS,
-            operators,
+            self._operator_account('operator'),
         )
         self._mirror_server = HttpServer(
             Address(cfg.ip, cfg.peer_port),
@@ -416,6 +413,10 @@
         table = self.feed.table
         return table.limits if table is not None else CallerLimits()
 
+    def _operator_account(self, name: str) -> CallerAccount:
+        """Return an account of one address, whose connections yield to each other."""
+        return CallerAccount(OPERATOR_BYTES, SystemClock(), self.metrics, name)
+
     def _find_service(self, name: str) -> Service | None:
         table = self.feed.table
         return table.services.get(name) if table is not None else None
