Log how an answer was framed for its caller and whether its request was written

A stream that ends as complete too early looks the same in the log whether its upstream closed the connection in order or reset it while the request was still being written. request_answered now tells the framing for the caller, the size of the request's body, whether it was written to its end, what its writer ran into, and the number of runs; answers_ended_by_close counts answers whose end was that of their connection.

--- a/packages/router/src/rosemaryseam/router/callerconnection.py
+++ b/packages/router/src/rosemaryseam/router/callerconnection.py
@@ -25,6 +25,7 @@
     ReadingConnection,
     RequestReader,
 )
+from rosemaryseam.router.requests import Framing
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -120,18 +121,19 @@
         """Return whether to add ``Connection: close`` to answers."""
         return self._server.draining or self._read_ahead.is_incomplete
 
-    def begin_answer(self, headers: RawHeaders) -> None:
+    def begin_answer(self, headers: RawHeaders) -> Framing:
         """Reset the connection if it closes before the answer ends, where needed.
 
         HTTP/1.0 has no chunks, so that the end of the connection completes an answer
         without a length.
 
         :param headers: headers of the answer
+        :returns: how the end of the answer is marked
         """
-        names = {name.lower() for name, _ in headers}
-        self._reset_on_close = (
-            self._http.their_http_version == b'1.0' and b'content-length' not in names
-        )
+        if any(name.lower() == b'content-length' for name, _ in headers):
+            return Framing.LENGTH
+        self._reset_on_close = self._http.their_http_version == b'1.0'
+        return Framing.CLOSE if self._reset_on_close else Framing.CHUNKED
 
     def end_answer(self) -> None:
         """Close the connection in order from now on."""
--- a/packages/router/src/rosemaryseam/router/callerreply.py
+++ b/packages/router/src/rosemaryseam/router/callerreply.py
@@ -26,7 +26,7 @@
     def start(self, status: int, reason: bytes, headers: RawHeaders) -> None:
         """Write the status line and the headers."""
         self.started = True
-        self._conn.begin_answer(headers)
+        self.framing = self._conn.begin_answer(headers)
         if self._conn.must_close():
             names = {name.lower() for name, _ in headers}
             if b'connection' not in names:
--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -13,6 +13,7 @@
 from rosemaryseam.common.errors import ResultCode
 from rosemaryseam.policy.retrybudget import FleetRetryBudget
 from rosemaryseam.router.admission import AdmittedRequest, AttemptHistory, RefusalError
+from rosemaryseam.router.answerlog import AnswerLog
 from rosemaryseam.router.brittleness import is_room_refusal
 from rosemaryseam.router.codec import BadRequestError
 from rosemaryseam.router.events import EventSplitter, EventTooLongError
@@ -122,6 +123,7 @@
         self._rng = rng
         self._demand = demand
         self._counter = counter or NoRequestCounter()
+        self._answer_log = AnswerLog(clock, metrics)
         self._budgets: dict[str, FleetRetryBudget] = {}
         self._quiet = QuietPeriods(clock)
         self._stops_at: float | None = None
@@ -337,7 +339,7 @@
             watch.close()
             ticket.end(outcome)
             if outcome == 'cancelled':
-                self._log_cancelled(admitted, ticket, relay)
+                self._answer_log.record_cancelled(admitted, ticket, relay)
         if attempts.successor is not None:
             return False
         obstacle = self._retry_obstacle(admitted, attempts, relay)
@@ -618,8 +620,8 @@
         except BaseException:
             conn.close()
             raise
+        self._answer_log.record_answer(admitted, attempts, relay, reply, answer)
         self._pool.release(ticket.upstream, conn)
-        self._log_answer(admitted, ticket, relay, head)
 
     # Retries.
 
@@ -782,49 +784,6 @@
             close=exc.close,
         )
 
-    def _log_cancelled(
-        self, admitted: AdmittedRequest, ticket: Ticket, relay: StreamRelay
-    ) -> None:
-        """Log an attempt that ended because of a disconnect or a timeout."""
-        now = self._clock.monotonic()
-        log_event(
-            'attempt_cancelled',
-            id=admitted.request.id,
-            upstream=ticket.upstream.id,
-            ms=int((now - admitted.request.arrived) * 1000),
-            left_ms=int((admitted.expires_at - now) * 1000),
-            events=relay.event_count,
-            first_ms=None
-            if ticket.first_event_s is None
-            else int(ticket.first_event_s * 1000),
-            pause_ms=int(ticket.longest_pause_s * 1000),
-        )
-
-    def _log_answer(
-        self,
-        admitted: AdmittedRequest,
-        ticket: Ticket,
-        relay: StreamRelay,
-        head: AnswerHead,
-    ) -> None:
-        elapsed = self._clock.monotonic() - admitted.request.arrived
-        self._metrics.observe('request', elapsed, route=admitted.route.name)
-        log_event(
-            'request_answered',
-            id=admitted.request.id,
-            upstream=ticket.upstream.id,
-            status=head.status,
-            ms=int(elapsed * 1000),
-            first_ms=None
-            if ticket.first_event_s is None
-            else int(ticket.first_event_s * 1000),
-            pause_ms=int(ticket.longest_pause_s * 1000),
-            framing=head.framing.value,
-            media_type=head.media_type.decode('latin-1'),
-            events=relay.event_count,
-            unfinished_bytes=relay.unfinished_bytes,
-        )
-
 
 def _outcome(exc: SendError, attempts: AttemptHistory) -> str:
     """Return the outcome of an attempt that failed, as passed to its ticket."""
--- a/packages/router/src/rosemaryseam/router/reply.py
+++ b/packages/router/src/rosemaryseam/router/reply.py
@@ -8,7 +8,7 @@
 
 if TYPE_CHECKING:
     from rosemaryseam.common.errors import ResultCode
-    from rosemaryseam.router.requests import RawHeaders
+    from rosemaryseam.router.requests import Framing, RawHeaders
 
 
 class CallerGoneError(Exception):
@@ -20,9 +20,14 @@
 
 
 class Reply(abc.ABC):
-    """Writes one answer; ``started`` is true once the head was written."""
+    """Writes one answer.
+
+    ``started`` is true once the head was written. ``framing`` is how the end of the
+    body is marked for the caller then.
+    """
 
     started = False
+    framing: Framing | None = None
 
     @abc.abstractmethod
     def start(self, status: int, reason: bytes, headers: RawHeaders) -> None:
--- a/packages/router/src/rosemaryseam/router/upstreamconnection.py
+++ b/packages/router/src/rosemaryseam/router/upstreamconnection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import socket as std_socket
 from typing import TYPE_CHECKING, Any
 
@@ -94,6 +93,7 @@
         self._clock = clock
         self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._writer: gevent.Greenlet | None = None
+        self.write_error: OSError | None = None  # of the request in the background
         self._sent_events: list[Any] = []
         self._head: AnswerHead | None = None
         self._skipped_bytes = 0
@@ -129,6 +129,12 @@
         except OSError:
             return False
 
+    def has_written(self) -> bool:
+        """Return whether the request was written to its end."""
+        return self.write_error is None and (
+            self._writer is None or self._writer.ready()
+        )
+
     def idle_s(self) -> float:
         """Return the time since the last answer was complete, in seconds."""
         return self._clock.monotonic() - self.last_used
@@ -352,9 +358,11 @@
 
     def _write_ignoring_errors(self, parts: list[bytes | memoryview]) -> None:
         """Write; a failure is raised when the answer is read."""
-        with contextlib.suppress(OSError):
+        try:
             for part in parts:
                 self._sock.sendall(part)
+        except OSError as exc:
+            self.write_error = exc
 
 
 def _never() -> bool:
