Keep the error of an upstream's connection for the reader of its answer

Callers got a part of an answer as a complete one, and streams that ended as complete after some of their events: the upstream answered without a length and reset the connection while the request's body was still being written. The kernel reports a reset once, to the first call; the greenlet that writes the body took it and dropped it, as a look for unread bytes could too. The reader then saw an ordered end, which completes such an answer. The socket now keeps its error and raises it at the end; bytes that arrived before it are read first, as an early refusal is complete without the rest.

test_unframed_answers: 'reset later' (uploads and streams) and both cases of test_error_of_a_connection failed before, 6 of 6, and pass; so do test_forwarder, test_cut_answers, test_stream_end, test_silent_upstreams and test_partition.

--- a/packages/router/src/rosemaryseam/router/upstreamconnection.py
+++ b/packages/router/src/rosemaryseam/router/upstreamconnection.py
@@ -9,6 +9,7 @@
 import h11
 from gevent import socket
 
+from rosemaryseam.common.errorkeeping import ErrorKeepingSocket
 from rosemaryseam.common.fairness import FairReceiver
 from rosemaryseam.router.faults import (
     BrokenError,
@@ -81,9 +82,9 @@
         clock: Clock,
         path: ConnectionPath | None = None,
     ) -> None:
-        self._sock = sock
+        self._sock = ErrorKeepingSocket(sock)
         self.path = path or ConnectionPath()
-        self._receiver = FairReceiver(sock)
+        self._receiver = FairReceiver(self._sock)
         self._should_abort: Callable[[], bool] = _never
         self._aborts_while_receiving = False
         self._checked_at = 0.0
@@ -120,14 +121,14 @@
         return self._sock.fileno()
 
     def has_unread_bytes(self) -> bool:
-        """Return whether the upstream sent bytes that were not read yet."""
+        """Return whether there are bytes of the upstream to read, or an error."""
         descriptor = self.fileno()
         if descriptor not in readable_descriptors([descriptor]):
             return False
         try:
             return bool(self._sock.recv(1, std_socket.MSG_PEEK))
         except OSError:
-            return False
+            return True
 
     def has_written(self) -> bool:
         """Return whether the request was written to its end."""
