Take no answer for whole whose upstream did not read the request

An upstream that ends its connection while the request is still being written, and resets it then, had its part passed on as a complete answer, as the end of an answer without a length is that of its connection. Such an end now waits until the request is written, at most a second; if it cannot be, the answer has been broken off. An upstream that ends early and reads on is unaffected.

test_unframed_answers: the four cases 'ended, then reset' failed before and pass; 'ended, then read to its end' passed before and does.

--- a/packages/router/src/rosemaryseam/router/upstreamconnection.py
+++ b/packages/router/src/rosemaryseam/router/upstreamconnection.py
@@ -18,6 +18,7 @@
     SilentError,
 )
 from rosemaryseam.router.readability import readable_descriptors
+from rosemaryseam.router.requests import Framing
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -35,6 +36,7 @@
 MAX_SKIPPED_HEADS = 16  # informational or of other requests, before an answer
 MAX_SKIPPED_BYTES = 1_048_576  # of bodies of answers to other requests
 ABORT_CHECK_INTERVAL_S = 0.1  # between two checks whether to stop waiting for bytes
+WRITE_END_S = 1.0  # for a request to be written after its answer has ended
 HELD_UP_S = 0.5  # for which bytes that were read waited until they were handled
 KEEP_ALIVE_MARGIN_S = 1.0  # not reused this close to the upstream's idle timeout
 
@@ -133,7 +135,7 @@
     def has_written(self) -> bool:
         """Return whether the request was written to its end."""
         return self.write_error is None and (
-            self._writer is None or self._writer.ready()
+            self._writer is None or self._writer.successful()
         )
 
     def idle_s(self) -> float:
@@ -304,7 +306,23 @@
                 if self._events % EVENTS_PER_TURN == 0:
                     gevent.sleep(0)  # one read may bring thousands of small parts
                 return event
-            self._http.receive_data(self._receive())
+            data = self._receive()
+            if not data:
+                self._check_written()
+            self._http.receive_data(data)
+
+    def _check_written(self) -> None:
+        """Check that an upstream whose connection ends its answer read the request.
+
+        :raises BrokenError: if it did not
+        """
+        if self._head is None or self._head.framing is not Framing.CLOSE:
+            return
+        if self._writer is not None:
+            self._writer.join(WRITE_END_S)
+        if not self.has_written():
+            self.path.on_failed()
+            raise BrokenError('the connection ended before the request was written')
 
     def _receive(self) -> bytes:
         if self._must_check() and self._should_abort():
