Mark the end of a stream for its caller as its upstream marked it

Callers got streams that ended as complete, in chunks, before their last event. An upstream may send a stream with neither a length nor chunks, which ends with its connection; if its process ends between two events, nothing tells this from the stream's end. The router sent such a stream on in chunks and wrote a last chunk that the upstream never sent, a promise that it could not know to be true. Such a stream now ends with the caller's connection too, which is reset if the stream was broken off. A stream that began in chunks and goes on at an upstream that marks no end keeps its chunks, as its head was sent.

--- a/packages/router/src/rosemaryseam/router/callerconnection.py
+++ b/packages/router/src/rosemaryseam/router/callerconnection.py
@@ -121,19 +121,25 @@
         """Return whether to add ``Connection: close`` to answers."""
         return self._server.draining or self._read_ahead.is_incomplete
 
-    def begin_answer(self, headers: RawHeaders) -> Framing:
+    def begin_answer(self, headers: RawHeaders, ends_connection: bool) -> Framing:
         """Reset the connection if it closes before the answer ends, where needed.
 
         HTTP/1.0 has no chunks, so that the end of the connection completes an answer
         without a length.
 
         :param headers: headers of the answer
+        :param ends_connection: whether to send an answer without a length as over
+            HTTP/1.0
         :returns: how the end of the answer is marked
         """
         if any(name.lower() == b'content-length' for name, _ in headers):
             return Framing.LENGTH
-        self._reset_on_close = self._http.their_http_version == b'1.0'
-        return Framing.CLOSE if self._reset_on_close else Framing.CHUNKED
+        if ends_connection:
+            self._http.their_http_version = b'1.0'  # h11 uses no chunks then
+        if self._http.their_http_version != b'1.0':
+            return Framing.CHUNKED
+        self._reset_on_close = True
+        return Framing.CLOSE
 
     def end_answer(self) -> None:
         """Close the connection in order from now on."""
--- a/packages/router/src/rosemaryseam/router/callerreply.py
+++ b/packages/router/src/rosemaryseam/router/callerreply.py
@@ -23,10 +23,17 @@
         self._conn = conn
         self.started = False
 
-    def start(self, status: int, reason: bytes, headers: RawHeaders) -> None:
+    def start(
+        self,
+        status: int,
+        reason: bytes,
+        headers: RawHeaders,
+        *,
+        ends_connection: bool = False,
+    ) -> None:
         """Write the status line and the headers."""
         self.started = True
-        self.framing = self._conn.begin_answer(headers)
+        self.framing = self._conn.begin_answer(headers, ends_connection)
         if self._conn.must_close():
             names = {name.lower() for name, _ in headers}
             if b'connection' not in names:
--- a/packages/router/src/rosemaryseam/router/relay.py
+++ b/packages/router/src/rosemaryseam/router/relay.py
@@ -209,7 +209,12 @@
             self._on_begin(ticket.upstream)
             # The length of one upstream's answer is not that of a resumed stream.
             headers = _without_length(end_to_end_headers(head))
-            self._reply.start(head.status, head.reason, headers)
+            self._reply.start(
+                head.status,
+                head.reason,
+                headers,
+                ends_connection=head.framing is Framing.CLOSE,
+            )
 
     def _is_new(self, event_id: bytes | None) -> bool:
         """Return whether an event was not relayed before, and store its id if so."""
--- a/packages/router/src/rosemaryseam/router/reply.py
+++ b/packages/router/src/rosemaryseam/router/reply.py
@@ -30,12 +30,21 @@
     framing: Framing | None = None
 
     @abc.abstractmethod
-    def start(self, status: int, reason: bytes, headers: RawHeaders) -> None:
+    def start(
+        self,
+        status: int,
+        reason: bytes,
+        headers: RawHeaders,
+        *,
+        ends_connection: bool = False,
+    ) -> None:
         """Write the status line and the headers.
 
         :param status: HTTP status
         :param reason: HTTP reason phrase
         :param headers: headers without hop-by-hop headers
+        :param ends_connection: whether to mark the end of a body without a length by
+            that of the connection, as nothing else says where it is
         :raises CallerGoneError: if the caller has closed the connection
         """
 
