Take no answer for whole whose upstream's process ended with it

Callers got streams of crashed engines as complete: if all bytes of a connection were read, the kernel closes it in order as its process ends, and an answer with neither a length nor chunks is complete at the end of its connection. Beside such an end the router now connects to the upstream, as it does after an answer that was broken off. The connection is kept for the next request, in place of the one that ended.

--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -13,6 +13,7 @@
 from rosemaryseam.common.errors import ResultCode
 from rosemaryseam.policy.retrybudget import FleetRetryBudget
 from rosemaryseam.router.admission import AdmittedRequest, AttemptHistory, RefusalError
+from rosemaryseam.router.answerend import EndCheck
 from rosemaryseam.router.answerlog import AnswerLog
 from rosemaryseam.router.brittleness import is_room_refusal
 from rosemaryseam.router.codec import BadRequestError
@@ -124,6 +125,7 @@
         self._demand = demand
         self._counter = counter or NoRequestCounter()
         self._answer_log = AnswerLog(clock, metrics)
+        self._end_check = EndCheck(registry, pool)
         self._budgets: dict[str, FleetRetryBudget] = {}
         self._quiet = QuietPeriods(clock)
         self._stops_at: float | None = None
@@ -483,7 +485,10 @@
         except BaseException:
             conn.close()
             raise
-        return OpenAnswer(ticket, conn, head, conn.chunks())
+        parts = self._end_check.parts(
+            upstream, conn, head, streamed=admitted.route.streamed
+        )
+        return OpenAnswer(ticket, conn, head, parts)
 
     # Upstreams that fall silent.
 
--- a/packages/router/src/rosemaryseam/router/pool.py
+++ b/packages/router/src/rosemaryseam/router/pool.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import gevent
+
 from rosemaryseam.router.faults import NotSentError
 from rosemaryseam.router.readability import readable_descriptors
 from rosemaryseam.router.upstreamconnection import UpstreamConnection
@@ -48,18 +50,25 @@
             return idle
         return self._open(upstream)
 
-    def refuses_connections(self, upstream: Upstream) -> bool:
+    def refuses_connections(self, upstream: Upstream, settling_s: float = 0.0) -> bool:
         """Return whether an upstream refuses connections, as after a crash.
 
         A connection that could be made, even through another host, is kept for the
         next request.
 
         :param upstream: upstream to connect to
+        :param settling_s: time in seconds for which a new connection has to last, as a
+            process that ends may still have accepted it
         """
         try:
             conn = self._open(upstream)
         except NotSentError as exc:
             return isinstance(exc.__cause__, ConnectionRefusedError)
+        if settling_s:
+            gevent.sleep(settling_s)
+            if not conn.is_reusable():
+                conn.close()
+                return self.refuses_connections(upstream)
         self._idle.setdefault(upstream.incarnation, []).append(conn)
         return False
 
