State no length of an answer that its upstream did not state

A whole answer with neither a length nor chunks, whose connection closed in order, reached its caller with a Content-Length of what had arrived, so that a part of it was complete by its own statement. Such an answer now ends with the caller's connection, as streams do.

--- a/packages/router/src/rosemaryseam/router/relay.py
+++ b/packages/router/src/rosemaryseam/router/relay.py
@@ -45,11 +45,8 @@
         if not buffer.add(chunk):
             break
     else:
-        body = buffer.take()
-        reply.start(
-            head.status, head.reason, _headers_with_length(head, body, bodyless)
-        )
-        reply.write(body)
+        _start_whole(head, buffer.size, reply, bodyless=bodyless)
+        reply.write(buffer.take())
         reply.finish()
         return
     _relay_unbuffered(head, buffer, itertools.chain((chunk,), chunks), reply)
@@ -72,7 +69,13 @@
 def _relay_unbuffered(
     head: AnswerHead, buffer: AnswerBuffer, chunks: Iterator[bytes], reply: Reply
 ) -> None:
-    reply.start(head.status, head.reason, end_to_end_headers(head))
+    ends_connection = head.framing is Framing.CLOSE
+    reply.start(
+        head.status,
+        head.reason,
+        end_to_end_headers(head),
+        ends_connection=ends_connection,
+    )
     reply.write(buffer.take())
     try:
         for chunk in chunks:
@@ -107,6 +110,11 @@
         buffer.append(data)
         return True
 
+    @property
+    def size(self) -> int:
+        """The number of bytes."""
+        return self._buffer.size
+
     def take(self) -> bytes:
         """Return the bytes, which are not kept any more."""
         data = bytes(self._buffer.view())
@@ -249,13 +257,21 @@
     return [entry for entry in head.headers if entry[0].lower() not in dropped]
 
 
-def _headers_with_length(
-    head: AnswerHead, body: bytes, bodyless: bool
-) -> list[tuple[bytes, bytes]]:
+def _start_whole(
+    head: AnswerHead, body_bytes: int, reply: Reply, *, bodyless: bool
+) -> None:
+    """Begin an answer whose body was read; state no length that its upstream did not.
+
+    A length tells a caller that the body is whole.
+    """
     headers = end_to_end_headers(head)
-    if bodyless or head.status in (204, 304):
-        return headers
-    return [*_without_length(headers), (b'Content-Length', str(len(body)).encode())]
+    ends_connection = False
+    if not bodyless and head.status not in (204, 304):
+        headers = _without_length(headers)
+        ends_connection = head.framing is Framing.CLOSE
+        if not ends_connection:
+            headers.append((b'Content-Length', str(body_bytes).encode()))
+    reply.start(head.status, head.reason, headers, ends_connection=ends_connection)
 
 
 def _without_length(headers: RawHeaders) -> RawHeaders:
--- a/tests/test_router/test_unframed_answers.py
+++ b/tests/test_router/test_unframed_answers.py
@@ -257,3 +257,22 @@
         response = router.call(route)
     assert response.complete is is_resumed
     assert response.body == events(1, LAST_EVENT if is_resumed else 4)
+
+
+# Guards against a part of an answer that becomes a whole one with a length, as its
+# upstream's connection closed in order (MIXED, issue 51).
+@pytest.mark.parametrize('route', ['safe', 'unsafe', 'public'])
+def test_end_of_an_answer_is_marked_as_its_upstream_marked_it(
+    router: RunningRouter, route: str
+) -> None:
+    def script(exchange: ScriptedExchange) -> None:
+        exchange.start(200, exchange.headers())
+        exchange.send_raw(b'part')
+        exchange.close()
+
+    router.add('one', script)
+    for _ in range(CALLS):
+        response = router.call(route)
+        assert (response.body, response.complete) == (b'part', True)
+        assert 'content-length' not in response.headers
+        assert response.headers['connection'] == 'close'
