Reset a caller's connection that marks an end if the process is killed

A process that is killed closes its connections in order, which completes an answer whose end is that of its connection: those of HTTP/1.0 callers, and now those that the upstream marked so. Their sockets are set to be reset from the head of the answer to its end, as those of tunnels are.

--- a/packages/router/src/rosemaryseam/router/callerconnection.py
+++ b/packages/router/src/rosemaryseam/router/callerconnection.py
@@ -43,6 +43,7 @@
 LOGGED_TRACE_FRAMES = 3  # innermost frames of an internal error's traceback
 _EV_READ = 1  # event mask of libev
 _LINGER_0_S = struct.pack('ii', 1, 0)  # closing resets the connection
+_NO_LINGER = struct.pack('ii', 0, 0)
 
 
 class CallerConnection(Holder, ReadingConnection):
@@ -139,23 +140,26 @@
         if self._http.their_http_version != b'1.0':
             return Framing.CHUNKED
         self._reset_on_close = True
+        self._set_linger(_LINGER_0_S)  # also if this process is killed
         return Framing.CLOSE
 
     def end_answer(self) -> None:
         """Close the connection in order from now on."""
-        self._reset_on_close = False
+        if self._reset_on_close:
+            self._reset_on_close = False
+            self._set_linger(_NO_LINGER)
 
     def close(self) -> None:
         """Close the connection; reset it if the end would complete a partial answer."""
-        with contextlib.suppress(OSError):
-            if self._reset_on_close:
-                self._sock.setsockopt(
-                    std_socket.SOL_SOCKET, std_socket.SO_LINGER, _LINGER_0_S
-                )
-            else:
+        if not self._reset_on_close:
+            with contextlib.suppress(OSError):
                 self._sock.shutdown(std_socket.SHUT_RDWR)
         self._sock.close()
 
+    def _set_linger(self, value: bytes) -> None:
+        with contextlib.suppress(OSError):
+            self._sock.setsockopt(std_socket.SOL_SOCKET, std_socket.SO_LINGER, value)
+
     def release(self) -> None:
         """Release all memory of the connection, which was closed."""
         self._refusal = None
--- a/tests/test_router/test_unframed_answers.py
+++ b/tests/test_router/test_unframed_answers.py
@@ -8,6 +8,7 @@
 import pytest
 from gevent import socket
 
+from rosemaryseam.common.calleraccount import Stage
 from rosemaryseam.common.clock import SystemClock
 from rosemaryseam.router.faults import BrokenError
 from rosemaryseam.router.headercodec import open_header_codec
@@ -276,3 +277,24 @@
         assert (response.body, response.complete) == (b'part', True)
         assert 'content-length' not in response.headers
         assert response.headers['connection'] == 'close'
+
+
+# Guards against a process that is killed and whose end completes a part of an answer.
+def test_connection_that_marks_an_end_is_reset_unless_the_answer_ended(
+    router: RunningRouter,
+) -> None:
+    def script(exchange: ScriptedExchange) -> None:
+        exchange.start(200, exchange.headers(Content_Type='text/event-stream'))
+        exchange.send_raw(events(1, 4))
+        gevent.sleep(5.0)
+
+    router.add('one', script)
+    calling = gevent.spawn(router.call, 'once')
+    conns = router.router.callers._connections
+    router.wait(lambda: any(conn.stage is Stage.RUNNING for conn in conns))
+    gevent.sleep(0.1)
+    for conn in conns:
+        conn._sock.close()  # as the kernel does for a process that is killed
+    response = calling.get(timeout=3.0)
+    assert response.body == events(1, 4)
+    assert not response.complete
