Read an exchange's answer without the bytes behind it

What came behind a complete answer in the same read became part of it: the parser took the bytes for the next answer of the connection, as after an informational one, so that the status and the headers were those of the second answer and the body that of both. The node's front, the clients of the store and of the host list, load reports, the operator's client and the reads between hosts use these exchanges. One answer is read now, and bytes behind it are ignored; each exchange closes its connection.

--- a/packages/common/src/rosemaryseam/common/exchange.py
+++ b/packages/common/src/rosemaryseam/common/exchange.py
@@ -8,13 +8,16 @@
 
 import gevent
 from geventhttpclient import HTTPClient
-from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
+from geventhttpclient.response import HTTPParseError
 
 from rosemaryseam.common.fairness import FairReceiver
+from rosemaryseam.common.finalresponse import FinalResponse
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
 
+    from geventhttpclient.response import HTTPSocketResponse
+
     from rosemaryseam.common.addresses import Address
 
 READ_BYTES = 4096
@@ -33,14 +36,6 @@
     body: bytes
 
 
-class _Response(HTTPSocketResponse):
-    """A response that leaves it to the exchange to close the connection."""
-
-    def release(self) -> None:
-        """Detach from the connection."""
-        self._sock = None
-
-
 class Exchange(HTTPClient):
     """A connection that carries one request.
 
@@ -97,7 +92,7 @@
             self._sock.sendall(head.encode('latin-1'))
             self._sock.sendall(body)
         receiver = FairReceiver(self._sock, MAX_HEAD_BYTES)
-        response = _Response(receiver, method=method, block_size=READ_BYTES)
+        response = FinalResponse(receiver, method=method, block_size=READ_BYTES)
         receiver.max_bytes = MAX_ANSWER_BYTES
         return response
 
--- /dev/null
+++ b/packages/common/src/rosemaryseam/common/finalresponse.py
@@ -0,0 +1,52 @@
+"""Reads one answer of an HTTP server, and nothing of what follows it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
+
+
+class FinalResponse(HTTPSocketResponse):
+    """The answer to a request, without informational ones before it.
+
+    The parser would go on with bytes behind the answer, as if it were an informational
+    one: it would take its head from them and add their body to that of the answer.
+    """
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        self._status: int | None = None  # of the final answer
+        super().__init__(*args, **kwargs)
+
+    def get_code(self) -> int:
+        """Return the status."""
+        return super().get_code() if self._status is None else self._status
+
+    def release(self) -> None:
+        """Detach from the connection, which the exchange closes."""
+        self._sock = None
+
+    def feed(self, data: str | bytes) -> None:
+        """Parse bytes up to the end of the answer.
+
+        :param data: bytes as they were received
+        :raises HTTPParseError: they are no answer
+        """
+        try:
+            super().feed(data)
+        except HTTPParseError:
+            if not self._is_whole():
+                raise
+
+    def _is_whole(self) -> bool:
+        return self._status is not None and self.message_complete
+
+    def _on_message_begin(self) -> None:
+        if self._is_whole():
+            raise HTTPParseError('bytes behind the answer')
+        super()._on_message_begin()
+
+    def _on_headers_complete(self) -> int | bool | None:
+        if super().get_code() >= 200:
+            self._status = super().get_code()
+        return super()._on_headers_complete()
--- a/tests/test_common/test_exchange.py
+++ b/tests/test_common/test_exchange.py
@@ -45,6 +45,26 @@
         call(broken_server, 'GET', '/', timeout_s=1.0)
 
 
+ANSWER = b'HTTP/1.1 200 OK\r\nA: 1\r\nContent-Length: 2\r\n\r\nok'
+BEHIND = [
+    ('an answer', b'HTTP/1.1 500 No\r\nB: 2\r\nContent-Length: 5\r\n\r\nother'),
+    ('an unframed answer', b'HTTP/1.1 404 No\r\nB: 2\r\n\r\nother'),
+    ('half a head', b'HTTP/1.1 500 No\r\nB: 2\r\n'),
+    ('no HTTP', b'\0\0other'),
+]
+
+
+# Guards against an answer with the head of another one, or with its body, as more bytes
+# came behind it (MIXED, issue 51).
+@pytest.mark.parametrize(
+    'broken_server', [ANSWER + b for _, b in BEHIND], indirect=True
+)
+def test_bytes_behind_an_answer_do_not_belong_to_it(broken_server: Address) -> None:
+    answer = call(broken_server, 'GET', '/', timeout_s=1.0)
+    assert (answer.status, answer.body) == (200, b'ok')
+    assert dict(answer.headers) == {'A': '1', 'Content-Length': '2'}
+
+
 def test_put_is_sent_once() -> None:
     """The HTTP library resends a PUT on a closed connection; an exchange must not."""
     seen = []
