Take no answer with an invalid head in an exchange

A status below 100 was skipped like an informational answer, so that what came behind it was the answer; 600 and 999, other protocols and versions and transfer encodings that are not read passed as answers. Names with blanks or control bytes, two lengths and bad lengths were refused before. What the parser lets through is checked in one place now.

--- a/packages/common/src/rosemaryseam/common/finalresponse.py
+++ b/packages/common/src/rosemaryseam/common/finalresponse.py
@@ -6,6 +6,12 @@
 
 from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
+from rosemaryseam.common.answerhead import (
+    FIRST_FINAL_STATUS,
+    InvalidHeadError,
+    check_answer_head,
+)
+
 
 class FinalResponse(HTTPSocketResponse):
     """The answer to a request, without informational ones before it.
@@ -26,12 +32,15 @@
         """Detach from the connection, which the exchange closes."""
         self._sock = None
 
-    def feed(self, data: str | bytes) -> None:
+    def feed(self, data: bytes) -> None:
         """Parse bytes up to the end of the answer.
 
         :param data: bytes as they were received
         :raises HTTPParseError: they are no answer
+        :raises InvalidHeadError: neither is their head
         """
+        if not self.message_begun and data and data[:1] != b'H':
+            raise InvalidHeadError('not HTTP')  # the parser knows other protocols too
         try:
             super().feed(data)
         except HTTPParseError:
@@ -47,6 +56,11 @@
         super()._on_message_begin()
 
     def _on_headers_complete(self) -> int | bool | None:
-        if super().get_code() >= 200:
-            self._status = super().get_code()
-        return super()._on_headers_complete()
+        result = super()._on_headers_complete()
+        status = super().get_code()
+        check_answer_head(
+            status, self.get_http_version(), self.get('transfer-encoding')
+        )
+        if status >= FIRST_FINAL_STATUS:
+            self._status = status
+        return result
--- a/tests/test_common/test_exchange.py
+++ b/tests/test_common/test_exchange.py
@@ -12,6 +12,8 @@
 
 HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 
+VERSIONS = ['HTTP/2.0', 'HTTP/0.9', 'RTSP/1.0', 'ICE/1.0']
+
 
 @pytest.fixture
 def broken_server(request: pytest.FixtureRequest) -> Any:
@@ -65,6 +67,57 @@
     assert dict(answer.headers) == {'A': '1', 'Content-Length': '2'}
 
 
+BODY = b'Content-Length: 2\r\n\r\nok'
+INVALID_HEADS = [
+    *(
+        (f'status {status}', b'HTTP/1.1 %s OK\r\n' % status.encode() + BODY)
+        for status in ('000', '001', '099', '20', '2000', '600', '999', '-20')
+    ),
+    *((version, b'%s 200 OK\r\n' % version.encode() + BODY) for version in VERSIONS),
+    *(
+        (f'name {name!r}', b'HTTP/1.1 200 OK\r\n%s: v\r\n' % name + BODY)
+        for name in (
+            b'X A',
+            b'X-A ',
+            b' X-A',
+            b'X\x01A',
+            b'X\x7fA',
+            b'X\0A',
+            b'',
+            b'X\tA',
+        )
+    ),
+    ('a length behind a blank', b'HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok'),
+    ('two lengths', b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n' + BODY),
+    ('a control byte', b'HTTP/1.1 200 OK\r\nX-A: a\x01b\r\n' + BODY),
+    ('another coding', b'HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok'),
+]
+FOLLOWING = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother'
+
+
+# Guards against an answer with an invalid head that is taken for one, or skipped as if
+# it were informational (issue 51).
+@pytest.mark.parametrize('following', [b'', FOLLOWING], ids=['alone', 'and another'])
+@pytest.mark.parametrize(
+    ('name', 'head'), INVALID_HEADS, ids=[row[0] for row in INVALID_HEADS]
+)
+def test_answer_with_an_invalid_head_is_none(
+    name: str, head: bytes, following: bytes
+) -> None:
+    def serve(sock: Any, _: object) -> None:
+        sock.recv(65_536)
+        sock.sendall(head + following)
+        sock.close()
+
+    server = StreamServer(('127.0.0.1', 0), serve)
+    server.start()
+    try:
+        with pytest.raises(OSError, match='127'):
+            call(Address('127.0.0.1', server.server_port), 'GET', '/', timeout_s=1.0)
+    finally:
+        server.stop()
+
+
 def test_put_is_sent_once() -> None:
     """The HTTP library resends a PUT on a closed connection; an exchange must not."""
     seen = []
