Take no answer with an invalid head from an upstream

Callers got answers of upstreams in trouble whose heads are none: status 600 and 999, versions other than 1.0 and 1.1, control bytes in values and in the reason, and a field name behind a blank, which the parser joins to the field before. Status 000 and names with blanks or control bytes elsewhere were refused before. The bytes of a head are checked before the parser changes them, by the checks that exchanges use; such an answer is a failure of the upstream. Exchanges refuse control bytes in the reason too.

--- a/packages/common/src/rosemaryseam/common/answerhead.py
+++ b/packages/common/src/rosemaryseam/common/answerhead.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import re
+
 FIRST_FINAL_STATUS = 200  # those below are informational
 _STATUSES = range(100, 600)
+# Control bytes, line ends that are none, and lines that continue the one before.
+_INVALID_BYTES = re.compile(rb'[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]|\r(?!\n)|\n[ \t]')
+_END = re.compile(rb'\r?\n\r?\n')
 _VERSIONS = ('HTTP/1.0', 'HTTP/1.1')
 
 
@@ -30,3 +35,18 @@
         or transfer_encoding.strip().lower() != 'chunked'
     ):
         raise InvalidHeadError(f'transfer encoding {transfer_encoding}')
+
+
+def check_head_bytes(data: bytes) -> None:
+    """Check the bytes of a head, complete or not.
+
+    Parsers keep control bytes in values, and join lines that begin with a blank to the
+    one before.
+
+    :param data: bytes from the status line on; those behind the empty line are ignored
+    :raises InvalidHeadError: the bytes are not those of an HTTP/1 head
+    """
+    end = _END.search(data)
+    match = _INVALID_BYTES.search(data, 0, end.start() if end else len(data) - 1)
+    if match is not None:
+        raise InvalidHeadError(f'{match[0]!r} in the head')
--- a/packages/common/src/rosemaryseam/common/finalresponse.py
+++ b/packages/common/src/rosemaryseam/common/finalresponse.py
@@ -10,6 +10,7 @@
     FIRST_FINAL_STATUS,
     InvalidHeadError,
     check_answer_head,
+    check_head_bytes,
 )
 
 
@@ -55,6 +56,10 @@
             raise HTTPParseError('bytes behind the answer')
         super()._on_message_begin()
 
+    def _on_status(self, msg: str) -> None:
+        check_head_bytes(msg.encode('latin-1', 'replace'))
+        super()._on_status(msg)
+
     def _on_headers_complete(self) -> int | bool | None:
         result = super()._on_headers_complete()
         status = super().get_code()
--- a/packages/router/src/rosemaryseam/router/upstreamconnection.py
+++ b/packages/router/src/rosemaryseam/router/upstreamconnection.py
@@ -9,6 +9,11 @@
 import h11
 from gevent import socket
 
+from rosemaryseam.common.answerhead import (
+    InvalidHeadError,
+    check_answer_head,
+    check_head_bytes,
+)
 from rosemaryseam.common.errorkeeping import ErrorKeepingSocket
 from rosemaryseam.common.fairness import FairReceiver
 from rosemaryseam.router.faults import (
@@ -207,6 +212,11 @@
             event = self._next_event()
             if not isinstance(event, h11.Response | h11.InformationalResponse):
                 raise ForeignBytesError('the connection ended without an answer')
+            version = f'HTTP/{event.http_version.decode()}'
+            try:
+                check_answer_head(event.status_code, version, None)
+            except InvalidHeadError as exc:
+                raise ForeignBytesError(f'not an HTTP answer: {exc}') from exc
             head = self._codec.decode_answer(
                 event.status_code, event.reason, list(event.headers.raw_items())
             )
@@ -298,8 +308,10 @@
     def _next_event(self) -> Any:
         while True:
             try:
+                if self._http.their_state is h11.SEND_RESPONSE:
+                    check_head_bytes(self._http.trailing_data[0])
                 event = self._http.next_event()
-            except h11.RemoteProtocolError as exc:
+            except (h11.RemoteProtocolError, InvalidHeadError) as exc:
                 raise ForeignBytesError(f'not an HTTP answer: {exc}') from exc
             if event is not h11.NEED_DATA:
                 self._events += 1
--- a/tests/test_common/test_exchange.py
+++ b/tests/test_common/test_exchange.py
@@ -90,6 +90,7 @@
     ('a length behind a blank', b'HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok'),
     ('two lengths', b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n' + BODY),
     ('a control byte', b'HTTP/1.1 200 OK\r\nX-A: a\x01b\r\n' + BODY),
+    ('a control byte in the reason', b'HTTP/1.1 200 O\x01K\r\n' + BODY),
     ('another coding', b'HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok'),
 ]
 FOLLOWING = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother'
