Take no stream for whole that did not go on

A stream that was broken off reached its caller as complete if the upstream that was to go on ended its answer without an event, also in chunks. No framing tells whether that upstream had nothing left to send; that the first one broke off just behind its last event is the rarer case. Such an answer is a failed attempt now. A caller that takes the stream up itself still gets an empty answer as complete.

--- a/packages/router/src/rosemaryseam/router/relay.py
+++ b/packages/router/src/rosemaryseam/router/relay.py
@@ -170,6 +170,7 @@
         :raises BrokenError: if the upstream's answer is truncated
         """
         splitter = EventSplitter()
+        goes_on = self._reply.started
         for chunk in chunks:
             try:
                 events = splitter.feed(chunk)
@@ -185,6 +186,8 @@
                 self._reply.write(data)
         self.unfinished_bytes = len(splitter.remainder)
         _check_end(head, splitter)
+        if goes_on and not splitter.event_count:
+            raise BrokenError('the stream did not go on')
         self._start(head, ticket)
         if splitter.remainder:
             self._reply.write(splitter.remainder)
--- a/tests/test_router/test_stream_end.py
+++ b/tests/test_router/test_stream_end.py
@@ -57,6 +57,8 @@
     return script, resumed_after
 
 
+CUT = events(1, 2) + b'id: 3\nda'
+
 # Each body ends inside its third event.
 BROKEN_OFF = [
     ('in-a-field-name', events(1, 2) + b'i'),
@@ -134,6 +136,33 @@
     assert response.complete
 
 
+# Guards against streams that end as complete too early, as the upstream that was to go
+# on ended its answer without an event (ORDER).
+@pytest.mark.parametrize('framing', ['chunked', 'length'])
+def test_stream_that_does_not_go_on_is_seen_as_incomplete(
+    router: RunningRouter, framing: str
+) -> None:
+    def script(exchange: ScriptedExchange) -> None:
+        resumed = 'last-event-id' in exchange.request.headers
+        write_stream(exchange, framing if resumed else 'close', b'' if resumed else CUT)
+
+    router.add('one', script)
+    router.add('two', script)
+    response = router.call('stream')
+    assert response.events() == [1, 2]
+    assert not response.complete
+
+
+# Guards against callers that cannot learn that they have the whole of a cut stream.
+@pytest.mark.parametrize('framing', ['chunked', 'length'])
+def test_caller_that_takes_a_whole_stream_up_gets_its_end(
+    router: RunningRouter, framing: str
+) -> None:
+    router.add('one', lambda exchange: write_stream(exchange, framing, b''))
+    response = router.call('stream', headers={'Last-Event-Id': '4'})
+    assert (response.status, response.body, response.complete) == (200, b'', True)
+
+
 COMPLETE = [
     ('as-usual', events(1, EVENTS)),
     ('with-a-blank-line-more', events(1, EVENTS) + b'\n'),
