Relay to what a host reaches although it is cut off from other upstreams

Callers of hosts that had lost a service were refused although other hosts reached it: a host counted as cut off as a whole, so that one which had lost another service relayed nothing, and each such refusal kept others from asking it for a second, whatever the upstream. A host now refuses by upstream: it relays to those that it has reached directly since it was cut off, says of others that it is cut off from them, and of all only if it has reached none. The asking host remembers that by upstream.

--- a/packages/policy/src/rosemaryseam/policy/reachability.py
+++ b/packages/policy/src/rosemaryseam/policy/reachability.py
@@ -175,6 +175,10 @@
         """
         return self.partitioned and upstream not in self._reached
 
+    def reaches_any(self) -> bool:
+        """Return whether any upstream was reached directly during this partition."""
+        return bool(self._reached)
+
     def has_contact_since(self, at: float) -> bool:
         """Return whether anything arrived directly from an upstream since a time.
 
--- a/packages/router/src/rosemaryseam/router/partition.py
+++ b/packages/router/src/rosemaryseam/router/partition.py
@@ -50,6 +50,7 @@
         registry,
         is_host,
         paths.connect_directly,
+        paths.is_isolated,
         paths.is_cut_off,
         clock,
         metrics,
--- a/packages/router/src/rosemaryseam/router/paths.py
+++ b/packages/router/src/rosemaryseam/router/paths.py
@@ -190,17 +190,24 @@
         """Return whether there are other hosts that may relay."""
         return self._tunnels is not None and self._tunnels.has_hosts()
 
-    def is_cut_off(self, failed: bool) -> bool:
-        """Return whether this host should not relay.
+    def is_isolated(self, *, failed: bool) -> bool:
+        """Return whether this host may be cut off from all upstreams.
 
         A host that hears from other upstreams is believed when a connect fails.
 
         :param failed: whether a connect for another host just failed
         """
-        if self._reachability.partitioned or not failed:
-            return self._reachability.partitioned
+        if self._reachability.partitioned:
+            return not self._reachability.reaches_any()
         contact_after = self._clock.monotonic() - RECENT_CONTACT_S
-        return not self._reachability.has_contact_since(contact_after)
+        return failed and not self._reachability.has_contact_since(contact_after)
+
+    def is_cut_off(self, upstream: Upstream) -> bool:
+        """Return whether this host does not reach an upstream that others may reach.
+
+        :param upstream: upstream to relay to
+        """
+        return self._reachability.uses_tunnel(upstream.incarnation)
 
     def _is_late(self, path: UpstreamPath, seconds: float) -> bool:
         """Return whether bytes are awaited for longer than expected."""
--- a/packages/router/src/rosemaryseam/router/tunnelclient.py
+++ b/packages/router/src/rosemaryseam/router/tunnelclient.py
@@ -12,6 +12,7 @@
 from rosemaryseam.policy.rendezvous import PREFERRED_CAPACITY_SHARE
 from rosemaryseam.router import tunnelwire
 from rosemaryseam.router.faults import NotSentError
+from rosemaryseam.router.relayknowledge import RelayKnowledge
 from rosemaryseam.router.tunnelwire import TunnelRequest
 
 if TYPE_CHECKING:
@@ -88,6 +89,7 @@
         self._zones: dict[str, str] = {}
         self._free: dict[str, int] = {}
         self._own_zone_last_until = 0.0
+        self._knowledge = RelayKnowledge(clock)
 
     def open(self, upstream: Upstream) -> OpenTunnel:
         """Open a tunnel to an upstream through one of a few hosts.
@@ -99,7 +101,7 @@
         tried: set[str] = set()
         down: list[str] = []
         while len(tried) < MAX_TRIES and self._clock.monotonic() < deadline:
-            host = self._choose(tried)
+            host = self._choose(upstream, tried)
             if host is None:
                 break
             tried.add(host)
@@ -145,15 +147,16 @@
         )
         return until <= self._clock.monotonic()
 
-    def _choose(self, tried: set[str]) -> str | None:
+    def _choose(self, upstream: Upstream, tried: set[str]) -> str | None:
         """Return the better one of two random hosts, or ``None`` if there are none."""
         now = self._clock.monotonic()
         hosts = self._known_hosts()
         least = max(hosts.values(), default=0.0) * PREFERRED_CAPACITY_SHARE
+        without = self._knowledge.hosts_without(upstream.incarnation)
         eligible = [
             host
             for host, capacity in hosts.items()
-            if host not in tried
+            if host not in tried | without
             and capacity >= least
             and self._avoided_until.get(host, 0.0) <= now
         ]
@@ -196,6 +199,8 @@
         self._free[host] = reply.free
         if reply.result == tunnelwire.OPEN:
             return reply.result, sock
+        if reply.result == tunnelwire.CUT_OFF:
+            self._knowledge.record(host, upstream.incarnation)
         if reply.result in AVOIDED_S:
             until = self._clock.monotonic() + AVOIDED_S[reply.result]
             self._avoided_until[host] = until
--- a/packages/router/src/rosemaryseam/router/tunnels.py
+++ b/packages/router/src/rosemaryseam/router/tunnels.py
@@ -116,8 +116,9 @@
     :param registry: upstreams that this host knows
     :param is_host: returns whether an address is that of another host
     :param connect: opens a direct connection to an upstream, with a timeout in seconds
-    :param is_cut_off: returns whether this host may be cut off from upstreams itself,
+    :param is_isolated: returns whether this host may be cut off from all upstreams,
         given whether one of its own connects just failed
+    :param is_cut_off: returns whether this host is cut off from an upstream
     :param clock: clock of the process
     :param metrics: counters of the process
     """
@@ -130,7 +131,8 @@
         registry: Registry,
         is_host: Callable[[str], bool],
         connect: Callable[[Upstream, float], Any],
-        is_cut_off: Callable[[bool], bool],
+        is_isolated: Callable[..., bool],
+        is_cut_off: Callable[[Upstream], bool],
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -139,6 +141,7 @@
         self._registry = registry
         self._is_host = is_host
         self._connect = connect
+        self._is_isolated = is_isolated
         self._is_cut_off = is_cut_off
         self._clock = clock
         self._metrics = metrics
@@ -232,19 +235,23 @@
     def _reach(self, request: TunnelRequest) -> tuple[str, Any]:
         if self._draining:
             return tunnelwire.STOPPING, None
-        if self._is_cut_off(False):
+        if self._is_isolated(failed=False):
             return tunnelwire.PARTITIONED, None
         if self.active + self._opening > self._limit:
             return tunnelwire.BUSY, None
         upstream = self._find_upstream(request)
         if upstream is None:
             return tunnelwire.UNKNOWN, None
+        if self._is_cut_off(upstream):
+            return tunnelwire.CUT_OFF, None
         try:
             return tunnelwire.OPEN, self._connect(upstream, RELAY_CONNECT_TIMEOUT_S)
         except NotSentError as exc:
             # Its own failure may have been the evidence that this host lacked.
-            if self._is_cut_off(True):
+            if self._is_isolated(failed=True):
                 return tunnelwire.PARTITIONED, None
+            if self._is_cut_off(upstream):
+                return tunnelwire.CUT_OFF, None
             refused = isinstance(exc.__cause__, ConnectionRefusedError)
             return tunnelwire.REFUSED if refused else tunnelwire.UNREACHABLE, None
 
--- a/packages/router/src/rosemaryseam/router/tunnelwire.py
+++ b/packages/router/src/rosemaryseam/router/tunnelwire.py
@@ -14,6 +14,7 @@
 
 OPEN = 'open'
 PARTITIONED = 'partitioned'  # the relaying host cannot reach upstreams itself
+CUT_OFF = 'cut-off'  # it may be cut off from this upstream, and reaches others
 BUSY = 'busy'  # it has reached its limit
 STOPPING = 'stopping'
 UNKNOWN = 'unknown'  # the upstream is not in its registry
