Believe that an upstream is down only if all hosts that may reach it say so

Callers of a host that had lost an upstream were refused although another host reached it: two other hosts that did not reach it counted as proof that it was down, also if they were cut off from it too, and hosts were asked at random again for each request.

test_a_host_that_can_relay: 3 of the new rows failed before (one host in four reaches the upstream; the others cannot connect, are refused or are cut off) and pass; test_partition passes.

--- a/packages/router/src/rosemaryseam/router/tunnelclient.py
+++ b/packages/router/src/rosemaryseam/router/tunnelclient.py
@@ -22,12 +22,14 @@
     from rosemaryseam.common.addresses import Address
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.common.metrics import Metrics
+    from rosemaryseam.policy.reachability import Incarnation
     from rosemaryseam.router.upstreams import Upstream
 
 HOST_TIMEOUT_S = 0.25  # for one host to open a tunnel
 TUNNEL_TIMEOUT_S = 0.5  # for all hosts that are tried
 MAX_TRIES = 6  # a host that cannot relay refuses within milliseconds
-MIN_CONFIRMATIONS = 2  # hosts that could not reach an upstream, to believe it is down
+MIN_WITNESSES = 2  # hosts that are not cut off, to believe that an upstream is down
+WITHOUT_UPSTREAM = (tunnelwire.CUT_OFF, tunnelwire.UNREACHABLE, tunnelwire.REFUSED)
 AVOIDED_S = {  # for which a host is not asked again after its refusal
     tunnelwire.PARTITIONED: 1.0,
     tunnelwire.BUSY: 0.3,
@@ -87,6 +89,7 @@
         self._avoided_until: dict[str, float] = {}
         self._doubted_until: dict[str, float] = {}
         self._zones: dict[str, str] = {}
+        self._partitioned_until: dict[str, float] = {}
         self._free: dict[str, int] = {}
         self._own_zone_last_until = 0.0
         self._knowledge = RelayKnowledge(clock)
@@ -98,30 +101,46 @@
         :raises TunnelError: no host opened a tunnel
         """
         deadline = self._clock.monotonic() + TUNNEL_TIMEOUT_S
+        name = upstream.incarnation
         tried: set[str] = set()
-        down: list[str] = []
         while len(tried) < MAX_TRIES and self._clock.monotonic() < deadline:
             host = self._choose(upstream, tried)
-            if host is None:
+            if host is None or self._is_down(name):
                 break
             tried.add(host)
             result, sock = self._ask(host, upstream)
             if sock is not None:
                 self._metrics.count('tunnels_opened')
                 return OpenTunnel(sock, host)
-            if result in (tunnelwire.UNREACHABLE, tunnelwire.REFUSED):
-                down.append(result)
-                if len(down) >= MIN_CONFIRMATIONS:
-                    break
-        confirmed = bool(down) and len(down) >= min(MIN_CONFIRMATIONS, len(tried))
+            if result in WITHOUT_UPSTREAM:
+                self._knowledge.record(host, name, result)
+        confirmed = self._is_down(name)
         self._metrics.count('tunnels_failed', upstream_down=str(confirmed).lower())
         exc = TunnelError(
             f'no tunnel to {upstream.id}: {len(tried)} hosts tried', confirmed=confirmed
         )
-        if confirmed and tunnelwire.REFUSED in down:
+        if confirmed and self._knowledge.is_refused(name):
             raise exc from ConnectionRefusedError()
         raise exc
 
+    def _is_down(self, upstream: Incarnation) -> bool:
+        """Return whether other hosts show that an upstream is at fault."""
+        now = self._clock.monotonic()
+        suitable = self._suitable_hosts()
+        hosts = [host for host in suitable if not self._is_partitioned(host, now)]
+        if len(hosts) < min(MIN_WITNESSES, len(suitable)):
+            return False
+        return self._knowledge.is_down(upstream, hosts)
+
+    def _is_partitioned(self, host: str, now: float) -> bool:
+        return self._partitioned_until.get(host, 0.0) > now
+
+    def _suitable_hosts(self) -> list[str]:
+        """Return the hosts with enough capacity to relay."""
+        hosts = self._known_hosts()
+        least = max(hosts.values(), default=0.0) * PREFERRED_CAPACITY_SHARE
+        return [host for host, capacity in hosts.items() if capacity >= least]
+
     def doubt(self, host: str) -> None:
         """Prefer other hosts for a while, as a tunnel broke or was not opened.
 
@@ -151,14 +170,11 @@
         """Return the better one of two random hosts, or ``None`` if there are none."""
         now = self._clock.monotonic()
         hosts = self._known_hosts()
-        least = max(hosts.values(), default=0.0) * PREFERRED_CAPACITY_SHARE
         without = self._knowledge.hosts_without(upstream.incarnation)
         eligible = [
             host
-            for host, capacity in hosts.items()
-            if host not in tried | without
-            and capacity >= least
-            and self._avoided_until.get(host, 0.0) <= now
+            for host in self._suitable_hosts()
+            if host not in tried | without and self._avoided_until.get(host, 0.0) <= now
         ]
         sound = [host for host in eligible if self._doubted_until.get(host, 0.0) <= now]
         eligible = sound or eligible
@@ -199,11 +215,11 @@
         self._free[host] = reply.free
         if reply.result == tunnelwire.OPEN:
             return reply.result, sock
-        if reply.result == tunnelwire.CUT_OFF:
-            self._knowledge.record(host, upstream.incarnation)
         if reply.result in AVOIDED_S:
             until = self._clock.monotonic() + AVOIDED_S[reply.result]
             self._avoided_until[host] = until
+        if reply.result == tunnelwire.PARTITIONED:
+            self._partitioned_until[host] = self._avoided_until[host]
         if reply.result == tunnelwire.PARTITIONED and reply.zone == self._zone:
             self._own_zone_last_until = self._clock.monotonic() + OWN_ZONE_S
         return reply.result, None
