Take no answer for whole whose upstream has started again

Callers got a part of a stream or an answer as complete if their upstream crashed and was registered again before the router read the end of the connection, as it does late for a slow caller or after a pause.

An upstream that is not usable was taken for one that leaves, whose closed listener says nothing about its last answer. A later start makes the earlier one unusable too. The end of an answer is now believed without a look at the listener only if the upstream had left before; a later start that was not preceded by that is a crash.

Two of four rows of the test failed before (a crash, whole and streamed); all four pass, also those of upstreams that had left before they started again.

--- a/packages/router/src/rosemaryseam/router/answerend.py
+++ b/packages/router/src/rosemaryseam/router/answerend.py
@@ -53,8 +53,12 @@
         yield from conn.chunks()
         if head.framing is not Framing.CLOSE or head.leaving:
             return
-        if not self._registry.is_usable(upstream):
+        if self._registry.has_left(upstream):
             return  # it may have closed its listener and still have answered
+        if self._registry.is_succeeded(upstream):
+            raise BrokenError(f'{upstream.id} has started again')
+        if not self._registry.is_usable(upstream):
+            return
         settling_s = SETTLING_S if streamed else 0.0
         if self._pool.refuses_connections(upstream, settling_s):
             log_event('upstream_ended_with_answer', upstream=upstream.id)
--- a/packages/router/src/rosemaryseam/router/upstreams.py
+++ b/packages/router/src/rosemaryseam/router/upstreams.py
@@ -92,6 +92,13 @@
         """
         return upstream in self._by_service.get(upstream.service, ())
 
+    def has_left(self, upstream: Upstream) -> bool:
+        """Return whether an incarnation was closed for new requests, as it leaves.
+
+        :param upstream: incarnation of the upstream
+        """
+        return upstream.incarnation in self._left
+
     def versions(self, service: str) -> frozenset[str]:
         """Return the software versions of a service's upstreams, leaving ones included.
 
--- /dev/null
+++ b/tests/test_router/test_end_checks.py
@@ -0,0 +1,42 @@
+"""Tests what is taken for the end of an answer that does not mark its end itself."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+if TYPE_CHECKING:
+    from routers import RunningRouter
+
+    from rosemaryseam.standins.scripted import ScriptedExchange
+
+EVENT = b'id: %d\ndata: x\n\n'
+
+
+def events(first: int, last: int) -> bytes:
+    """Return complete events with these numbers."""
+    return b''.join(EVENT % number for number in range(first, last + 1))
+
+
+# Guards against a crash that passes for an end, as the upstream had started again, and
+# against an end that passes for a crash, as it was leaving before.
+@pytest.mark.parametrize('leaving', [False, True], ids=['crashed', 'had left'])
+@pytest.mark.parametrize('route', ['unsafe', 'once'])
+def test_end_of_an_answer_whose_upstream_has_started_again(
+    router: RunningRouter, route: str, leaving: bool
+) -> None:
+    def script(exchange: ScriptedExchange) -> None:
+        exchange.start(200, exchange.headers(Content_Type='text/event-stream'))
+        exchange.send_raw(events(1, 4))
+        (old,) = router.router.registry.all()
+        if leaving:
+            router.register('one', leaving=True)
+            router.wait(lambda: not router.usable())
+        router.register('one', born=2)
+        router.wait(lambda: router.router.registry.is_succeeded(old))
+        exchange.close()
+
+    router.add('one', script)
+    response = router.call(route)
+    assert (response.status == 200 and response.complete) is leaving
