Take no stream for one that went on with events that its caller had

Callers got a stream as complete after one of its events if the upstream that was to go on sent only events that they had, and ended its answer.

The check whether a stream went on counted all events, also those that are not relayed as they are not new. It asks now whether anything was relayed.

--- a/packages/router/src/rosemaryseam/router/relay.py
+++ b/packages/router/src/rosemaryseam/router/relay.py
@@ -170,7 +170,7 @@
         :raises BrokenError: if the upstream's answer is truncated
         """
         splitter = EventSplitter()
-        goes_on = self._reply.started
+        must_go_on = self._reply.started
         for chunk in chunks:
             try:
                 events = splitter.feed(chunk)
@@ -184,9 +184,10 @@
                 self._start(head, ticket)
                 self.event_count += len(events)
                 self._reply.write(data)
+                must_go_on = False
         self.unfinished_bytes = len(splitter.remainder)
         _check_end(head, splitter)
-        if goes_on and not splitter.event_count:
+        if must_go_on:
             raise BrokenError('the stream did not go on')
         self._start(head, ticket)
         if splitter.remainder:
--- a/tests/test_router/test_end_checks.py
+++ b/tests/test_router/test_end_checks.py
@@ -40,3 +40,25 @@
     router.add('one', script)
     response = router.call(route)
     assert (response.status == 200 and response.complete) is leaving
+
+
+# Guards against a stream that ends as complete after one of its events, as the upstream
+# that was to go on with it only repeated one (ORDER).
+def test_stream_that_goes_on_with_old_events_is_seen_as_incomplete(
+    router: RunningRouter,
+) -> None:
+    def script(exchange: ScriptedExchange) -> None:
+        exchange.start_stream()
+        if 'last-event-id' in exchange.request.headers:
+            exchange.event(2)
+            exchange.end_stream()
+        else:
+            exchange.event(1)
+            exchange.event(2)
+            exchange.close()
+
+    router.add('one', script)
+    router.add('two', script)
+    response = router.call('stream')
+    assert response.events() == [1, 2]
+    assert not response.complete
