Take an answer without a body for whole at the end of its head

Callers of a route that may not run twice got 502 instead of an answer to HEAD, or with status 204 or 304, if its upstream had closed its listener. For each such answer of a sound upstream, the router opened another connection to it.

An answer without a length counted as one that ends with its connection, also if it has no body whatever its head says. Its framing is now that of a length.

Six rows of the test failed before; all pass now.

--- a/packages/router/src/rosemaryseam/router/upstreamconnection.py
+++ b/packages/router/src/rosemaryseam/router/upstreamconnection.py
@@ -223,6 +223,8 @@
             leaving = leaving or head.leaving
             if isinstance(event, h11.InformationalResponse):
                 continue
+            if self._is_bodyless(head):
+                head = head._replace(framing=Framing.LENGTH)
             if self._is_of_request(head, request_id):
                 self._names_requests = head.request_id is not None
                 self._head = head._replace(leaving=leaving)
@@ -276,6 +278,10 @@
         self.path.on_released()
         self._sock.close()
 
+    def _is_bodyless(self, head: AnswerHead) -> bool:
+        """Return whether an answer ends with its head, whatever its headers say."""
+        return self._sent_events[0].method == b'HEAD' or head.status in (204, 304)
+
     def _is_of_request(self, head: AnswerHead, request_id: str) -> bool:
         """Return whether an answer is one to the request.
 
--- a/tests/test_router/test_end_checks.py
+++ b/tests/test_router/test_end_checks.py
@@ -62,3 +62,23 @@
     response = router.call('stream')
     assert response.events() == [1, 2]
     assert not response.complete
+
+
+BODYLESS = [('HEAD', 200), ('POST', 204), ('POST', 304)]
+
+
+# Guards against whole answers without a body that fail as their upstream has closed its
+# listener, and against a new connection for each.
+@pytest.mark.parametrize('listens', [True, False], ids=['listens', 'no listener'])
+@pytest.mark.parametrize(('method', 'status'), BODYLESS)
+def test_answer_without_a_body_ends_with_its_head(
+    router: RunningRouter, method: str, status: int, listens: bool
+) -> None:
+    def script(exchange: ScriptedExchange) -> None:
+        if not listens:
+            one._server.close()
+        exchange.start(status, exchange.headers())
+
+    one = router.add('one', script)
+    assert router.call('unsafe', method=method).status == status
+    assert one.connections == 1
