Pass a whole answer on although the check of its end takes too long

Callers got 504 instead of an answer that the router had, or a stream that ended early, if the connect that shows whether their upstream has crashed hung up to their deadline, as it does on a host that was just cut off from its upstreams.

The check of an answer's end ran under the deadline of its request. It is given up a little before that, and the answer counts as ended then.

--- a/packages/router/src/rosemaryseam/router/forwarder.py
+++ b/packages/router/src/rosemaryseam/router/forwarder.py
@@ -125,7 +125,7 @@
         self._demand = demand
         self._counter = counter or NoRequestCounter()
         self._answer_log = AnswerLog(clock, metrics)
-        self._end_check = EndCheck(registry, pool)
+        self._end_check = EndCheck(registry, pool, clock)
         self._budgets: dict[str, FleetRetryBudget] = {}
         self._quiet = QuietPeriods(clock)
         self._stops_at: float | None = None
@@ -486,7 +486,11 @@
             conn.close()
             raise
         parts = self._end_check.parts(
-            upstream, conn, head, streamed=admitted.route.streamed
+            upstream,
+            conn,
+            head,
+            admitted.expires_at,
+            streamed=admitted.route.streamed,
         )
         return OpenAnswer(ticket, conn, head, parts)
 
--- a/tests/test_router/test_end_checks.py
+++ b/tests/test_router/test_end_checks.py
@@ -4,8 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+import gevent
 import pytest
 
+from rosemaryseam.router.faults import NotSentError
+
 if TYPE_CHECKING:
     from routers import RunningRouter
 
@@ -82,3 +85,25 @@
     one = router.add('one', script)
     assert router.call('unsafe', method=method).status == status
     assert one.connections == 1
+
+
+# Guards against a whole answer that is lost as the check of its end took too long.
+@pytest.mark.parametrize(
+    ('route', 'body'), [('safe', b'whole'), ('once', events(1, 4))]
+)
+def test_whole_answer_is_passed_on_before_its_deadline(
+    router: RunningRouter, route: str, body: bytes
+) -> None:
+    def connect(*_: object) -> None:
+        gevent.sleep(0.3)
+        raise NotSentError('timed out')
+
+    def script(exchange: ScriptedExchange) -> None:
+        router.router.paths.connect_socket = connect
+        exchange.start(200, exchange.headers(Content_Type='text/event-stream'))
+        exchange.send_raw(body)
+        exchange.close()
+
+    router.add('one', script)
+    response = router.call(route, patience_ms=200)
+    assert (response.status, response.body, response.complete) == (200, body, True)
