Take no write for refused whose answer was cut short

A write of a key counted as not made, although it may have been, if the answer of the key-value service had status 200 and ended early, as one without a length may.

All bodies but "true" counted as a refusal. Those that are neither "true" nor "false" leave the outcome unknown now.

Four rows of the test failed before; all pass now.

--- a/packages/common/src/rosemaryseam/common/keyvalue.py
+++ b/packages/common/src/rosemaryseam/common/keyvalue.py
@@ -138,4 +138,6 @@
         raise PlatformError('the key-value service limits the rate of calls')
     if status != HTTPStatus.OK:
         raise UnknownOutcomeError(f'the key-value service answered {status}')
+    if body.strip() not in (b'true', b'false'):
+        raise UnknownOutcomeError('the answer to a write is cut short or unreadable')
     return body.strip() == b'true'
--- a/tests/test_node/test_odd_answers.py
+++ b/tests/test_node/test_odd_answers.py
@@ -13,6 +13,7 @@
     CatalogueError,
     PeerError,
     PlatformError,
+    UnknownOutcomeError,
     UnreadableError,
 )
 from rosemaryseam.common.keyvalue import open_key_value_store
@@ -53,6 +54,16 @@
         open_key_value_store(server.address, TIMEOUT_S).get('key')
 
 
+# Guards against a write that counts as not made, as its answer was cut short.
+@pytest.mark.parametrize('body', [b'', b'tr', b'fals', b'{}'])
+def test_an_odd_answer_to_a_write_is_no_known_outcome(
+    body: bytes, server: RawServer
+) -> None:
+    server.body = body
+    with pytest.raises(UnknownOutcomeError):
+        open_key_value_store(server.address, TIMEOUT_S).put('key', b'value', 0)
+
+
 @pytest.mark.parametrize('odd', BYTES, ids=lambda odd: odd.name)
 def test_odd_lists_reports_and_frames_are_unreadable(
     odd: OddValue, server: RawServer
