Take no call of a duty for accepted by an answer that is none

A call of the platform's API for duties counted as accepted, or as refused and free to be made again, by an answer with a status of four digits, of another protocol, or with a control byte in its status line.

The client read the first three characters behind the first blank.

--- a/tests/test_platform/test_dutyapi.py
+++ b/tests/test_platform/test_dutyapi.py
@@ -111,9 +111,26 @@
     assert api.report_usage(5, {}, permission()) is DutyResult.REFUSED
 
 
-@pytest.mark.parametrize(
-    'answer', [b'\r\n', b'HTTP/1.1\r\n', b'HTTP/1.1 x\r\n', b'HTTP/1.1 -20 OK\r\n']
-)
+ODD_STATUS_LINES = [
+    b'',
+    b'HTTP/1.1',
+    b'HTTP/1.1 x',
+    b'HTTP/1.1 -20 OK',
+    b'HTTP/1.1 2000 OK',
+    b'HTTP/1.1 000 OK',
+    b'HTTP/1.1 20',
+    b'HTTP/1.1 +20 OK',
+    b'HTTP/1.1 503x',
+    b'HTTP/2.0 200 OK',
+    b'RTSP/1.0 200 OK',
+    b'no 200 OK',
+    b'HTTP/1.1 200 O\x01K',
+]
+
+
+# Guards against calls that count as accepted, or as refused and free to be made again,
+# by an answer that is none.
+@pytest.mark.parametrize('answer', [line + b'\r\n' for line in ODD_STATUS_LINES])
 def test_an_odd_status_line_is_no_known_outcome(answer: bytes) -> None:
     listener = StreamServer(('127.0.0.1', 0), lambda sock, _: sock.sendall(answer))
     listener.start()
