Test the end of a stream whose process is still ending

The check of a stream's end waits for a moment whether a new connection lasts, as a process that ends may still accept it.

--- a/tests/test_router/test_end_checks.py
+++ b/tests/test_router/test_end_checks.py
@@ -107,3 +107,20 @@
     router.add('one', script)
     response = router.call(route, patience_ms=200)
     assert (response.status, response.body, response.complete) == (200, body, True)
+
+
+# Guards against a crash that passes for an end, as the process still accepted a
+# connection while it ended.
+def test_stream_of_a_process_that_is_still_ending_is_no_complete_one(
+    router: RunningRouter,
+) -> None:
+    def script(exchange: ScriptedExchange) -> None:
+        exchange.start(200, exchange.headers(Content_Type='text/event-stream'))
+        exchange.send_raw(events(1, 4))
+        exchange.close()
+        gevent.spawn_later(0.02, one.stop)
+
+    one = router.add('one', script)
+    response = router.call('once')
+    assert response.body == events(1, 4)
+    assert not response.complete
