Write no last chunk for a stream whose end no upstream stated

A stream that began in chunks and went on at an upstream that marks no end was given a last chunk, also if that upstream's connection had closed between two events. It is an attempt that failed now: the caller's answer breaks off behind the events, and the caller takes the stream up to learn whether there are more.

test_stream_with_a_length_is_resumed asserted the last chunk for a continuation without a length. What it guards against, a length that does not fit, is now checked with continuations that state their end (2 cases, complete) and with one that does not, which must not be complete; that case failed before. test_stream_end: 56 passed.

--- a/packages/router/src/rosemaryseam/router/relay.py
+++ b/packages/router/src/rosemaryseam/router/relay.py
@@ -190,6 +190,8 @@
         if must_go_on:
             raise BrokenError('the stream did not go on')
         self._start(head, ticket)
+        if head.framing is Framing.CLOSE and self._reply.framing is Framing.CHUNKED:
+            raise BrokenError('nothing states the end of the stream')
         if splitter.remainder:
             self._reply.write(splitter.remainder)
         self._reply.finish()
