Take a refused connection beside an open one for a cut path, not for a crash

A whole answer without a length failed, or its stream was cut, at hosts whose path to the upstream refused new connections while open ones lived on: the refusal counted as the end of the upstream's process. An idle connection whose far end is open shows that the process runs. Without one the refusal is believed.

test_refused_connection_beside_an_open_one: 2 of 2 cases fail without the check and pass.

--- a/packages/router/src/rosemaryseam/router/answerend.py
+++ b/packages/router/src/rosemaryseam/router/answerend.py
@@ -72,6 +72,8 @@
         has_ended = False
         with gevent.Timeout(max(0.0, left_s), False):
             has_ended = self._pool.refuses_connections(upstream, settling_s)
+            # A path that is cut may refuse new connections while old ones live on.
+            has_ended = has_ended and not self._pool.has_open(upstream)
         if has_ended:
             log_event('upstream_ended_with_answer', upstream=upstream.id)
             raise BrokenError(f'{upstream.id} ended with its answer')
--- a/packages/router/src/rosemaryseam/router/pool.py
+++ b/packages/router/src/rosemaryseam/router/pool.py
@@ -72,6 +72,15 @@
         self._idle.setdefault(upstream.incarnation, []).append(conn)
         return False
 
+    def has_open(self, upstream: Upstream) -> bool:
+        """Return whether an idle connection to an upstream is open at its far end.
+
+        :param upstream: upstream that may have ended
+        """
+        idle = self._idle.get(upstream.incarnation, [])
+        descriptors = {conn.fileno() for conn in idle}
+        return bool(descriptors - readable_descriptors(descriptors))
+
     def is_cut_off(self, upstream: Upstream) -> bool:
         """Return whether this host reaches an upstream only through other hosts.
 
--- a/tests/test_router/test_end_checks.py
+++ b/tests/test_router/test_end_checks.py
@@ -124,3 +124,30 @@
     response = router.call('once')
     assert response.body == events(1, 4)
     assert not response.complete
+
+
+# Guards against whole answers that fail as the path to their upstream refuses new
+# connections, while open ones live on.
+@pytest.mark.parametrize('route', ['unsafe', 'once'])
+def test_refused_connection_beside_an_open_one_is_no_crash(
+    router: RunningRouter, route: str
+) -> None:
+    def refuse(*_: object) -> None:
+        raise NotSentError('refused') from ConnectionRefusedError()
+
+    def script(exchange: ScriptedExchange) -> None:
+        if len(upstream.requests) <= 2:
+            exchange.answer(200, b'whole')
+            gevent.sleep(0.1)  # so that two connections are opened
+            return
+        router.router.paths.connect_socket = refuse
+        exchange.start(200, exchange.headers(Content_Type='text/event-stream'))
+        exchange.send_raw(events(1, 4))
+        exchange.close()
+
+    upstream = router.add('one', script)
+    calls = [gevent.spawn(router.call, 'safe') for _ in range(2)]
+    gevent.joinall(calls)
+    response = router.call(route)
+    assert (response.status, response.complete) == (200, True)
+    assert response.body == events(1, 4)
