Deliver what an upstream sent before its tunnel is reset

What callers saw: a host that asks for a tunnel lost whole early answers to uploads, with their length, whose upstream reset the connection behind them, as one that closes it without reading the rest does. The caller got a failure, and a request that could not be sent again was lost, where a host with a direct connection got the answer.

Cause: the greenlet that writes the upload saw the reset first and reset both connections of the tunnel, while the answer still waited in the socket of the upstream or in that of the host, whose unsent bytes a reset discards.

Change: the error of the upstream's connection is kept for the greenlet that reads the answer, which copies what has arrived and then fails. The connection to the host is reset once the host has received all of it, or after 5 s.

The socket of a test that is always ready takes the flags that a socket takes.

--- a/packages/router/src/rosemaryseam/router/tunnels.py
+++ b/packages/router/src/rosemaryseam/router/tunnels.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import contextlib
+import fcntl
 import socket as std_socket
 import struct
+import termios
 from typing import TYPE_CHECKING, Any
 
 import gevent
 from gevent.server import StreamServer
 
 from rosemaryseam.common.decisionlog import log_event
+from rosemaryseam.common.errorkeeping import ErrorKeepingSocket
 from rosemaryseam.common.fairness import FairReceiver
 from rosemaryseam.router import tunnelwire
 from rosemaryseam.router.faults import NotSentError
@@ -30,6 +33,7 @@
 OPENING_TIMEOUT_S = 0.3  # for the message that opens a tunnel
 RELAY_CONNECT_TIMEOUT_S = 0.15  # so that the asking host can try another one
 CLOSE_TIMEOUT_S = 5.0  # for an upstream to end its side after the host did
+DELIVERY_POLL_S = 0.01  # between two looks at what the asking host has received
 MAX_IDLE_S = 300.0  # without a byte; the other host may have vanished
 IDLE_S = 3.0  # without a byte after an answer; nothing is lost with the tunnel
 TUNNELS_PER_CORE = 128
@@ -37,13 +41,16 @@
 MIN_TUNNELS = 8
 _LINGER_0_S = struct.pack('ii', 1, 0)  # closing resets the connection
 _NO_LINGER = struct.pack('ii', 0, 0)
+_COUNT = struct.Struct('i')
 
 
 class Tunnel:
     """Copies bytes between another host and an upstream, with back pressure.
 
     The end of one direction is passed on; a failure resets both connections, also when
-    this process is killed, so that a truncated answer never looks complete.
+    this process is killed, so that a truncated answer never looks complete. What an
+    upstream sent before its connection failed is delivered first, as it may be a
+    complete answer.
 
     :param host_sock: connection to the host that asked for the tunnel
     :param upstream_sock: connection to the upstream
@@ -52,7 +59,7 @@
 
     def __init__(self, host_sock: Any, upstream_sock: Any, clock: Clock) -> None:
         self._host_sock = host_sock
-        self._upstream_sock = upstream_sock
+        self._upstream_sock = ErrorKeepingSocket(upstream_sock)
         self._clock = clock
         self._last_bytes_at = clock.monotonic()
         self._awaits_answer = True
@@ -63,18 +70,21 @@
 
     def run(self) -> None:
         """Copy until both directions have ended or one has failed."""
-        pumps = [
-            gevent.spawn(self._copy, self._host_sock, self._upstream_sock),
-            gevent.spawn(self._copy, self._upstream_sock, self._host_sock),
-        ]
+        request = gevent.spawn(self._copy, self._host_sock, self._upstream_sock)
+        answer = gevent.spawn(self._copy, self._upstream_sock, self._host_sock)
+        pumps = [request, answer]
         try:
-            # A host closes only when it gives its request up; an upstream may end its
-            # side while the host still has much to read.
-            pumps[0].join()
-            pumps[1].join(CLOSE_TIMEOUT_S)
+            gevent.wait(pumps, count=1)
+            if not answer.ready() or answer.value:
+                # A host closes only when it gives its request up; an upstream may end
+                # its side while the host still has much to read.
+                request.join()
+                answer.join(CLOSE_TIMEOUT_S)
             if all(pump.ready() and pump.value for pump in pumps):
                 for sock in (self._host_sock, self._upstream_sock):
                     _set_linger(sock, _NO_LINGER)
+            elif self._upstream_sock.error is not None:
+                self._await_delivery()
         finally:
             gevent.killall(pumps, block=False)
             self.reset()
@@ -102,10 +112,19 @@
                 target.sendall(data)
             target.shutdown(std_socket.SHUT_WR)
         except OSError:
-            self.reset()
+            if self._upstream_sock.error is None:
+                self.reset()  # the host failed, to which nothing can be delivered
             return False
         return True
 
+    def _await_delivery(self) -> None:
+        """Wait until the host has received what was sent, as a reset discards it."""
+        deadline = self._clock.monotonic() + CLOSE_TIMEOUT_S
+        while _has_unsent_bytes(self._host_sock) and (
+            self._clock.monotonic() < deadline
+        ):
+            gevent.sleep(DELIVERY_POLL_S)
+
 
 class TunnelServer:
     """Opens tunnels to upstreams for other hosts, by direct connections only.
@@ -275,3 +294,12 @@
 def _set_linger(sock: Any, value: bytes) -> None:
     with contextlib.suppress(OSError):
         sock.setsockopt(std_socket.SOL_SOCKET, std_socket.SO_LINGER, value)
+
+
+def _has_unsent_bytes(sock: Any) -> bool:
+    """Return whether the peer has not acknowledged all bytes; false if it is gone."""
+    try:
+        data = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_COUNT.size))
+    except (OSError, ValueError):
+        return False
+    return _COUNT.unpack(data)[0] > 0
--- a/tests/test_router/test_tunnels.py
+++ b/tests/test_router/test_tunnels.py
@@ -136,7 +136,7 @@
     def __init__(self, reads: int) -> None:
         self._reads = reads
 
-    def recv(self, size: int) -> bytes:
+    def recv(self, size: int, _flags: int = 0) -> bytes:
         self._reads -= 1
         return b'x' * size if self._reads >= 0 else b''
 
