Soak early answers to uploads, invalid heads and ordered crashes

Its callers now send some uploads of 400 KB, which a faulty upstream answers before it reads them, with a length, with an ordered end or with a reset; answers with invalid heads are another fault; every other crash of an upstream ends its connections in order, between two events of a stream without a length unless the stream is faulty.

The proxy passes the failure of a connection on as a reset. It ended the other connection in order, so that a truncated answer without a length looked whole before it reached a router.

--- a/tests/soak/caller.py
+++ b/tests/soak/caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import time
 from typing import TYPE_CHECKING, Any
 
@@ -9,12 +10,11 @@
 import h11
 from gevent import socket
 from records import KINDS, SentRequest
-from upstream import EVENTS
+from upstream import EVENTS, UPLOAD_BYTES
 
 from rosemaryseam.platform.headers import HEADER_NAMES
 
 if TYPE_CHECKING:
-    import random
     from collections.abc import Callable
 
     from records import History
@@ -23,6 +23,7 @@
 PATIENT_SHARE = 0.3  # of requests, whose caller waits as long as for a stream
 PROMPT_SHARE = 0.5  # of streams, which state their prompt
 PROMPT_TOKENS = 100
+UPLOAD_SHARE = 0.15  # of requests, which are still written when an answer begins
 MEAN_THINK_TIME_S = 0.06
 CANCEL_SHARE = 0.04  # share of requests whose caller closes the connection early
 HOST = 'soak.example'
@@ -122,6 +123,8 @@
     def _exchange(self, entry: SentRequest) -> bool:
         """Send a request and return whether its answer is framed completely."""
         body = b'b' * self._rng.choice([0, 10, 5000])
+        if random.Random(entry.id).random() < UPLOAD_SHARE:
+            body = b'b' * UPLOAD_BYTES
         http = h11.Connection(h11.CLIENT)
         fields = {
             'Host': HOST,
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -345,11 +345,11 @@
         }
         self.store_server.store.put(REGISTRY_PREFIX + name, json.dumps(entry).encode())
 
-    def remove_upstream(self, name: str) -> tuple[str, int]:
+    def remove_upstream(self, name: str, *, in_order: bool = False) -> tuple[str, int]:
         """Stop an upstream and return its address."""
         upstream, proxy = self.upstreams.pop(name)
         upstream.stop()
-        proxy.stop()
+        proxy.stop(in_order=in_order)
         return proxy.address
 
     def unregister(self, name: str) -> None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -222,7 +222,8 @@
     if _is_last_of_its_service(env, name):
         return
     env.record_disturbance(name, 'crash', RECOVERY_S)
-    address = env.remove_upstream(name)
+    # The kernel ends connections without unread bytes in order, and resets others.
+    address = env.remove_upstream(name, in_order=int(name[1:]) % 2 == 0)
     gevent.sleep(REGISTRY_EXPIRY_S)
     env.unregister(name)
     gevent.sleep(ADDRESS_REUSE_DELAY_S)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -47,10 +47,14 @@
         for connection in list(self._connections):
             connection.reset()
 
-    def stop(self) -> None:
-        """Stop listening and reset all connections."""
+    def stop(self, *, in_order: bool = False) -> None:
+        """Stop listening and reset all connections, or end them in order."""
         self._server.stop(timeout=0)
-        self.reset_open()
+        if in_order:
+            for connection in list(self._connections):
+                connection.close()
+        else:
+            self.reset_open()
 
     def _serve(self, sock: Any, _: object) -> None:
         if self.mode == 'refuse':
@@ -87,6 +91,9 @@
         ]
         gevent.joinall(copiers, count=1)
         gevent.killall(copiers)
+        self.close()
+
+    def close(self) -> None:
         self._target.close()
         self._client.close()
 
@@ -105,6 +112,7 @@
                 if not lost:
                     sink.sendall(data)
         except OSError:
+            self.reset()  # an ordered end would look like that of an answer
             return
         if lost or self.silent or self._proxy.mode == 'silent':
             Event().wait(30.0)
--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import socket as std_socket
 import time
 from typing import TYPE_CHECKING, Any
 
@@ -15,15 +16,29 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from records import History
 
 WORK_S = 0.02
 EVENT_S = 0.05
 EVENTS = 8
-ANSWER_FAULTS = ('error', 'truncate', 'hang', 'reset', 'extra', 'unframed')
+ANSWER_FAULTS = (
+    'error', 'truncate', 'hang', 'reset', 'extra', 'unframed', 'invalid'
+)  # fmt: skip
+INVALID_HEADS = (
+    b'HTTP/1.1 000 Status\r\n',
+    b'HTTP/1.1 2000 Status\r\n',
+    b'HTTP/1.1 600 Status\r\n',
+    b'HTTP/2.0 200 Status\r\n',
+    b'HTTP/1.1 200 Status\r\nX A: a\r\n',
+    b'HTTP/1.1 200 Status\r\nContent-Length: 1\r\nContent-Length: 2\r\n',
+)
 UNFRAMED_SHARE = 0.3  # of streams, which have neither a length nor chunks
-EARLY_BYTES = 3  # of the next event, sent with each event of an unframed stream
+UPLOAD_BYTES = 400_000
+EARLY_SHARE = 0.5  # of uploads to faulty upstreams, answered before they are read
+EARLY_PART = b'part'
+EARLY_BYTES = 3  # of the next event, sent with each event of a faulty unframed stream
 
 
 def expected_body(request_id: str, body: bytes) -> bytes:
@@ -84,7 +99,7 @@
         try:
             rest = b''
             while True:
-                request, body, rest = _read(sock, rest)
+                request, body, rest = _read(sock, rest, self._answers_early)
                 if request is None:
                     return
                 self._answer(sock, request, body)
@@ -94,6 +109,14 @@
             self._sockets.discard(sock)
             sock.close()
 
+    def _answers_early(self, request: h11.Request) -> bool:
+        if b'/stream/' in request.target or b'/once/' in request.target:
+            return False
+        size = dict(request.headers).get(b'content-length')
+        if size != str(UPLOAD_BYTES).encode() or not self.fault_share:
+            return False
+        return self._rng.random() < EARLY_SHARE
+
     def _work(self, seconds: float) -> None:
         gevent.sleep(seconds)
         gevent.sleep(max(0.0, self._paused_until - time.monotonic()))
@@ -142,6 +165,10 @@
         target: bytes,
     ) -> None:
         fault = ''
+        if body == EARLY_PART:
+            attempt.faulty = True
+            self._answer_early(sock, attempt)
+            return
         if self._rng.random() < self.fault_share:
             fault = self._rng.choice(ANSWER_FAULTS)
             attempt.faulty = True
@@ -160,6 +187,10 @@
             raise OSError
         elif fault == 'reset':
             raise OSError
+        elif fault == 'invalid':
+            rest = _head(200, attempt, {}).partition(b'\r\n')[2]
+            sock.sendall(self._rng.choice(INVALID_HEADS) + rest + b'x')
+            raise OSError
         elif fault == 'truncate':
             data = _head(200, attempt, {'Content-Length': str(len(attempt.answer))})
             sock.sendall(data + attempt.answer[:10])
@@ -173,11 +204,25 @@
         else:
             _send(sock, 200, attempt, attempt.answer)
 
+    def _answer_early(self, sock: Any, attempt: Attempt) -> None:
+        """Answer an upload of which only the head was read; the end decides."""
+        end = self._rng.choice(['length', 'order', 'reset'])
+        answer = b'early answer'
+        if end != 'reset':
+            attempt.answer = answer  # whole
+        more = {'Content-Length': str(len(answer))} if end == 'length' else {}
+        sock.sendall(_head(200, attempt, {'Connection': 'close', **more}) + answer)
+        if end == 'order':
+            sock.shutdown(std_socket.SHUT_WR)
+            while sock.recv(65_536):
+                pass
+        raise OSError  # with unread bytes of the upload, which resets the connection
+
     def _stream(
         self, sock: Any, attempt: Attempt, fields: dict[bytes, str], fault: str
     ) -> None:
-        if fault == 'error':
-            _send(sock, 500, attempt, b'failed')
+        if fault in ('error', 'invalid'):
+            self._plain(sock, attempt, fault)
             return
         start = int(_field(fields, HEADER_NAMES.last_event_id) or 0)
         chunked = self._rng.random() >= UNFRAMED_SHARE
@@ -185,7 +230,7 @@
         if chunked:
             more['Transfer-Encoding'] = 'chunked'
         sock.sendall(_head(200, attempt, more))
-        early_bytes = 0 if chunked else EARLY_BYTES
+        early_bytes = 0 if chunked or not fault else EARLY_BYTES
         parts = _split_stream(attempt, self.version, start, early_bytes)
         for number, part in enumerate(parts, start + 1):
             self._work(EVENT_S)
@@ -226,7 +271,10 @@
     return f'{len(data):x}\r\n'.encode() + data + b'\r\n'
 
 
-def _read(sock: Any, rest: bytes) -> tuple[h11.Request | None, bytes, bytes]:
+def _read(
+    sock: Any, rest: bytes, is_early: Callable[[h11.Request], bool]
+) -> tuple[h11.Request | None, bytes, bytes]:
+    """Return a request, with :data:`EARLY_PART` as its body if it is not read."""
     parser = h11.Connection(h11.SERVER)
     if rest:
         parser.receive_data(rest)
@@ -237,6 +285,8 @@
             parser.receive_data(sock.recv(65_536))
         elif isinstance(event, h11.Request):
             request = event
+            if is_early(request):
+                return request, EARLY_PART, b''
         elif isinstance(event, h11.Data):
             body += bytes(event.data)
         elif isinstance(event, h11.EndOfMessage):
