Read an answer's body whole behind an informational answer

Callers of the node's front got a part of an app's answer as complete, with a length that matched the part, if the app sent an informational answer (100, 103) first: the body ended with the bytes that came in the same read as its head. The same held for all exchanges: the clients of the store, the host list and the key-value service, load reports, the operator's client and the reads between hosts. The HTTP library detaches from the connection at the end of each message, also of an informational one, and a detached answer ends with what is buffered. The connection is kept now until the final answer is complete.

--- a/packages/common/src/rosemaryseam/common/finalresponse.py
+++ b/packages/common/src/rosemaryseam/common/finalresponse.py
@@ -56,6 +56,12 @@
             raise HTTPParseError('bytes behind the answer')
         super()._on_message_begin()
 
+    def _on_message_complete(self) -> None:
+        if self._status is None:
+            self.message_complete = True  # more is read from the connection
+        else:
+            super()._on_message_complete()
+
     def _on_status(self, msg: str) -> None:
         check_head_bytes(msg.encode('latin-1', 'replace'))
         super()._on_status(msg)
--- a/tests/test_common/test_exchange.py
+++ b/tests/test_common/test_exchange.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+import gevent
 import pytest
 from gevent.server import StreamServer
 
@@ -119,6 +120,40 @@
         server.stop()
 
 
+EARLY = b'HTTP/1.1 103 Early Hints\r\n\r\n'
+PLAIN = b'HTTP/1.1 200 OK\r\n'
+SIZED = PLAIN + b'Content-Length: 4\r\n\r\n'
+IN_PARTS = [
+    ('a length', [EARLY, SIZED + b'ab', b'cd']),
+    ('chunks', [EARLY, HEAD + b'2\r\nab\r\n', b'2\r\ncd\r\n0\r\n\r\n']),
+    ('neither', [EARLY, PLAIN + b'\r\nab', b'cd']),
+    ('both heads at once', [EARLY + SIZED + b'ab', b'cd']),
+]
+
+
+# Guards against a body that ends with the bytes that came with its head, as an
+# informational answer came first (MIXED, issue 51).
+@pytest.mark.parametrize(('name', 'parts'), IN_PARTS, ids=[row[0] for row in IN_PARTS])
+def test_body_is_whole_after_an_informational_answer(
+    name: str, parts: list[bytes]
+) -> None:
+    def serve(sock: Any, _: object) -> None:
+        sock.recv(65_536)
+        for part in parts:
+            sock.sendall(part)
+            gevent.sleep(0.05)
+        sock.close()
+
+    server = StreamServer(('127.0.0.1', 0), serve)
+    server.start()
+    try:
+        address = Address('127.0.0.1', server.server_port)
+        answer = call(address, 'GET', '/', timeout_s=1.0)
+    finally:
+        server.stop()
+    assert (answer.status, answer.body) == (200, b'abcd')
+
+
 def test_put_is_sent_once() -> None:
     """The HTTP library resends a PUT on a closed connection; an exchange must not."""
     seen = []
