Take no app's answer for whole whose app runner ended with it

The node's caller got the part of an answer without a length that was sent before its app runner's process ended: the kernel closes its connections in order if all their bytes were read, so the part looked complete. An app runner that says that it is leaving may have closed its listener and is believed.

--- a/packages/common/src/rosemaryseam/common/answerhead.py
+++ b/packages/common/src/rosemaryseam/common/answerhead.py
@@ -3,9 +3,16 @@
 from __future__ import annotations
 
 import re
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 FIRST_FINAL_STATUS = 200  # those below are informational
 _STATUSES = range(100, 600)
+_BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+_FRAMING_HEADERS = ('content-length', 'transfer-encoding')
 # Control bytes, line ends that are none, and lines that continue the one before.
 _INVALID_BYTES = re.compile(rb'[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]|\r(?!\n)|\n[ \t]')
 _END = re.compile(rb'\r?\n\r?\n')
@@ -50,3 +57,14 @@
     match = _INVALID_BYTES.search(data, 0, end.start() if end else len(data) - 1)
     if match is not None:
         raise InvalidHeadError(f'{match[0]!r} in the head')
+
+
+def is_framed(status: int, headers: Iterable[tuple[str, str]]) -> bool:
+    """Return whether more than the end of the connection marks the answer's end.
+
+    :param status: HTTP status
+    :param headers: names and values
+    """
+    return status in _BODILESS_STATUSES or any(
+        name.lower() in _FRAMING_HEADERS for name, _ in headers
+    )
--- a/packages/node/src/rosemaryseam/node/gateway/apps.py
+++ b/packages/node/src/rosemaryseam/node/gateway/apps.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import hashlib
-from http import HTTPStatus
 from typing import TYPE_CHECKING, NamedTuple
 
+from rosemaryseam.common.answerhead import is_framed
 from rosemaryseam.common.callerwatch import watch_caller
 from rosemaryseam.common.errors import RequestError, ResultCode, UpstreamError
 from rosemaryseam.common.requestholder import HOLDER_KEY, SOCKET_KEY, UNFRAMED_KEY
@@ -39,8 +39,6 @@
 MAX_IDEMPOTENCY_KEY_LENGTH = 255
 RETRYABLE_STATUSES = frozenset({429, 500, 502, 503, 504})
 
-_BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
-_FRAMING_HEADERS = ('content-length', 'transfer-encoding')
 _NOT_FORWARDED_HEADERS = frozenset(
     {
         'authorization',
@@ -66,13 +64,6 @@
     headers: tuple[tuple[str, str], ...]
     content: bytes
 
-    @property
-    def is_framed(self) -> bool:
-        """Whether more than the end of the connection marked the answer's end."""
-        return self.status in _BODILESS_STATUSES or any(
-            name.lower() in _FRAMING_HEADERS for name, _ in self.headers
-        )
-
 
 class AppResource:
     """Falcon sink for ``/apps/<pool>/<path>``.
@@ -248,7 +239,7 @@
     for name, value in answer.headers:
         if name.lower() not in _NOT_FORWARDED_HEADERS:
             resp.append_header(name, value)
-    if answer.is_framed:
+    if is_framed(answer.status, answer.headers):
         resp.data = answer.content
     else:
         # A length would state that the answer is whole, which its app runner did not.
--- a/packages/node/src/rosemaryseam/node/upstreams/http.py
+++ b/packages/node/src/rosemaryseam/node/upstreams/http.py
@@ -5,9 +5,10 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from rosemaryseam.common.answerhead import is_framed
 from rosemaryseam.common.bodybuffer import BodyBuffer
 from rosemaryseam.common.errors import UpstreamError
-from rosemaryseam.common.exchange import TRANSPORT_ERRORS, Exchange
+from rosemaryseam.common.exchange import TRANSPORT_ERRORS, Exchange, open_exchange
 from rosemaryseam.node.upstreams import UpstreamCall, UpstreamClient, UpstreamExchange
 
 if TYPE_CHECKING:
@@ -75,8 +76,9 @@
             raise UpstreamError(message, written=True, leaving=True)
 
     def _is_refusal_while_leaving(self) -> bool:
-        if self.status != HTTPStatus.SERVICE_UNAVAILABLE:
-            return False
+        return self.status == HTTPStatus.SERVICE_UNAVAILABLE and self._is_leaving()
+
+    def _is_leaving(self) -> bool:
         headers = {name.lower(): value for name, value in self.headers}
         return headers.get(STATE_HEADER) == LEAVING_STATE
 
@@ -106,8 +108,29 @@
                 buffer.append(part)
         except TRANSPORT_ERRORS as exc:
             raise UpstreamError(f'{self._address}: {exc}', written=True) from exc
+        self._check_end()
         return bytes(buffer.view())
 
+    def _check_end(self) -> None:
+        """Tell the end of an answer from that of its upstream's process.
+
+        The kernel closes the connections of a process that crashes in order if all
+        their bytes were read. Its listener is closed as well.
+
+        :raises UpstreamError: if the upstream ended with its answer
+        """
+        if is_framed(self.status, self.headers) or self._is_leaving():
+            return
+        with open_exchange(
+            self._address, self._call.connect_s, self._call.connect_s
+        ) as probe:
+            try:
+                probe.connect()
+            except ConnectionRefusedError as exc:
+                raise self._error('ended with its answer') from exc
+            except OSError:
+                return  # it is not known to have ended
+
     def _error(self, reason: str) -> UpstreamError:
         return UpstreamError(f'{self._address}: {reason}', written=True)
 
--- a/tests/test_node/test_ended_answers.py
+++ b/tests/test_node/test_ended_answers.py
@@ -154,3 +154,21 @@
     assert b'transfer-encoding' not in head.lower()
     assert b'connection: close' in head.lower()
     assert body == b'12345'
+
+
+# Guards against the part of an answer that came before its app runner ended, as the
+# kernel closes the connections of a process in order.
+@pytest.mark.parametrize('route', ROUTES)
+def test_app_runner_that_ends_with_its_answer(route: str, front: Front) -> None:
+    def script(exchange: ScriptedExchange) -> None:
+        exchange.send_raw(PLAIN + b'\r\n12345')
+        gevent.sleep(0.02)
+        front.upstream.stop()
+
+    front.upstream.script = script
+    try:
+        head, body = front.ask(route)
+    finally:
+        front.upstream.restart()
+    assert b' 200 ' not in head[:20], head
+    assert b'12345' not in body
