Decode no more headers of an answer than a thousand

An upstream that sent headers without end took far more of a process than their bytes: an exchange decodes up to 262,144 bytes of them, which are 32,768 short headers, each an object of its own. Enough requests at such upstreams fill the memory of the node, and the requests of other callers end with it. Answers with more than 1000 headers are invalid now.

test_endless_answers_stay_within_the_memory_of_the_host, 40 callers, 150 MB allowed: headers took 235.0 MB (streamed) and 236.4 MB (whole) before, 71.2 and 73.3 MB now. A long header, informational answers and a failure's body passed before, with up to 114.4 MB.

--- a/packages/common/src/rosemaryseam/common/finalresponse.py
+++ b/packages/common/src/rosemaryseam/common/finalresponse.py
@@ -13,6 +13,8 @@
     check_head_bytes,
 )
 
+MAX_HEADERS = 1000  # decoded, each takes many times its bytes
+
 
 class FinalResponse(HTTPSocketResponse):
     """The answer to a request, without informational ones before it.
@@ -66,6 +68,11 @@
         check_head_bytes(msg.encode('latin-1', 'replace'))
         super()._on_status(msg)
 
+    def _flush_header(self) -> None:
+        if self._header_position > MAX_HEADERS:
+            raise InvalidHeadError(f'more than {MAX_HEADERS} headers')
+        super()._flush_header()
+
     def _on_headers_complete(self) -> int | bool | None:
         result = super()._on_headers_complete()
         status = super().get_code()
