Count an unfinished event of an upstream as memory of its caller

An upstream that sent an event without end made the node keep up to 16 MB for each request, outside the account of callers: enough of them fill the node, and the requests of other callers end with it. Events are limited to 1 MB, and what is received of one beyond 16 KiB is reserved from the account; without room the upstream's answer is a failure.

--- a/packages/common/src/rosemaryseam/common/exchange.py
+++ b/packages/common/src/rosemaryseam/common/exchange.py
@@ -16,8 +16,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
 
-    from geventhttpclient.response import HTTPSocketResponse
-
     from rosemaryseam.common.addresses import Address
 
 READ_BYTES = 4096
@@ -76,7 +74,7 @@
         path: str,
         body: bytes | memoryview = b'',
         headers: Mapping[str, str] | None = None,
-    ) -> HTTPSocketResponse:
+    ) -> FinalResponse:
         """Write the request and read the answer's head.
 
         :param method: the HTTP method
--- a/packages/common/src/rosemaryseam/common/finalresponse.py
+++ b/packages/common/src/rosemaryseam/common/finalresponse.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
@@ -13,6 +13,9 @@
     check_head_bytes,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 MAX_HEADERS = 1000  # decoded, each takes many times its bytes
 
 
@@ -21,8 +24,13 @@
 
     The parser would go on with bytes behind the answer, as if it were an informational
     one: it would take its head from them and add their body to that of the answer.
+
+    ``on_buffered`` is called with the number of bytes of the body that were received
+    and not read.
     """
 
+    on_buffered: Callable[[int], None] | None = None
+
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         self._status: int | None = None  # of the final answer
         super().__init__(*args, **kwargs)
@@ -49,6 +57,8 @@
         except HTTPParseError:
             if not self._is_whole():
                 raise
+        if self.on_buffered is not None:
+            self.on_buffered(len(self._body_buffer))
 
     def _is_whole(self) -> bool:
         return self._status is not None and self.message_complete
--- a/packages/node/src/rosemaryseam/node/gateway/completions.py
+++ b/packages/node/src/rosemaryseam/node/gateway/completions.py
@@ -165,7 +165,7 @@
         if exchange.status != HTTPStatus.OK:
             raise self._status_error(request, call)
         complete = False
-        for event in exchange.events():
+        for event in exchange.events(request.reserve):
             self._runner.check_run_time(request, call)
             complete = is_final_event(event)
             if complete:
--- a/packages/node/src/rosemaryseam/node/upstreams/__init__.py
+++ b/packages/node/src/rosemaryseam/node/upstreams/__init__.py
@@ -45,10 +45,14 @@
         """
 
     @abc.abstractmethod
-    def events(self) -> Iterator[bytes]:
+    def events(
+        self, reserve: Callable[[int], bool] = lambda _: True
+    ) -> Iterator[bytes]:
         """Yield complete server-sent events, each including its blank line.
 
-        :raises UpstreamError: if the connection failed or a read timed out
+        :param reserve: reserves memory in bytes, and returns whether there is room
+        :raises UpstreamError: if the connection failed, a read timed out or an event
+            is too large, or there is no memory for it
         """
 
     @abc.abstractmethod
--- a/packages/node/src/rosemaryseam/node/upstreams/http.py
+++ b/packages/node/src/rosemaryseam/node/upstreams/http.py
@@ -14,12 +14,14 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-    from geventhttpclient.response import HTTPSocketResponse
-
     from rosemaryseam.common.addresses import Address
+    from rosemaryseam.common.finalresponse import FinalResponse
 
 EVENT_END = b'\n\n'
 READ_BYTES = 65_536
+MAX_EVENT_BYTES = 1_000_000
+FREE_EVENT_BYTES = 16_384  # in the account of each request already
+EVENT_COPIES = 4  # of an event on its way to the caller
 STATE_HEADER = 'x-upstream-state'
 LEAVING_STATE = 'leaving'
 
@@ -57,7 +59,7 @@
         self._address = address
         self._exchange = exchange
         self._call = call
-        self._response: HTTPSocketResponse | None = None
+        self._response: FinalResponse | None = None
 
     def send(self) -> None:
         """Write the request once and wait for the answer's head."""
@@ -82,8 +84,23 @@
         headers = {name.lower(): value for name, value in self.headers}
         return headers.get(STATE_HEADER) == LEAVING_STATE
 
-    def events(self) -> Iterator[bytes]:
+    def events(
+        self, reserve: Callable[[int], bool] = lambda _: True
+    ) -> Iterator[bytes]:
         """Yield complete server-sent events."""
+        reserved = FREE_EVENT_BYTES
+
+        def hold(size: int) -> None:
+            nonlocal reserved
+            if size > MAX_EVENT_BYTES:
+                raise OSError('event too large')
+            if size > reserved:
+                added = max(size - reserved, reserved)
+                if not reserve(EVENT_COPIES * added):
+                    raise OSError('no memory for the event')
+                reserved += added
+
+        self._response.on_buffered = hold
         while True:
             try:
                 event = self._response.readline(EVENT_END)
--- a/tests/test_node/test_endless_answers.py
+++ b/tests/test_node/test_endless_answers.py
@@ -27,6 +27,8 @@
 STREAM = HEAD + b'Content-Type: text/event-stream\r\n\r\n'
 
 ENDLESS = [
+    ('an event', STREAM + b'data: ', b'a' * 8192),
+    ('fields of an event', STREAM + b'data: {"choices": [', b'{"index": 1},' * 600),
     ('headers', HEAD, b'X-A: a\r\n' * 1000),
     ('a header', HEAD + b'X-A: ', b'a' * 8192),
     ('informational answers', b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 400),
