Count an answer that is joined from its events as memory of its caller

For a caller that asks for a whole answer, the node joined up to 16 MB of an upstream's events and kept them outside the account of callers. The answer is measured each time its events have doubled, and what it takes beyond 16 KiB is reserved; without room the request fails. Events themselves aren't counted, as they are many times larger than the answer.

--- a/packages/node/src/rosemaryseam/node/gateway/completions.py
+++ b/packages/node/src/rosemaryseam/node/gateway/completions.py
@@ -33,7 +33,7 @@
 from rosemaryseam.node.gateway.events import AnswerAggregator, is_final_event
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     import falcon
 
@@ -45,6 +45,8 @@
 
 EVENT_STREAM = 'text/event-stream'
 MAX_ERROR_BYTES = 1_000_000
+FREE_ANSWER_BYTES = 16_384  # in the account of each request already
+ANSWER_COPIES = 4  # of an answer that is joined from its events and encoded
 
 
 class PassedOnError(Exception):
@@ -96,7 +98,7 @@
                 resp.content_type = EVENT_STREAM
                 resp.set_header('Cache-Control', 'no-store')
             else:
-                resp.media = _aggregate_events(events)
+                resp.media = _aggregate_events(events, request.reserve)
         except PassedOnError as exc:
             resp.status = exc.status
             resp.content_type = 'application/json'
@@ -282,11 +284,20 @@
     )
 
 
-def _aggregate_events(events: Iterator[bytes]) -> dict[str, Any]:
+def _aggregate_events(
+    events: Iterator[bytes], reserve: Callable[[int], bool]
+) -> dict[str, Any]:
     aggregator = AnswerAggregator()
+    reserved = FREE_ANSWER_BYTES
     try:
         for event in events:
             aggregator.add_event(event)
+            while aggregator.size > reserved:
+                if not reserve(ANSWER_COPIES * reserved):
+                    events.close()
+                    message = 'no memory for the answer'
+                    raise RequestError(message, ResultCode.UPSTREAM_FAILED, 1.0)
+                reserved *= 2
     except UnreadableError as exc:
         events.close()
         message = 'the upstream sent a malformed event'
--- a/packages/node/src/rosemaryseam/node/gateway/events.py
+++ b/packages/node/src/rosemaryseam/node/gateway/events.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 from rosemaryseam.common.decoding import decode_json, decoding, require_object
 
 DATA_PREFIX = b'data: '
 DONE_MARKER = b'[DONE]'
+FIRST_MEASURED_BYTES = 65_536  # of events
 
 _CONCATENATED_FIELDS = frozenset(
     {'content', 'text', 'arguments', 'reasoning_content', 'refusal'}
@@ -26,6 +28,9 @@
         self._choices: dict[int, dict[str, Any]] = {}
         self._usage: dict[str, Any] | None = None
         self.complete = False
+        self.size = 0  # in bytes, measured each time the events have doubled
+        self._added_bytes = 0
+        self._measured_at = FIRST_MEASURED_BYTES
 
     def add_event(self, event: bytes) -> None:
         """Add an event to the answer.
@@ -33,6 +38,7 @@
         :param event: complete event, including its blank line
         :raises UnreadableError: if the data of the event is no chunk of an answer
         """
+        self._added_bytes += len(event)
         for line in event.split(b'\n'):
             if not line.startswith(DATA_PREFIX):
                 continue
@@ -42,6 +48,7 @@
             else:
                 with decoding('event'):
                     self._add_chunk(require_object(decode_json(data)))
+                    self._measure()
 
     def answer(self) -> dict[str, Any]:
         """Return the answer as a JSON object."""
@@ -54,6 +61,12 @@
             answer['usage'] = self._usage
         return answer
 
+    def _measure(self) -> None:
+        """Measure the answer, which may be many times smaller than its events."""
+        if self._added_bytes >= self._measured_at:
+            self._measured_at = 2 * self._added_bytes
+            self.size = len(json.dumps(self.answer()))
+
     def _add_chunk(self, chunk: dict[str, Any]) -> None:
         for key, value in chunk.items():
             if key not in ('choices', 'usage'):
--- a/tests/test_node/test_endless_answers.py
+++ b/tests/test_node/test_endless_answers.py
@@ -25,9 +25,11 @@
 KEY_LINE = f'Authorization: Bearer {KEYS["market"]}\r\n'.encode()
 HEAD = b'HTTP/1.1 200 OK\r\n'
 STREAM = HEAD + b'Content-Type: text/event-stream\r\n\r\n'
+CHUNK = b'data: {"object": "c", "choices": [{"delta": {"content": "%s"}}]}\n\n'
 
 ENDLESS = [
     ('an event', STREAM + b'data: ', b'a' * 8192),
+    ('events', STREAM, CHUNK % (b'a' * 8192)),
     ('fields of an event', STREAM + b'data: {"choices": [', b'{"index": 1},' * 600),
     ('headers', HEAD, b'X-A: a\r\n' * 1000),
     ('a header', HEAD + b'X-A: ', b'a' * 8192),
