Take no invalid answer of the API for duties for a known outcome

A call counted as executed by any status line whose second word began with three digits: 2000, other protocols and versions, heads with control bytes, invalid names, two lengths or without an end. An informational answer counted as a refusal.

--- a/tests/test_platform/test_dutyapi.py
+++ b/tests/test_platform/test_dutyapi.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING
 
 import gevent
@@ -139,6 +140,65 @@
     listener.stop(timeout=0)
 
 
+INVALID_HEADS = [
+    *(
+        b'HTTP/1.1 %s OK\r\n\r\n' % status
+        for status in (b'000', b'099', b'2000', b'600')
+    ),
+    b'HTTP/2.0 200 OK\r\n\r\n',
+    b'RTSP/1.0 200 OK\r\n\r\n',
+    b'\x16\x03 200 OK\r\n\r\n',
+    b'HTTP/1.1 200\x01OK\r\n\r\n',
+    b'HTTP/1.1 200 OK\r\nX A: b\r\n\r\n',
+    b'HTTP/1.1 200 OK\r\nX\x01A: b\r\n\r\n',
+    b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\na',
+    b'HTTP/1.1 200 OK\r\nContent-Len',
+]
+
+
+# Guards against a call that counts as executed or refused by an answer that is none
+# (issue 51).
+@pytest.mark.parametrize('answer', INVALID_HEADS)
+def test_an_invalid_answer_is_no_known_outcome(answer: bytes) -> None:
+    def serve(sock: socket.socket, _: object) -> None:
+        sock.recv(65_536)
+        sock.sendall(answer)
+
+    listener = StreamServer(('127.0.0.1', 0), serve)
+    listener.start()
+    api = DutyApi(Address('127.0.0.1', listener.server_port), 'host-1', CLOCK)
+    try:
+        assert api.report_usage(5, {}, permission()) is DutyResult.UNKNOWN
+    finally:
+        listener.stop(timeout=0)
+
+
+ENDLESS = [
+    (b'HTTP/1.1 200 OK\r\nX-A: ', b'a' * 8192),
+    (b'HTTP/1.1 100 Continue\r\n\r\n', b'HTTP/1.1 100 Continue\r\n\r\n' * 400),
+]
+
+
+# Guards against a call without an end, or that takes turns and memory from others.
+@pytest.mark.parametrize(('first', 'again'), ENDLESS)
+def test_an_endless_answer_is_no_known_outcome(first: bytes, again: bytes) -> None:
+    def serve(sock: socket.socket, _: object) -> None:
+        with contextlib.suppress(OSError):
+            sock.sendall(first)
+            while True:
+                sock.sendall(again)
+
+    listener = StreamServer(('127.0.0.1', 0), serve)
+    listener.start()
+    api = DutyApi(Address('127.0.0.1', listener.server_port), 'host-1', CLOCK)
+    began = CLOCK.monotonic()
+    try:
+        assert api.report_usage(5, {}, permission(0.5)) is DutyResult.UNKNOWN
+    finally:
+        listener.stop(timeout=0)
+    assert CLOCK.monotonic() - began < 1.0
+
+
 def test_the_connection_of_an_unanswered_call_is_reset() -> None:
     """Otherwise the kernel delivers its bytes after another host acts."""
     seen = []
