Take a stream for complete at its final event

An engine that marked the end of its stream ([DONE]) and closed or reset the connection before the last chunk counted as failed: the request ran again, and its caller got events of the second run, which the first marker belied, or an error behind a complete answer. A failure behind the final event is ignored now.

--- a/packages/node/src/rosemaryseam/node/gateway/completions.py
+++ b/packages/node/src/rosemaryseam/node/gateway/completions.py
@@ -167,12 +167,16 @@
         if exchange.status != HTTPStatus.OK:
             raise self._status_error(request, call)
         complete = False
-        for event in exchange.events(request.reserve):
-            self._runner.check_run_time(request, call)
-            complete = is_final_event(event)
-            if complete:
-                call.outcome = COMPLETED_OUTCOME
-            yield event
+        try:
+            for event in exchange.events(request.reserve):
+                self._runner.check_run_time(request, call)
+                complete = complete or is_final_event(event)
+                if complete:
+                    call.outcome = COMPLETED_OUTCOME
+                yield event
+        except UpstreamError:
+            if not complete:
+                raise
         if not complete:
             message = f'{call.upstream.name}: the stream ended early'
             raise UpstreamError(message, written=True)
--- a/tests/test_node/test_ended_answers.py
+++ b/tests/test_node/test_ended_answers.py
@@ -1,4 +1,4 @@
-"""Tests answers of app runners that end early or are none, at the node's front."""
+"""Tests answers that end early or are none, at the node's front."""
 
 from __future__ import annotations
 
@@ -18,7 +18,8 @@
     from rosemaryseam.standins.scripted import ScriptedExchange
 
 ROUTES = ['availability', 'book']  # idempotent, and not
-APP = b'POST /apps/desk/%s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n'
+REQUEST = b'POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n'
+PROMPT = b'{"model": "small", "stream": true, "messages": [{"role": "user"}]}'
 TIMEOUT_S = 20.0
 LARGE_BYTES = 3_900_000
 PLAIN = b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n'
@@ -28,22 +29,24 @@
 
 
 class Front:
-    """A node with one app runner, which runs the script of a test."""
+    """A node with one app runner and one engine, which run the scripts of a test."""
 
     def __init__(self, folder: Any) -> None:
         self.upstream = ScriptedUpstream(lambda exchange: exchange.answer(200))
+        self.engine = ScriptedUpstream(lambda exchange: exchange.answer(200))
         self._fleet = start_fleet(
             folder, nodes=1, engines=1, apps=1, edit_catalogue=self._use_upstream
         )
 
     def _use_upstream(self, catalogue: dict[str, Any]) -> None:
         for entry in catalogue['upstreams']:
-            if entry['pool'] == 'desk':
-                entry['address'] = str(self.upstream.address)
+            upstream = self.upstream if entry['pool'] == 'desk' else self.engine
+            entry['address'] = str(upstream.address)
 
     def stop(self) -> None:
-        """Stop the node and the app runner."""
+        """Stop the node and its upstreams."""
         self.upstream.stop()
+        self.engine.stop()
         self._fleet.stop()
 
     def ask(
@@ -55,13 +58,14 @@
         :param size: size of the request's body in bytes
         :param connection: what the caller asks for its connection
         """
-        head = APP % (route.encode(), KEYS['market'].encode())
+        path = f'/apps/desk/{route}' if route in ROUTES else route
+        head = REQUEST % (path.encode(), KEYS['market'].encode())
         head += b'Connection: %s\r\n' % connection.encode()
         head += b'Content-Length: %d\r\n\r\n' % size
         ip, port = self._fleet.nodes['host-1']['listen'].split(':')
         answer = b''
         with gevent.Timeout(TIMEOUT_S), socket.create_connection((ip, port)) as sock:
-            sock.sendall(head + bytes(size))
+            sock.sendall(head + (PROMPT if size == len(PROMPT) else bytes(size)))
             while part := sock.recv(65_536):
                 answer += part
         return answer.partition(b'\r\n\r\n')[::2]
@@ -172,3 +176,19 @@
         front.upstream.restart()
     assert b' 200 ' not in head[:20], head
     assert b'12345' not in body
+
+
+# Guards against an error, or a second end, behind a stream whose end was marked.
+@pytest.mark.parametrize('reset', [False, True])
+def test_stream_that_breaks_off_behind_its_end_is_complete(
+    reset: bool, front: Front
+) -> None:
+    events = b'data: {}\n\ndata: [DONE]\n\n'
+    chunk = b'%x\r\n%s\r\n' % (len(events), events)
+    front.engine.script = send(CHUNKED + chunk, reset=reset)
+    before = len(front.engine.requests)
+    head, body = front.ask('/v1/chat/completions', len(PROMPT))
+    assert head.startswith(b'HTTP/1.1 200')
+    assert body.count(b'data: ') == 2
+    assert body.endswith(b'\r\n0\r\n\r\n')
+    assert len(front.engine.requests) == before + 1
