Reuse idle tunnels for requests that must run at most once

Callers of hosts that were partitioned from all upstreams got 503 within milliseconds, although other hosts reached the upstreams.

Before a request that must run at most once is sent on an idle connection, a suspect path is verified by a new connection. A partitioned host probes its upstreams twice a second; the failed probes kept its paths suspect, so idle tunnels were never used: each such request opened a tunnel, which was kept for up to 30 s. The hosts that relay reached their limit of tunnels, refused new ones as busy, and are then not asked for 0.3 s, so that no host was left to ask.

Failures of direct connections do not count against idle tunnels any more; a tunnel's own relay is still checked.

--- a/packages/router/src/rosemaryseam/router/paths.py
+++ b/packages/router/src/rosemaryseam/router/paths.py
@@ -166,13 +166,18 @@
             return self._reachability.uses_tunnel(path.upstream)
         return not self._tunnels.may_use(path.relay)
 
-    def must_verify(self) -> bool:
+    def must_verify(self, path: ConnectionPath) -> bool:
         """Return whether a new connection must show first that the path works.
 
         Bytes sent on an idle connection of a path that was just cut are lost, and with
-        them a request that must run at most once.
+        them a request that must run at most once. Failures of direct connections say
+        nothing about tunnels.
+
+        :param path: path of an idle connection
         """
-        if self._tunnels is None:
+        if not isinstance(path, UpstreamPath) or self._tunnels is None:
+            return False
+        if path.relay is not None or self._reachability.uses_tunnel(path.upstream):
             return False
         now = self._clock.monotonic()
         return self._reachability.has_recent_failure(now) or (
--- a/packages/router/src/rosemaryseam/router/pool.py
+++ b/packages/router/src/rosemaryseam/router/pool.py
@@ -147,10 +147,11 @@
         self, upstream: Upstream, *, recently_used: bool
     ) -> UpstreamConnection | None:
         conns = self._idle.get(upstream.incarnation, [])
-        if conns and recently_used and self._paths.must_verify():
-            return None
         while conns:
-            if recently_used and conns[-1].idle_s() > MAX_RECENT_IDLE_S:
+            if recently_used and (
+                conns[-1].idle_s() > MAX_RECENT_IDLE_S
+                or self._paths.must_verify(conns[-1].path)
+            ):
                 return None
             conn = conns.pop()
             if self._is_usable(conn):
