--- a/tests/test_router/test_partitioned_hosts.py
+++ b/tests/test_router/test_partitioned_hosts.py
@@ -68,3 +68,17 @@
     at_cut, at_others = load.tries(5)
     assert at_others.share() == 1.0
     assert at_cut.share() >= 0.95, at_cut
+
+
+# Guards against hosts that refuse to relay in a burst, because their own connects to
+# sound upstreams wait in the process until they count as failed.
+def test_burst_is_served_at_hosts_that_are_cut_off(
+    start_load: Callable[[int], PartitionLoad],
+) -> None:
+    load = start_load(4)
+    load.run(1.5, 0.015, ['unsafe', 'safe'], 1000)
+    load.cut(3, Cut.HANG)
+    load.run(7.0, 0.015, ['unsafe', 'safe'], 1000)
+    at_cut, at_others = load.tries(3)
+    assert at_others.share() >= 0.9, at_others
+    assert at_cut.share() >= at_others.share() * 2 / 3, (at_cut, at_others)
