Count a silence when a request is given up and no upstream is heard

Requests with little time were all lost on idle connections that hang, at a host that was partitioned from all upstreams: it did not notice the partition.

A request that is given up counted as a silence only 0.1 s after its answer was expected. Requests of 150 ms at upstreams that took 60 or 100 ms before never got that far.

A request that is given up after 0.1 s now also counts if no upstream sent anything since it was sent. As before, a silence alone only causes connects and has requests that must run at most once sent on new connections.

--- a/packages/router/src/rosemaryseam/router/paths.py
+++ b/packages/router/src/rosemaryseam/router/paths.py
@@ -170,8 +170,7 @@
         """Return whether a new connection must show first that the path works.
 
         Bytes sent on an idle connection of a path that was just cut are lost, and with
-        them a request that must run at most once. Failures of direct connections say
-        nothing about tunnels.
+        them a request that must run at most once. Tunnels are not suspect with it.
 
         :param path: path of an idle connection
         """
@@ -311,9 +310,14 @@
 
         :param path: path of the connection
         """
-        if path.relay is None and self._is_late(path, GIVEN_UP_S):
+        now, since = self._clock.monotonic(), path.waiting_since
+        silent = now - since > GIVEN_UP_S and (
+            self._is_late(path, GIVEN_UP_S)
+            or not self._reachability.has_contact_since(since)
+        )
+        if path in self._waiting and path.relay is None and silent:
             # Requests with little time left end before their silence shows.
-            self._reachability.record_broken(path.upstream, self._clock.monotonic())
+            self._reachability.record_broken(path.upstream, now)
         self._waiting.discard(path)
 
     # Repeated work.
