--- a/packages/router/src/rosemaryseam/router/tunnelclient.py
+++ b/packages/router/src/rosemaryseam/router/tunnelclient.py
@@ -6,9 +6,8 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import gevent
+from gevent import socket
 
-from rosemaryseam.common.addresses import Address
-from rosemaryseam.common.connecting import connect_numeric
 from rosemaryseam.common.decisionlog import log_event
 from rosemaryseam.policy.rendezvous import PREFERRED_CAPACITY_SHARE
 from rosemaryseam.router import tunnelwire
@@ -20,6 +19,7 @@
     import random
     from collections.abc import Callable, Mapping
 
+    from rosemaryseam.common.addresses import Address
     from rosemaryseam.common.clock import Clock
     from rosemaryseam.common.metrics import Metrics
     from rosemaryseam.policy.reachability import Incarnation
@@ -196,8 +196,8 @@
         reply = None
         try:
             with gevent.Timeout(HOST_TIMEOUT_S, TimeoutError('no reply')):
-                sock = connect_numeric(
-                    Address(host, self._address.port), source_ip=self._address.ip
+                sock = socket.create_connection(
+                    (host, self._address.port), source_address=(self._address.ip, 0)
                 )
                 sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
                 tunnelwire.send_message(
--- a/packages/router/src/rosemaryseam/router/upstreamconnection.py
+++ b/packages/router/src/rosemaryseam/router/upstreamconnection.py
@@ -7,13 +7,13 @@
 
 import gevent
 import h11
+from gevent import socket
 
 from rosemaryseam.common.answerhead import (
     InvalidHeadError,
     check_answer_head,
     check_head_bytes,
 )
-from rosemaryseam.common.connecting import connect_numeric
 from rosemaryseam.common.errorkeeping import ErrorKeepingSocket
 from rosemaryseam.common.fairness import FairReceiver
 from rosemaryseam.router.faults import (
@@ -419,7 +419,7 @@
     :raises NotSentError: if no connection was established
     """
     try:
-        sock = connect_numeric(address, timeout_s)
+        sock = socket.create_connection(tuple(address), timeout=timeout_s)
     except OSError as exc:
         raise NotSentError(f'cannot connect to {address}: {exc}') from exc
     sock.setsockopt(std_socket.IPPROTO_TCP, std_socket.TCP_NODELAY, 1)
