--- a/tests/test_node/test_ended_answers.py
+++ b/tests/test_node/test_ended_answers.py
@@ -79,6 +79,11 @@
     running.stop()
 
 
+def asked(front: Front) -> int:
+    """Return how many calls the engine got, without reads of its load."""
+    return sum(request.target != '/metrics' for request in front.engine.requests)
+
+
 def send(*parts: bytes, reset: bool = False) -> Callable[[ScriptedExchange], None]:
     """Return a script that writes an answer in parts and closes or resets."""
 
@@ -186,9 +191,9 @@
     events = b'data: {}\n\ndata: [DONE]\n\n'
     chunk = b'%x\r\n%s\r\n' % (len(events), events)
     front.engine.script = send(CHUNKED + chunk, reset=reset)
-    before = len(front.engine.requests)
+    before = asked(front)
     head, body = front.ask('/v1/chat/completions', len(PROMPT))
     assert head.startswith(b'HTTP/1.1 200')
     assert body.count(b'data: ') == 2
     assert body.endswith(b'\r\n0\r\n\r\n')
-    assert len(front.engine.requests) == before + 1
+    assert asked(front) == before + 1
